Add the views between control and traffic threads

Cause: the control thread and the traffic threads are written at the same time and need one interface. Conclusion: the control thread can be written against daemon/view.

--- /dev/null
+++ b/packages/daemon/src/daemon/view/evidence_recorder.h
@@ -0,0 +1,87 @@
+#ifndef DAEMON_VIEW_EVIDENCE_RECORDER_H
+#define DAEMON_VIEW_EVIDENCE_RECORDER_H
+
+#include "policy/core/types.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace magnolia::daemon {
+
+// Bucket I counts responses under 2^I x 100 us; the last one takes the rest.
+inline constexpr std::size_t LatencyBucketCount = 20;
+inline constexpr policy::Duration LatencyBucketUnit =
+    std::chrono::microseconds(100);
+
+[[nodiscard]] std::size_t latencyBucketOf(policy::Duration Latency);
+
+// One response as a traffic thread saw it.
+struct EvidenceSample {
+  std::string_view Service;
+  // Path prefix of the route rule, or "/" without one.
+  std::string_view Route;
+  std::string_view Version;
+  bool Failed = false;
+  policy::Duration Latency{};
+};
+
+// Counts of one route of one version since the last drain.
+struct EvidenceCount {
+  std::string Service;
+  std::string Route;
+  std::string Version;
+  std::uint64_t Requests = 0;
+  std::uint64_t Failures = 0;
+  std::array<std::uint32_t, LatencyBucketCount> LatencyBuckets{};
+};
+
+// Collects the evidence on versions from the traffic threads.
+class EvidenceRecorder {
+public:
+  // Called by the traffic thread for each sample, after it is counted. It
+  // must be short; set it before the first record.
+  using Hook = std::function<void(const EvidenceSample &)>;
+
+  explicit EvidenceRecorder(std::size_t CellMaximum = 4096);
+
+  void setHook(Hook NewHook);
+  void record(const EvidenceSample &Sample);
+
+  // Moves the counts out; later samples start from zero.
+  [[nodiscard]] std::vector<EvidenceCount> drain();
+
+  // Samples not counted because every cell was taken.
+  [[nodiscard]] std::uint64_t dropped() const;
+
+private:
+  using Key = std::array<std::string, 3>;
+  struct KeyLess {
+    // The name that the standard containers look for.
+    // NOLINTNEXTLINE(readability-identifier-naming)
+    using is_transparent = void;
+    using View = std::array<std::string_view, 3>;
+    static View view(const Key &K) { return {K[0], K[1], K[2]}; }
+    static View view(const View &K) { return K; }
+    template <class A, class B>
+    bool operator()(const A &Left, const B &Right) const {
+      return view(Left) < view(Right);
+    }
+  };
+
+  const std::size_t CellMaximum;
+  Hook OnSample;
+  mutable std::mutex Mutex;
+  std::map<Key, EvidenceCount, KeyLess> Cells;
+  std::uint64_t Dropped = 0;
+};
+
+} // namespace magnolia::daemon
+
+#endif
