--- /dev/null
+++ b/packages/wire/test/wire/seal/seal.cpp
@@ -0,0 +1,98 @@
+#include "wire/seal/seal.h"
+
+#include "wire/peer.pb.h"
+#include "wire/seal/hello.h"
+#include "wire/types.pb.h"
+
+#include <gtest/gtest.h>
+
+namespace magnolia::wire {
+namespace {
+
+const ClusterKey Key{.Bytes = "0123456789abcdef"};
+const ClusterKey OtherKey{.Bytes = "0123456789abcdeg"};
+
+std::string hexOf(std::string_view Bytes) {
+  std::string Hex;
+  for (const char Byte : Bytes) {
+    const auto Value = static_cast<unsigned char>(Byte);
+    Hex += "0123456789abcdef"[Value >> 4];
+    Hex += "0123456789abcdef"[Value & 15];
+  }
+  return Hex;
+}
+
+// Guards against a tag that other builds do not reproduce. The value was
+// computed with another HMAC-SHA256 over "c", the length 4 in eight bytes and
+// "body".
+TEST(Seal, TagIsHmacSha256OfPurposeAndParts) {
+  const ClusterKey Short{.Bytes = "key"};
+  EXPECT_EQ(hexOf(tagOf(Short, SealPurpose::Control, {"body"})),
+            "0ffa6e728ed6953559ee99b0c4f43d9b"
+            "cc61ee624bd6794edab0e53fe82cb69c");
+  EXPECT_NE(tagOf(Short, SealPurpose::Control, {"body"}),
+            tagOf(Short, SealPurpose::Control, {"bo", "dy"}));
+}
+
+// Guards against a control message that is accepted though it was changed,
+// cut or made under another key or for another protocol.
+TEST(Seal, ControlFaultTable) {
+  const SealedMessage Good = seal(Key, "body");
+  EXPECT_TRUE(isAuthentic(Key, Good));
+  EXPECT_FALSE(isAuthentic(OtherKey, Good));
+  SealedMessage Changed = Good;
+  Changed.set_body("Body");
+  EXPECT_FALSE(isAuthentic(Key, Changed));
+  SealedMessage Cut = Good;
+  Cut.set_tag(Good.tag().substr(0, TagBytes - 1));
+  EXPECT_FALSE(isAuthentic(Key, Cut));
+  SealedMessage Untagged = Good;
+  Untagged.clear_tag();
+  EXPECT_FALSE(isAuthentic(Key, Untagged));
+  SealedMessage Crossed = Good;
+  Crossed.set_tag(tagOf(Key, SealPurpose::Gossip, {"body"}));
+  EXPECT_FALSE(isAuthentic(Key, Crossed));
+}
+
+TEST(Seal, DatagramFaultTable) {
+  const std::string Good = sealDatagram(Key, "update");
+  EXPECT_EQ(openDatagram(Key, Good), "update");
+  EXPECT_EQ(openDatagram(OtherKey, Good), std::nullopt);
+  for (std::size_t I = 0; I < Good.size(); ++I) {
+    std::string Changed = Good;
+    Changed[I] = static_cast<char>(Changed[I] ^ 1);
+    EXPECT_EQ(openDatagram(Key, Changed), std::nullopt) << "byte " << I;
+  }
+  EXPECT_EQ(openDatagram(Key, Good.substr(0, TagBytes - 1)), std::nullopt);
+  EXPECT_EQ(openDatagram(Key, ""), std::nullopt);
+}
+
+// Guards against a handshake that a recorded one can open.
+TEST(Hello, ReplayAndForeignKeysAreRefused) {
+  const PeerHello Opening = helloOpening(7, 8);
+  const PeerHello Answer = helloAnswer(Key, 9, 10, Opening.nonce());
+  EXPECT_TRUE(isAuthenticAnswer(Key, Answer, Opening.nonce()));
+  EXPECT_FALSE(isAuthenticAnswer(OtherKey, Answer, Opening.nonce()));
+  EXPECT_FALSE(isAuthenticAnswer(Key, Answer, helloOpening(7, 8).nonce()));
+
+  const PeerHello Proof = helloProof(Key, Opening, Answer.nonce());
+  EXPECT_TRUE(isAuthenticProof(Key, Proof, Opening, Answer.nonce()));
+  EXPECT_FALSE(isAuthenticProof(OtherKey, Proof, Opening, Answer.nonce()));
+  const PeerHello Later = helloAnswer(Key, 9, 10, Opening.nonce());
+  EXPECT_FALSE(isAuthenticProof(Key, Proof, Opening, Later.nonce()));
+  PeerHello Renamed = Proof;
+  Renamed.set_node(11);
+  EXPECT_FALSE(isAuthenticProof(Key, Renamed, Opening, Answer.nonce()));
+  EXPECT_FALSE(isAuthenticProof(Key, Opening, Opening, Answer.nonce()));
+  EXPECT_FALSE(isValidOpening(PeerHello()));
+}
+
+// Guards against a start with an unreadable or guessable key.
+TEST(ClusterKey, MissingFileIsNamed) {
+  policy::Error LastError;
+  EXPECT_FALSE(readClusterKey("no-such-file.key", LastError));
+  EXPECT_NE(LastError.Detail.find("no-such-file.key"), std::string::npos);
+}
+
+} // namespace
+} // namespace magnolia::wire
