Add the store client and sealed control messages

The control thread and magnoliactl need the key-value store behind one interface, and control messages need authentication.

packages/store: StoreOperations (read, range, compare-and-swap put, delete, watch, leases), an HTTP client for it, and putResolved, which resolves a put with a lost response by reading back its operation id. packages/wire: seal and open with HMAC-SHA256 and a domain prefix.

--- /dev/null
+++ b/packages/store/src/store/client/internal/connection_pool.h
@@ -0,0 +1,48 @@
+#ifndef STORE_CLIENT_INTERNAL_CONNECTION_POOL_H
+#define STORE_CLIENT_INTERNAL_CONNECTION_POOL_H
+
+#include "store/client/http_store.h"
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <vector>
+
+namespace httplib {
+class Client;
+}
+
+namespace magnolia::store::internal {
+
+// Connections to the store: each is used by one call at a time and kept for
+// reuse after a complete response.
+class ConnectionPool {
+public:
+  explicit ConnectionPool(const HttpStoreOptions &Options);
+  ~ConnectionPool();
+  ConnectionPool(const ConnectionPool &) = delete;
+  ConnectionPool &operator=(const ConnectionPool &) = delete;
+
+  // Null after close().
+  [[nodiscard]] std::shared_ptr<httplib::Client> take();
+
+  // Ends the use of a connection. One with a lost response is not reused.
+  void give(const std::shared_ptr<httplib::Client> &Connection, bool Reusable);
+
+  // Breaks all calls in progress and returns when they have ended.
+  void close();
+
+private:
+  std::string Address;
+  std::uint16_t Port;
+  std::size_t MaxIdle;
+  std::mutex Mutex;
+  std::condition_variable Returned;
+  bool Closed = false;
+  std::vector<std::shared_ptr<httplib::Client>> Idle;
+  std::vector<std::shared_ptr<httplib::Client>> InUse;
+};
+
+} // namespace magnolia::store::internal
+
+#endif
--- /dev/null
+++ b/packages/store/src/store/client/put_resolved.h
@@ -0,0 +1,26 @@
+#ifndef STORE_CLIENT_PUT_RESOLVED_H
+#define STORE_CLIENT_PUT_RESOLVED_H
+
+#include "store/core/store_operations.h"
+
+namespace magnolia::store {
+
+// Compare-and-swap write whose lost response is resolved by reading back the
+// key. The value contains the operation id, which no other write may use.
+//
+// - own value found: the revision of that write;
+// - another's value found: Conflict with its revision. Where the response was
+//   lost, the own write may have been in effect before it;
+// - the expected revision found: the same write is sent again, which is safe
+//   because at most one of the copies can succeed;
+// - no response before the timeout: OutcomeUnknown.
+//
+// Unavailable is returned only if no copy of the write reached the store.
+[[nodiscard]] std::optional<Revision>
+putResolved(const StoreOperations &Store, const PutRequest &Request,
+            std::string_view OperationId, std::chrono::milliseconds Timeout,
+            StoreError &LastError);
+
+} // namespace magnolia::store
+
+#endif
--- /dev/null
+++ b/packages/wire/src/wire/seal.h
@@ -0,0 +1,32 @@
+#ifndef WIRE_SEAL_H
+#define WIRE_SEAL_H
+
+#include "policy/core/error.h"
+#include "wire/control.pb.h"
+#include "wire/types.pb.h"
+
+#include <cstddef>
+#include <optional>
+#include <string_view>
+
+namespace magnolia::wire {
+
+// Longest body of a sealed message in bytes. A longer one is rejected before
+// its tag is computed.
+inline constexpr std::size_t MaxSealedBody = 4U * 1024 * 1024;
+
+// Shortest accepted cluster key in bytes.
+inline constexpr std::size_t MinKeySize = 16;
+
+// Serialises the body and authenticates it with HMAC-SHA256 under the key.
+[[nodiscard]] SealedMessage seal(std::string_view Key, const ControlBody &Body);
+
+// Body of an authentic message. Empty when the tag is wrong, or the body is
+// too long or not a ControlBody.
+[[nodiscard]] std::optional<ControlBody> open(std::string_view Key,
+                                              const SealedMessage &Message,
+                                              policy::Error &LastError);
+
+} // namespace magnolia::wire
+
+#endif
--- /dev/null
+++ b/packages/wire/test/wire/seal.cpp
@@ -0,0 +1,60 @@
+#include "wire/seal.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+
+namespace magnolia::wire {
+namespace {
+
+constexpr std::string_view Key = "0123456789abcdef0123456789abcdef";
+
+ControlBody sampleBody() {
+  ControlBody Body;
+  Body.set_from(7);
+  Body.set_method("status");
+  Body.mutable_status();
+  return Body;
+}
+
+TEST(Seal, OpensWhatItSealed) {
+  policy::Error LastError;
+  const auto Body = open(Key, seal(Key, sampleBody()), LastError);
+  ASSERT_TRUE(Body) << LastError.Detail;
+  EXPECT_EQ(Body->from(), 7U);
+  EXPECT_TRUE(Body->has_status());
+}
+
+struct RejectRow {
+  const char *GuardsAgainst;
+  std::function<void(SealedMessage &)> Change;
+  std::string_view OpenKey = Key;
+};
+
+TEST(Seal, RejectsWhatIsNotAuthentic) {
+  const RejectRow Rows[] = {
+      {"a body changed on the way",
+       [](SealedMessage &M) { (*M.mutable_body())[0] ^= 1; }},
+      {"a tag changed on the way",
+       [](SealedMessage &M) { (*M.mutable_tag())[31] ^= 1; }},
+      {"a sender without a key", [](SealedMessage &M) { M.clear_tag(); }},
+      {"a truncated tag that matches as far as it goes",
+       [](SealedMessage &M) { M.mutable_tag()->resize(16); }},
+      {"a body of unbounded size",
+       [](SealedMessage &M) { M.mutable_body()->resize(MaxSealedBody + 1); }},
+      {"a sender with another key", [](SealedMessage &) {},
+       "fedcba9876543210fedcba9876543210"},
+      {"a node started with an empty key", [](SealedMessage &) {}, ""},
+  };
+  for (const RejectRow &Row : Rows) {
+    SealedMessage Message = seal(Key, sampleBody());
+    Row.Change(Message);
+    policy::Error LastError;
+    EXPECT_FALSE(open(Row.OpenKey, Message, LastError)) << Row.GuardsAgainst;
+    EXPECT_FALSE(LastError.Detail.empty()) << Row.GuardsAgainst;
+  }
+}
+
+} // namespace
+} // namespace magnolia::wire
