Add membership, configuration, zone and move policies

Cause: the control thread of the daemon needs the interfaces of the shared state to be built against. Change: plain structs and free functions for SWIM membership, the configuration table with its digests and fan-out, zones with a ramped return, and moves with a schedule, evidence, local brake and driver rank.

--- /dev/null
+++ b/packages/policy/src/policy/config/config_diff.h
@@ -0,0 +1,23 @@
+#ifndef POLICY_CONFIG_CONFIG_DIFF_H
+#define POLICY_CONFIG_CONFIG_DIFF_H
+
+#include "policy/config/config_entry.h"
+
+#include <string>
+#include <vector>
+
+namespace magnolia::policy {
+
+// Result of comparing a table with the revisions that another node holds.
+struct ConfigDiff {
+  // Entries that the other node lacks or holds at a lower revision.
+  std::vector<ConfigEntry> Newer;
+  // Keys that the other node holds at a higher revision.
+  std::vector<std::string> Wanted;
+  // True where Newer was cut at the byte limit; another exchange gets the rest.
+  bool More = false;
+};
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/config/config_entry.h
@@ -0,0 +1,22 @@
+#ifndef POLICY_CONFIG_CONFIG_ENTRY_H
+#define POLICY_CONFIG_CONFIG_ENTRY_H
+
+#include <cstdint>
+#include <string>
+
+namespace magnolia::policy {
+
+// One key of the operators' configuration as the store holds it. Revisions are
+// the store's: one increasing number over all keys, so a later write of a key
+// always has a higher revision than an earlier one.
+struct ConfigEntry {
+  std::string Key;
+  std::uint64_t Revision = 0;
+  std::string Value;
+  // True where the key was deleted at this revision; Value is empty then.
+  bool Tombstone = false;
+};
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/config/config_table.h
@@ -0,0 +1,32 @@
+#ifndef POLICY_CONFIG_CONFIG_TABLE_H
+#define POLICY_CONFIG_CONFIG_TABLE_H
+
+#include "policy/config/config_counters.h"
+#include "policy/config/config_digest.h"
+#include "policy/config/config_entry.h"
+#include "policy/config/config_limits.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace magnolia::policy {
+
+// Configuration in effect on one node. Change it with apply() only.
+struct ConfigTable {
+  ConfigLimits Limits;
+  std::map<std::string, ConfigEntry, std::less<>> Entries;
+  // Sum over keys and values.
+  std::size_t Bytes = 0;
+  // Highest revision applied: where a watch of the store resumes.
+  std::uint64_t HighestRevision = 0;
+  // Kept up to date by apply(), so that reading it costs nothing.
+  ConfigDigest Digest;
+  ConfigCounters Counters;
+};
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/config/exchange.cpp
@@ -0,0 +1,103 @@
+#include "policy/config/exchange.h"
+#include "policy/core/types.h"
+
+#include <unordered_map>
+
+namespace magnolia::policy {
+
+namespace {
+
+bool inSet(std::uint64_t Buckets, std::string_view Key) {
+  return ((Buckets >> bucketOf(Key)) & 1U) != 0;
+}
+
+// Appends the entry unless the answer would exceed the limit. The first entry
+// always fits: otherwise a large one would never be transferred.
+bool addWithin(std::vector<ConfigEntry> &Entries, const ConfigEntry &Entry,
+               std::size_t &Bytes, std::size_t MaxBytes) {
+  const std::size_t Size = Entry.Key.size() + Entry.Value.size();
+  if (!Entries.empty() && Bytes + Size > MaxBytes) {
+    return false;
+  }
+  Bytes += Size;
+  Entries.push_back(Entry);
+  return true;
+}
+
+} // namespace
+
+static_assert(ConfigDigest::BucketCount == 64, "one bit of a set per bucket");
+
+const ConfigDigest &digest(const ConfigTable &Table) { return Table.Digest; }
+
+std::size_t bucketOf(std::string_view Key) {
+  return hashOf(Key) % ConfigDigest::BucketCount;
+}
+
+std::uint64_t differingBuckets(const ConfigDigest &Left,
+                               const ConfigDigest &Right) {
+  std::uint64_t Set = 0;
+  for (std::size_t I = 0; I < ConfigDigest::BucketCount; ++I) {
+    if (Left.Buckets[I] != Right.Buckets[I]) {
+      Set |= std::uint64_t{1} << I;
+    }
+  }
+  return Set;
+}
+
+std::vector<KeyRevision> revisions(const ConfigTable &Table,
+                                   std::uint64_t Buckets) {
+  std::vector<KeyRevision> Result;
+  for (const auto &[Key, Entry] : Table.Entries) {
+    if (inSet(Buckets, Key)) {
+      Result.push_back({.Key = Key, .Revision = Entry.Revision});
+    }
+  }
+  return Result;
+}
+
+ConfigDiff diff(const ConfigTable &Table, std::span<const KeyRevision> Theirs,
+                std::uint64_t Buckets, std::size_t MaxBytes) {
+  ConfigDiff Result;
+  std::unordered_map<std::string_view, std::uint64_t> Held;
+  Held.reserve(Theirs.size());
+  for (const KeyRevision &Their : Theirs) {
+    Held[Their.Key] = Their.Revision;
+    const auto Found = Table.Entries.find(Their.Key);
+    if (inSet(Buckets, Their.Key) &&
+        (Found == Table.Entries.end() ||
+         Found->second.Revision < Their.Revision)) {
+      Result.Wanted.push_back(Their.Key);
+    }
+  }
+  std::size_t Bytes = 0;
+  for (const auto &[Key, Entry] : Table.Entries) {
+    const auto Found = Held.find(Key);
+    if (!inSet(Buckets, Key) ||
+        (Found != Held.end() && Found->second >= Entry.Revision)) {
+      continue;
+    }
+    if (!addWithin(Result.Newer, Entry, Bytes, MaxBytes)) {
+      Result.More = true;
+      break;
+    }
+  }
+  return Result;
+}
+
+std::vector<ConfigEntry> missingFrom(const ConfigTable &Table,
+                                     std::span<const std::string> Wanted,
+                                     std::size_t MaxBytes) {
+  std::vector<ConfigEntry> Result;
+  std::size_t Bytes = 0;
+  for (const std::string &Key : Wanted) {
+    const auto Found = Table.Entries.find(Key);
+    if (Found != Table.Entries.end() &&
+        !addWithin(Result, Found->second, Bytes, MaxBytes)) {
+      break;
+    }
+  }
+  return Result;
+}
+
+} // namespace magnolia::policy
--- /dev/null
+++ b/packages/policy/src/policy/move/advance.cpp
@@ -0,0 +1,152 @@
+#include "policy/move/advance.h"
+
+#include <algorithm>
+#include <string>
+
+namespace magnolia::policy {
+
+namespace {
+
+constexpr auto &Shares = MoveOptions::Shares;
+constexpr std::size_t LastStep = Shares.size() - 1;
+
+// True where the evidence of the present step suffices for the next one: the
+// new version as a whole, and every route that callers use much.
+bool isEarned(const MoveRecord &Record, const MoveEvidence &Evidence,
+              const MoveOptions &Options) {
+  if (Evidence.MoveId != Record.Id || Evidence.Step != Record.Step) {
+    return false;
+  }
+  std::uint64_t New = 0;
+  std::uint64_t Old = 0;
+  for (const RouteEvidence &Route : Evidence.Routes) {
+    New += Route.New.Requests;
+    Old += Route.Old.Requests;
+  }
+  const std::size_t Step = std::min<std::size_t>(Record.Step, LastStep);
+  // The first step leads to no more than 5%, which needs no single route.
+  if (New < MoveOptions::MinRequests[Step] || Step == 0) {
+    return New >= MoveOptions::MinRequests[Step];
+  }
+  const double Total = static_cast<double>(New + Old);
+  return std::all_of(Evidence.Routes.begin(), Evidence.Routes.end(),
+                     [&Options, Total](const RouteEvidence &Route) {
+                       const auto Requests = static_cast<double>(
+                           Route.New.Requests + Route.Old.Requests);
+                       return Route.New.Requests >= Options.MinRouteRequests ||
+                              Requests < Total * Options.MinRouteShare;
+                     });
+}
+
+MoveRecord atStep(MoveRecord Record, std::uint32_t Step, TimePoint Now) {
+  Record.Phase = MovePhase::Shifting;
+  Record.Step = Step;
+  Record.Share = Shares[Step];
+  Record.StepSince = Now;
+  return Record;
+}
+
+// Least time that the steps from this one on take.
+Duration leastTime(std::size_t Step, const MoveOptions &Options) {
+  return Options.MinSoak * static_cast<std::int64_t>(Shares.size() - Step);
+}
+
+std::optional<MoveRecord> start(const MoveRecord &Record, TimePoint Now,
+                                const MoveOptions &Options) {
+  if (Now + leastTime(0, Options) > lastDone(Record, Options)) {
+    return takeBack(Record, "too little time before the deadline", Now);
+  }
+  if (Now < Record.Start) {
+    return std::nullopt;
+  }
+  return atStep(Record, 0, Now);
+}
+
+std::uint64_t rankOf(std::string_view MoveId, NodeId Node) {
+  return hashOf(MoveId, Node);
+}
+
+} // namespace
+
+TimePoint lastDone(const MoveRecord &Record, const MoveOptions &Options) {
+  return Record.Deadline - Options.DoneMargin - Options.WriteAllowance;
+}
+
+Duration soakOf(const MoveRecord &Record, const MoveOptions &Options) {
+  const std::size_t Step = std::min<std::size_t>(Record.Step, LastStep);
+  const auto StepsLeft = static_cast<std::int64_t>(Shares.size() - Step);
+  // Half of an even division: the rest is left for steps that have to wait for
+  // evidence, for the store and for a change of driver.
+  const Duration Fitted =
+      (lastDone(Record, Options) - Record.StepSince) / (2 * StepsLeft);
+  return std::clamp(Fitted, Options.MinSoak, Options.MaxSoak);
+}
+
+std::optional<MoveRecord> advance(const MoveRecord &Record,
+                                  const MoveEvidence &Evidence, TimePoint Now,
+                                  const MoveOptions &Options) {
+  if (hasEnded(Record)) {
+    return std::nullopt;
+  }
+  if (Evidence.MoveId == Record.Id && Evidence.Held.Kind == VerdictKind::Bad) {
+    return takeBack(Record, Evidence.Held.Reason, Now);
+  }
+  if (Now > lastDone(Record, Options)) {
+    return takeBack(Record, "not complete in time before the deadline", Now);
+  }
+  if (Record.Phase == MovePhase::Planned) {
+    return start(Record, Now, Options);
+  }
+  if (Now - Record.StepSince < soakOf(Record, Options) ||
+      !isEarned(Record, Evidence, Options)) {
+    return std::nullopt;
+  }
+  if (Record.Step < LastStep) {
+    return atStep(Record, Record.Step + 1, Now);
+  }
+  MoveRecord Next = Record;
+  Next.Phase = MovePhase::Done;
+  Next.Share = 1.0;
+  Next.EndedAt = Now;
+  Next.EndReason = "completed";
+  return Next;
+}
+
+std::optional<MoveRecord> takeBack(const MoveRecord &Record,
+                                   std::string_view Reason, TimePoint Now) {
+  if (hasEnded(Record)) {
+    return std::nullopt;
+  }
+  MoveRecord Next = Record;
+  Next.Phase = MovePhase::TakenBack;
+  Next.Share = 0.0;
+  Next.EndedAt = Now;
+  Next.EndReason = Reason;
+  return Next;
+}
+
+std::optional<std::size_t> driverRank(NodeId Self,
+                                      std::span<const Member> Watchers,
+                                      std::string_view MoveId) {
+  std::size_t Rank = 0;
+  bool Present = false;
+  const std::uint64_t Own = rankOf(MoveId, Self);
+  for (const Member &Other : Watchers) {
+    if (Other.Node == Self) {
+      Present = true;
+    } else if (isLive(Other) && rankOf(MoveId, Other.Node) < Own) {
+      ++Rank;
+    }
+  }
+  return Present ? std::optional(Rank) : std::nullopt;
+}
+
+bool shouldDrive(NodeId Self, std::span<const Member> Watchers,
+                 std::string_view MoveId, TimePoint DueAt, TimePoint Now,
+                 const MoveOptions &Options) {
+  const auto Rank = driverRank(Self, Watchers, MoveId);
+  return Rank && Now - DueAt >=
+                     Options.TakeoverDelay * static_cast<std::int64_t>(*Rank);
+}
+
+} // namespace magnolia::policy
--- /dev/null
+++ b/packages/policy/src/policy/zone/zone_record.h
@@ -0,0 +1,22 @@
+#ifndef POLICY_ZONE_ZONE_RECORD_H
+#define POLICY_ZONE_ZONE_RECORD_H
+
+#include <cstdint>
+#include <string>
+
+namespace magnolia::policy {
+
+// Operators' decision on an availability zone, from the key zones/<zone>. A
+// zone without a record is in service.
+struct ZoneRecord {
+  std::string Zone;
+  bool Out = false;
+  // Who took the decision and why, for operators.
+  std::string Reason;
+  // Revision of the entry that holds the record.
+  std::uint64_t Revision = 0;
+};
+
+} // namespace magnolia::policy
+
+#endif
