Add the request-path policy modules

Cause: the daemon needs the decisions of the request path as plain functions. Conclusion: the interfaces are ready to build against.

--- /dev/null
+++ b/packages/policy/src/policy/admission/admission_options.h
@@ -0,0 +1,31 @@
+#ifndef POLICY_ADMISSION_ADMISSION_OPTIONS_H
+#define POLICY_ADMISSION_ADMISSION_OPTIONS_H
+
+#include "policy/core/types.h"
+
+namespace magnolia::policy {
+
+// Capacity of one backend server and parameters of its admission control.
+struct AdmissionOptions {
+  std::uint32_t Slots = 12;
+  std::uint32_t Connections = 200;
+  // Requests that may wait for a slot, and for how long.
+  std::uint32_t MaxWaiting = 12;
+  Duration MaxWait = std::chrono::milliseconds(20);
+  // Cold start: the limit grows by one after this many good responses for each
+  // request of the limit, and not before StepTime.
+  std::uint32_t StepResponses = 4;
+  Duration StepTime = std::chrono::milliseconds(250);
+  // Growth of latency over the baseline that counts as overload, and that
+  // counts as a cold start.
+  double SlowFactor = 2.0;
+  double JumpFactor = 5.0;
+  // Responses before a jump is believed.
+  std::uint32_t JumpResponses = 8;
+  // Averages below this are never a jump: they may be scheduling noise.
+  Duration MinJump = std::chrono::milliseconds(4);
+};
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/admission/admission_state.h
@@ -0,0 +1,59 @@
+#ifndef POLICY_ADMISSION_ADMISSION_STATE_H
+#define POLICY_ADMISSION_ADMISSION_STATE_H
+
+#include "policy/admission/admission_options.h"
+
+#include <vector>
+
+namespace magnolia::policy {
+
+// Names one waiting request of one sidecar; never used twice.
+using Ticket = std::uint64_t;
+
+// Request that waits for a slot.
+struct Waiter {
+  Ticket Id = 0;
+  TimePoint Since{};
+  TimePoint Deadline{};
+};
+
+// Requests and limits of one backend server. The in-flight count is exact:
+// every Run and every ticket returned by complete adds one, every complete
+// takes one away. Guard it with one mutex.
+struct AdmissionState {
+  AdmissionOptions Options;
+  std::uint32_t InFlight = 0;
+  // Oldest first; at most Options.MaxWaiting.
+  std::vector<Waiter> Waiting;
+  Ticket LastTicket = 0;
+  bool Draining = false;
+  // Run of the backend server; 0: unknown.
+  Incarnation Backend = 0;
+  // Limit of the cold-start ramp; a backend server of unknown history starts
+  // at one.
+  std::uint32_t Ramp = 1;
+  TimePoint StepAt{};
+  std::uint32_t StepGood = 0;
+  std::uint32_t StepBad = 0;
+  // True where the limit was reached since the last step: only then do the
+  // responses say something about it.
+  bool StepFull = false;
+  // Limit that follows latency under overload; 0: not set yet.
+  double Adaptive = 0;
+  std::uint32_t AdaptiveResponses = 0;
+  // Fast and slow moving averages of the service time.
+  Duration Latency{0};
+  Duration Baseline{0};
+  std::uint32_t Responses = 0;
+  // Counters.
+  std::uint64_t Admitted = 0;
+  std::uint64_t Queued = 0;
+  std::uint64_t Refused = 0;
+  std::uint64_t Expired = 0;
+  std::uint64_t Resets = 0;
+  std::uint32_t MaxInFlight = 0;
+};
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/admission/internal/ramp.cpp
@@ -0,0 +1,102 @@
+#include "policy/admission/internal/ramp.h"
+
+#include <algorithm>
+
+namespace magnolia::policy::internal {
+
+namespace {
+
+constexpr int FastWeight = 8;
+constexpr int SlowWeight = 128;
+constexpr double Decrease = 0.9;
+
+Duration movingAverage(Duration Average, Duration Value, std::uint32_t Count,
+                       int Weight) {
+  const auto Divisor = std::min<std::int64_t>(Count, Weight);
+  return Average + (Value - Average) / Divisor;
+}
+
+bool exceeds(const AdmissionState &State, double Factor) {
+  return State.Baseline.count() > 0 &&
+         static_cast<double>(State.Latency.count()) >
+             Factor * static_cast<double>(State.Baseline.count());
+}
+
+void beginStep(AdmissionState &State, TimePoint Now) {
+  State.StepAt = Now;
+  State.StepGood = 0;
+  State.StepBad = 0;
+  State.StepFull = false;
+}
+
+void growRamp(AdmissionState &State, bool Failed, TimePoint Now) {
+  const std::uint32_t Needed = State.Options.StepResponses * State.Ramp;
+  ++(Failed ? State.StepBad : State.StepGood);
+  if (State.StepBad > Needed / 4) {
+    State.Ramp = std::max(1U, State.Ramp / 2);
+    beginStep(State, Now);
+    return;
+  }
+  if (State.StepFull && State.StepGood >= Needed &&
+      Now - State.StepAt >= State.Options.StepTime &&
+      !exceeds(State, State.Options.SlowFactor)) {
+    ++State.Ramp;
+    beginStep(State, Now);
+  }
+}
+
+void adapt(AdmissionState &State) {
+  const double Max = warmLimit(State);
+  if (State.Adaptive == 0) {
+    State.Adaptive = Max;
+  }
+  if (++State.AdaptiveResponses < limit(State)) {
+    return;
+  }
+  State.AdaptiveResponses = 0;
+  if (State.StepFull && exceeds(State, State.Options.SlowFactor)) {
+    State.Adaptive = std::max(Max / 2, State.Adaptive * Decrease);
+  } else {
+    State.Adaptive = std::min(Max, State.Adaptive + 1);
+  }
+}
+
+} // namespace
+
+std::uint32_t warmLimit(const AdmissionState &State) {
+  return std::max(1U, std::min(State.Options.Slots, State.Options.Connections));
+}
+
+void resetRamp(AdmissionState &State, TimePoint Now) {
+  ++State.Resets;
+  State.Ramp = 1;
+  State.Adaptive = 0;
+  State.AdaptiveResponses = 0;
+  State.Latency = Duration{0};
+  State.Baseline = Duration{0};
+  State.Responses = 0;
+  beginStep(State, Now);
+}
+
+void learn(AdmissionState &State, const Completion &Ended, TimePoint Now) {
+  if (!Ended.Failed) {
+    ++State.Responses;
+    State.Latency = movingAverage(State.Latency, Ended.Latency, State.Responses,
+                                  FastWeight);
+    State.Baseline = movingAverage(State.Baseline, Ended.Latency,
+                                   State.Responses, SlowWeight);
+    if (State.Responses >= State.Options.JumpResponses &&
+        State.Latency >= State.Options.MinJump &&
+        exceeds(State, State.Options.JumpFactor)) {
+      resetRamp(State, Now);
+      return;
+    }
+  }
+  if (State.Ramp < warmLimit(State)) {
+    growRamp(State, Ended.Failed, Now);
+  } else {
+    adapt(State);
+  }
+}
+
+} // namespace magnolia::policy::internal
--- /dev/null
+++ b/packages/policy/src/policy/admission/internal/ramp.h
@@ -0,0 +1,19 @@
+#ifndef POLICY_ADMISSION_INTERNAL_RAMP_H
+#define POLICY_ADMISSION_INTERNAL_RAMP_H
+
+#include "policy/admission/admit.h"
+
+namespace magnolia::policy::internal {
+
+// Starts the cold-start ramp again and forgets the latency.
+void resetRamp(AdmissionState &State, TimePoint Now);
+
+// Learns from the end of a request: latency, ramp and adaptive limit.
+void learn(AdmissionState &State, const Completion &Ended, TimePoint Now);
+
+// Slots that a warm backend server has.
+[[nodiscard]] std::uint32_t warmLimit(const AdmissionState &State);
+
+} // namespace magnolia::policy::internal
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/outlier/eject.cpp
@@ -0,0 +1,84 @@
+#include "policy/outlier/eject.h"
+
+#include <algorithm>
+
+namespace magnolia::policy {
+
+namespace {
+
+constexpr float FailureWeight = 0.2F;
+// Mean over median of exponential service times.
+constexpr double MeanOverMedian = 1.44;
+
+double ratio(Duration Part, Duration Whole) {
+  return static_cast<double>(Part.count()) / static_cast<double>(Whole.count());
+}
+
+} // namespace
+
+bool isSlow(const LatencyEvidence &Evidence, const OutlierOptions &Options) {
+  return Evidence.Median.count() > 0 &&
+         Evidence.Samples >= Options.MinSamples &&
+         Evidence.Latency >= Options.MinSlow &&
+         ratio(Evidence.Latency, Evidence.Median) > Options.SlowFactor;
+}
+
+bool isOverdue(const LatencyEvidence &Evidence, const OutlierOptions &Options) {
+  if (Evidence.Open == 0 || Evidence.Median.count() <= 0 ||
+      Evidence.OpenAges < Options.MinSlow * Evidence.Open) {
+    return false;
+  }
+  const double Ages =
+      ratio(Evidence.OpenAges, Evidence.Median) / MeanOverMedian;
+  return Ages > Options.OpenBase + Options.OpenPerRequest * Evidence.Open;
+}
+
+bool isFailing(const HealthState &Health, double PeerFailureRate,
+               const OutlierOptions &Options) {
+  const bool Enough = Health.Consecutive >= Options.ConsecutiveFailures ||
+                      Health.FailureRate >= Options.FailureRate;
+  return Enough && Health.FailureRate > Options.FailureFactor * PeerFailureRate;
+}
+
+bool isTrialDue(const HealthState &Health, TimePoint Now) {
+  return Health.Phase == HealthPhase::Ejected && Now >= Health.Until;
+}
+
+bool mayEject(std::size_t Candidates, std::size_t Ejected) {
+  return Ejected + 1 <= Candidates / 2;
+}
+
+void recordResult(HealthState &Health, bool Failed) {
+  Health.Consecutive = Failed ? Health.Consecutive + 1 : 0;
+  const float Value = Failed ? 1.0F : 0.0F;
+  Health.FailureRate += FailureWeight * (Value - Health.FailureRate);
+}
+
+void eject(HealthState &Health, const OutlierOptions &Options, TimePoint Now) {
+  Health.BackOff = Health.BackOff.count() == 0
+                       ? Options.FirstBackOff
+                       : std::min(Health.BackOff * 2, Options.MaxBackOff);
+  Health.Phase = HealthPhase::Ejected;
+  Health.GoodTrials = 0;
+  Health.Until = Now + Health.BackOff;
+}
+
+void beginTrial(HealthState &Health) { Health.Phase = HealthPhase::Trial; }
+
+void endTrial(HealthState &Health, bool Good, const OutlierOptions &Options,
+              TimePoint Now) {
+  if (!Good) {
+    eject(Health, Options, Now);
+    return;
+  }
+  if (++Health.GoodTrials >= Options.TrialsToReadmit) {
+    readmit(Health);
+    return;
+  }
+  Health.Phase = HealthPhase::Ejected;
+  Health.Until = Now;
+}
+
+void readmit(HealthState &Health) { Health = HealthState{}; }
+
+} // namespace magnolia::policy
--- /dev/null
+++ b/packages/policy/src/policy/overload/fwd.h
@@ -0,0 +1,11 @@
+#ifndef POLICY_OVERLOAD_FWD_H
+#define POLICY_OVERLOAD_FWD_H
+
+namespace magnolia::policy {
+
+struct OverloadOptions;
+struct OverloadState;
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/probe/next_probe.cpp
@@ -0,0 +1,84 @@
+#include "policy/probe/next_probe.h"
+
+#include <algorithm>
+
+namespace magnolia::policy {
+
+namespace {
+
+// Candidates that are looked at for the oldest report.
+constexpr std::size_t MaxSamples = 8;
+
+double seconds(Duration Time) {
+  return std::chrono::duration<double>(Time).count();
+}
+
+void fill(ProbeBudget &Budget, TimePoint Now) {
+  if (Budget.Since == TimePoint{}) {
+    Budget.Since = Now;
+    Budget.FilledAt = Now;
+    Budget.Tokens = Budget.Options.Cap;
+    return;
+  }
+  if (Now <= Budget.FilledAt) {
+    return;
+  }
+  Budget.Tokens +=
+      Budget.Options.FloorPerSecond * seconds(Now - Budget.FilledAt);
+  Budget.Tokens = std::min(Budget.Tokens, Budget.Options.Cap);
+  Budget.FilledAt = Now;
+}
+
+const Candidate *oldestReport(const RouteState &State, RandomEngine &Random) {
+  const std::size_t Count = State.Active.size();
+  const std::size_t Samples = std::min(Count, MaxSamples);
+  if (Samples == 0) {
+    return nullptr;
+  }
+  const Candidate *Oldest = nullptr;
+  std::size_t At = Random() % Count;
+  for (std::size_t I = 0; I < Samples; ++I, At = (At + 1) % Count) {
+    const Candidate &Next = State.Candidates[State.Active[At]];
+    if (Oldest == nullptr || Next.ReportAt < Oldest->ReportAt) {
+      Oldest = &Next;
+    }
+  }
+  return Oldest;
+}
+
+} // namespace
+
+void recordRequest(ProbeBudget &Budget, TimePoint Now) {
+  fill(Budget, Now);
+  ++Budget.Requests;
+  Budget.Tokens = std::min(Budget.Tokens + Budget.Options.Ratio,
+                           std::max(Budget.Options.Cap, Budget.Options.Ratio));
+}
+
+std::optional<NodeId> nextProbe(ProbeBudget &Budget, const RouteState &State,
+                                TimePoint Now, RandomEngine &Random) {
+  fill(Budget, Now);
+  const Candidate *Oldest = oldestReport(State, Random);
+  if (Oldest == nullptr || (Oldest->ReportAt != TimePoint{} &&
+                            Now - Oldest->ReportAt < Budget.Options.FreshFor)) {
+    return std::nullopt;
+  }
+  if (Budget.Tokens < 1) {
+    ++Budget.Refused;
+    return std::nullopt;
+  }
+  Budget.Tokens -= 1;
+  ++Budget.Probes;
+  return Oldest->Spec.Node;
+}
+
+double probesAllowed(const ProbeBudget &Budget, TimePoint Now) {
+  const double Elapsed = Budget.Since == TimePoint{}
+                             ? 0
+                             : std::max(0.0, seconds(Now - Budget.Since));
+  return Budget.Options.Cap +
+         Budget.Options.Ratio * static_cast<double>(Budget.Requests) +
+         Budget.Options.FloorPerSecond * Elapsed;
+}
+
+} // namespace magnolia::policy
--- /dev/null
+++ b/packages/policy/src/policy/probe/next_probe.h
@@ -0,0 +1,26 @@
+#ifndef POLICY_PROBE_NEXT_PROBE_H
+#define POLICY_PROBE_NEXT_PROBE_H
+
+#include "policy/probe/probe_budget.h"
+#include "policy/route/route_state.h"
+
+#include <optional>
+
+namespace magnolia::policy {
+
+// Counts one request, which adds Ratio to the budget.
+void recordRequest(ProbeBudget &Budget, TimePoint Now);
+
+// Chooses a candidate without a fresh load report and charges the budget for
+// its probe. Nothing where no candidate needs a probe or the budget is spent.
+[[nodiscard]] std::optional<NodeId> nextProbe(ProbeBudget &Budget,
+                                              const RouteState &State,
+                                              TimePoint Now,
+                                              RandomEngine &Random);
+
+// Largest number of probes that the options allow since the first use.
+[[nodiscard]] double probesAllowed(const ProbeBudget &Budget, TimePoint Now);
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/probe/probe_budget.h
@@ -0,0 +1,36 @@
+#ifndef POLICY_PROBE_PROBE_BUDGET_H
+#define POLICY_PROBE_PROBE_BUDGET_H
+
+#include "policy/core/types.h"
+
+namespace magnolia::policy {
+
+// Limits of probing for one service on one entry node.
+struct ProbeOptions {
+  // Probes allowed per request.
+  double Ratio = 0.02;
+  // Probes allowed per second without any request.
+  double FloorPerSecond = 2.0;
+  // Probes that may be saved up for later; also the start value.
+  double Cap = 4.0;
+  // Age up to which a load report needs no probe.
+  Duration FreshFor = std::chrono::milliseconds(500);
+};
+
+// Token bucket for probes. In any interval the number of probes is at most
+// Cap + Ratio * requests + FloorPerSecond * seconds.
+struct ProbeBudget {
+  ProbeOptions Options;
+  double Tokens = 0;
+  TimePoint FilledAt{};
+  // Time of the first use; zero: unused.
+  TimePoint Since{};
+  std::uint64_t Requests = 0;
+  std::uint64_t Probes = 0;
+  // Wanted probes that the budget did not allow.
+  std::uint64_t Refused = 0;
+};
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/retry/plan_next.cpp
@@ -0,0 +1,153 @@
+#include "policy/retry/plan_next.h"
+
+#include <algorithm>
+
+namespace magnolia::policy {
+
+namespace {
+
+// A response later than this many medians is in the slowest percent of an
+// exponential distribution.
+constexpr int HedgeFactor = 7;
+constexpr Duration MinHedgeDelay = std::chrono::milliseconds(2);
+
+void fill(RetryBudget &Budget, TimePoint Now) {
+  if (Budget.FilledAt == TimePoint{}) {
+    Budget.Tokens = Budget.Options.Cap;
+    Budget.FilledAt = Now;
+    return;
+  }
+  if (Now > Budget.FilledAt) {
+    const double Elapsed =
+        std::chrono::duration<double>(Now - Budget.FilledAt).count();
+    Budget.Tokens =
+        std::min(Budget.Options.Cap,
+                 Budget.Tokens + Budget.Options.FloorPerSecond * Elapsed);
+    Budget.FilledAt = Now;
+  }
+}
+
+bool takeToken(RetryBudget &Budget, TimePoint Now) {
+  fill(Budget, Now);
+  if (Budget.Tokens < 1) {
+    ++Budget.Refused;
+    return false;
+  }
+  Budget.Tokens -= 1;
+  return true;
+}
+
+// True where the state itself, apart from the budget, allows one more attempt.
+bool mayAttempt(const AttemptState &State, const RetryBudget &Budget,
+                TimePoint Now) {
+  return !State.RetriesExhausted &&
+         State.Attempts < Budget.Options.MaxAttempts &&
+         State.Deadline - Now >= Budget.Options.MinRemaining;
+}
+
+// True where the outcome proves that the attempt has not run and never will.
+bool provesNotRun(const Outcome &Result) {
+  switch (Result.Event) {
+  case OutcomeEvent::Rejected:
+    return errorEntry(Result.Kind).Retryable;
+  case OutcomeEvent::FenceNeverRun:
+    return true;
+  case OutcomeEvent::Lost:
+  case OutcomeEvent::Slow:
+  case OutcomeEvent::FenceStarted:
+  case OutcomeEvent::FenceSilent:
+    return false;
+  }
+  return false;
+}
+
+ErrorKind giveUpKind(const AttemptState &State, const Outcome &Result,
+                     TimePoint Now) {
+  const bool Late = Now >= State.Deadline;
+  switch (Result.Event) {
+  case OutcomeEvent::Rejected:
+    return Result.Kind;
+  case OutcomeEvent::FenceNeverRun:
+    return Late ? ErrorKind::DeadlineExceededNotRun : ErrorKind::Fenced;
+  case OutcomeEvent::Lost:
+  case OutcomeEvent::Slow:
+  case OutcomeEvent::FenceStarted:
+  case OutcomeEvent::FenceSilent:
+    return Late ? ErrorKind::DeadlineExceededUnknown
+                : ErrorKind::OutcomeUnknown;
+  }
+  return ErrorKind::OutcomeUnknown;
+}
+
+RetryDecision giveUp(const AttemptState &State, const Outcome &Result,
+                     TimePoint Now) {
+  if (State.Open > 0) {
+    return {.Action = RetryAction::KeepWaiting};
+  }
+  return {.Action = RetryAction::GiveUp,
+          .Kind = giveUpKind(State, Result, Now),
+          .RetriesExhausted = true};
+}
+
+RetryDecision planHedge(const AttemptState &State, RetryBudget &Budget,
+                        TimePoint Now) {
+  if (State.Idempotent && State.Open == 1 && mayAttempt(State, Budget, Now) &&
+      takeToken(Budget, Now)) {
+    ++Budget.Hedges;
+    return {.Action = RetryAction::Hedge};
+  }
+  return {.Action = RetryAction::KeepWaiting};
+}
+
+} // namespace
+
+void recordRequest(RetryBudget &Budget, TimePoint Now) {
+  fill(Budget, Now);
+  ++Budget.Requests;
+  Budget.Tokens =
+      std::min(Budget.Options.Cap, Budget.Tokens + Budget.Options.Ratio);
+}
+
+std::optional<ErrorKind> checkFirst(const AttemptState &State, TimePoint Now) {
+  if (State.Hops > MaxHops) {
+    return ErrorKind::TooManyHops;
+  }
+  if (Now >= State.Deadline) {
+    return ErrorKind::DeadlineExceededNotRun;
+  }
+  return std::nullopt;
+}
+
+void onAttempt(AttemptState &State) {
+  ++State.Attempts;
+  ++State.Open;
+}
+
+void onAttemptEnd(AttemptState &State) { State.Open -= State.Open > 0 ? 1 : 0; }
+
+RetryDecision planNext(const AttemptState &State, const Outcome &Result,
+                       RetryBudget &Budget, TimePoint Now) {
+  if (Result.Event == OutcomeEvent::Slow) {
+    return planHedge(State, Budget, Now);
+  }
+  const bool Safe = provesNotRun(Result);
+  if (Result.Event == OutcomeEvent::Lost && !State.Idempotent) {
+    return {.Action = RetryAction::Fence};
+  }
+  // Of an idempotent request a lost or started attempt may be repeated, but a
+  // rejection that isn't retryable would come again.
+  const bool Repeatable =
+      Safe || (State.Idempotent && Result.Event != OutcomeEvent::Rejected);
+  if (Repeatable && !Result.RetriesExhausted && State.Open == 0 &&
+      mayAttempt(State, Budget, Now) && takeToken(Budget, Now)) {
+    ++Budget.Retries;
+    return {.Action = RetryAction::RetryElsewhere};
+  }
+  return giveUp(State, Result, Now);
+}
+
+Duration hedgeDelay(Duration Median) {
+  return std::max(Median * HedgeFactor, MinHedgeDelay);
+}
+
+} // namespace magnolia::policy
--- /dev/null
+++ b/packages/policy/src/policy/route/candidate_spec.h
@@ -0,0 +1,24 @@
+#ifndef POLICY_ROUTE_CANDIDATE_SPEC_H
+#define POLICY_ROUTE_CANDIDATE_SPEC_H
+
+#include "policy/core/types.h"
+
+namespace magnolia::policy {
+
+// What membership and configuration say about one candidate. Zones and
+// versions are interned by the caller.
+struct CandidateSpec {
+  NodeId Node = 0;
+  // Run of the sidecar; a change resets all that was learnt.
+  Incarnation Run = 0;
+  std::uint32_t Zone = 0;
+  std::uint32_t Version = 0;
+  // Network time of a round trip to the zone of the candidate.
+  Duration Distance{0};
+  bool ZoneOut = false;
+  bool Draining = false;
+};
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/route/choose.h
@@ -0,0 +1,22 @@
+#ifndef POLICY_ROUTE_CHOOSE_H
+#define POLICY_ROUTE_CHOOSE_H
+
+#include "policy/core/error.h"
+#include "policy/route/route_query.h"
+#include "policy/route/route_state.h"
+
+#include <optional>
+
+namespace magnolia::policy {
+
+// Chooses the candidate with the lowest expected time to a response. Without
+// an eligible candidate it returns nothing and sets LastError to ZoneOut,
+// Draining or NoBackendServer. Call onDispatch before the request is sent.
+[[nodiscard]] std::optional<NodeId> choose(RouteState &State,
+                                           const RouteQuery &Query,
+                                           TimePoint Now, RandomEngine &Random,
+                                           Error &LastError);
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/route/fwd.h
@@ -0,0 +1,18 @@
+#ifndef POLICY_ROUTE_FWD_H
+#define POLICY_ROUTE_FWD_H
+
+namespace magnolia::policy {
+
+struct Answer;
+struct Candidate;
+struct CandidateSpec;
+struct Dispatch;
+struct RouteCounters;
+struct RouteOptions;
+struct RouteQuery;
+struct RouteState;
+struct VersionShare;
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/route/update_candidates.cpp
@@ -0,0 +1,81 @@
+#include "policy/route/update_candidates.h"
+
+#include "policy/route/internal/health.h"
+
+#include <algorithm>
+
+namespace magnolia::policy {
+
+namespace {
+
+Candidate mergeCandidate(const Candidate *Known, const CandidateSpec &Spec,
+                         bool First, TimePoint Now) {
+  Candidate Next;
+  if (Known != nullptr && Known->Spec.Run == Spec.Run) {
+    Next = *Known;
+    if (Known->Spec.ZoneOut && !Spec.ZoneOut) {
+      Next.RampFrom = Now;
+      Next.Samples = 0;
+    }
+  } else if (!First) {
+    Next.RampFrom = Now;
+  }
+  Next.Spec = Spec;
+  return Next;
+}
+
+void groupActive(RouteState &State) {
+  State.Active.clear();
+  for (std::uint32_t At = 0; At < State.Candidates.size(); ++At) {
+    if (internal::isActive(State.Candidates[At])) {
+      State.Active.push_back(At);
+    }
+  }
+  const auto VersionOf = [&](std::uint32_t At) {
+    return State.Candidates[At].Spec.Version;
+  };
+  std::stable_sort(State.Active.begin(), State.Active.end(),
+                   [&](std::uint32_t A, std::uint32_t B) {
+                     return VersionOf(A) < VersionOf(B);
+                   });
+  State.Groups.clear();
+  for (std::uint32_t I = 0; I < State.Active.size(); ++I) {
+    const std::uint32_t Version = VersionOf(State.Active[I]);
+    if (State.Groups.empty() || State.Groups.back().Version != Version) {
+      State.Groups.push_back({.Version = Version, .First = I});
+    }
+    ++State.Groups.back().Count;
+  }
+}
+
+} // namespace
+
+void updateCandidates(RouteState &State, std::span<const CandidateSpec> Specs,
+                      TimePoint Now) {
+  const bool First = State.Candidates.empty();
+  const auto Count = std::min(Specs.size(), State.Options.MaxCandidates);
+  State.Counters.CandidatesRefused += Specs.size() - Count;
+  std::vector<Candidate> Merged;
+  std::unordered_map<NodeId, std::uint32_t> Index;
+  Merged.reserve(Count);
+  Index.reserve(Count);
+  for (const CandidateSpec &Spec : Specs.first(Count)) {
+    const auto At = static_cast<std::uint32_t>(Merged.size());
+    if (Index.emplace(Spec.Node, At).second) {
+      Merged.push_back(
+          mergeCandidate(findCandidate(State, Spec.Node), Spec, First, Now));
+    }
+  }
+  State.Candidates = std::move(Merged);
+  State.Index = std::move(Index);
+  groupActive(State);
+  internal::recount(State);
+}
+
+const Candidate *findCandidate(const RouteState &State, NodeId Node) {
+  const auto Found = State.Index.find(Node);
+  return Found == State.Index.end() ? nullptr
+                                    : &State.Candidates[Found->second];
+}
+
+} // namespace magnolia::policy
