--- a/packages/policy/src/policy/admission/admission_options.h
+++ b/packages/policy/src/policy/admission/admission_options.h
@@ -13,9 +13,11 @@
   std::uint32_t MaxWaiting = 12;
   Duration MaxWait = std::chrono::milliseconds(20);
   // Cold start: the limit grows by one after this many good responses for each
-  // request of the limit, and not before StepTime.
+  // request of the limit, and not before the backend server has worked for
+  // StepTime. Idle time doesn't count: a server without work stays cold. The
+  // default suits a server that gets its 12 slots within 4.4 s of work.
   std::uint32_t StepResponses = 4;
-  Duration StepTime = std::chrono::milliseconds(250);
+  Duration StepTime = std::chrono::milliseconds(400);
   // Growth of latency over the baseline that counts as overload, and that
   // counts as a cold start.
   double SlowFactor = 2.0;
--- a/packages/policy/src/policy/admission/admission_state.h
+++ b/packages/policy/src/policy/admission/admission_state.h
@@ -32,7 +32,9 @@
   // Limit of the cold-start ramp; a backend server of unknown history starts
   // at one.
   std::uint32_t Ramp = 1;
-  TimePoint StepAt{};
+  // Time in this step with a request in flight, up to BusySince.
+  Duration StepWorked{0};
+  TimePoint BusySince{};
   std::uint32_t StepGood = 0;
   std::uint32_t StepBad = 0;
   // True where the limit was reached since the last step: only then do the
--- a/packages/policy/src/policy/admission/admit.cpp
+++ b/packages/policy/src/policy/admission/admit.cpp
@@ -18,7 +18,8 @@
   return {.Action = AdmissionAction::Refuse, .Kind = Kind};
 }
 
-void take(AdmissionState &State) {
+void take(AdmissionState &State, TimePoint Now) {
+  internal::countWork(State, Now);
   ++State.InFlight;
   ++State.Admitted;
   State.MaxInFlight = std::max(State.MaxInFlight, State.InFlight);
@@ -45,7 +46,7 @@
     return refuse(State, ErrorKind::DeadlineExceededNotRun);
   }
   if (State.InFlight < limit(State) && State.Waiting.empty()) {
-    take(State);
+    take(State, Now);
     return {.Action = AdmissionAction::Run};
   }
   State.StepFull = true;
@@ -62,6 +63,7 @@
 
 std::vector<Ticket> complete(AdmissionState &State, const Completion &Ended,
                              TimePoint Now) {
+  internal::countWork(State, Now);
   State.InFlight -= State.InFlight > 0 ? 1 : 0;
   if (!Ended.NotSent) {
     internal::learn(State, Ended, Now);
@@ -75,7 +77,7 @@
       continue;
     }
     Ready.push_back(Next->Id);
-    take(State);
+    take(State, Now);
     Next = State.Waiting.erase(Next);
   }
   return Ready;
--- a/packages/policy/src/policy/admission/admit.h
+++ b/packages/policy/src/policy/admission/admit.h
@@ -61,8 +61,9 @@
 void onBackendIncarnation(AdmissionState &State, Incarnation Run,
                           TimePoint Now);
 
-// The backend server refused a connection: it restarts, so the ramp starts
-// again. The request itself ends with complete.
+// The backend server refused a connection or broke one off while a request was
+// in flight: it may have restarted, so the ramp starts again. The request
+// itself ends with complete.
 void onConnectFailure(AdmissionState &State, TimePoint Now);
 
 // Refuses new requests from now on; those that wait or run go on.
--- a/packages/policy/src/policy/admission/internal/ramp.cpp
+++ b/packages/policy/src/policy/admission/internal/ramp.cpp
@@ -23,7 +23,8 @@
 }
 
 void beginStep(AdmissionState &State, TimePoint Now) {
-  State.StepAt = Now;
+  State.StepWorked = Duration{0};
+  State.BusySince = Now;
   State.StepGood = 0;
   State.StepBad = 0;
   State.StepFull = false;
@@ -38,7 +39,7 @@
     return;
   }
   if (State.StepFull && State.StepGood >= Needed &&
-      Now - State.StepAt >= State.Options.StepTime &&
+      State.StepWorked >= State.Options.StepTime &&
       !exceeds(State, State.Options.SlowFactor)) {
     ++State.Ramp;
     beginStep(State, Now);
@@ -78,6 +79,13 @@
   beginStep(State, Now);
 }
 
+void countWork(AdmissionState &State, TimePoint Now) {
+  if (State.InFlight > 0 && Now > State.BusySince) {
+    State.StepWorked += Now - State.BusySince;
+  }
+  State.BusySince = Now;
+}
+
 void learn(AdmissionState &State, const Completion &Ended, TimePoint Now) {
   if (!Ended.Failed) {
     ++State.Responses;
--- a/packages/policy/src/policy/admission/internal/ramp.h
+++ b/packages/policy/src/policy/admission/internal/ramp.h
@@ -8,6 +8,10 @@
 // Starts the cold-start ramp again and forgets the latency.
 void resetRamp(AdmissionState &State, TimePoint Now);
 
+// Adds the time since the last call to the work of the step; call it before
+// the in-flight count changes.
+void countWork(AdmissionState &State, TimePoint Now);
+
 // Learns from the end of a request: latency, ramp and adaptive limit.
 void learn(AdmissionState &State, const Completion &Ended, TimePoint Now);
 
--- a/packages/policy/src/policy/retry/plan_next.cpp
+++ b/packages/policy/src/policy/retry/plan_next.cpp
@@ -61,6 +61,14 @@
   return false;
 }
 
+// True where an idempotent request may succeed on another candidate although
+// this attempt may have run. Other errors would come again.
+bool isRepeatable(const Outcome &Result) {
+  return Result.Event != OutcomeEvent::Rejected ||
+         Result.Kind == ErrorKind::BackendBrokenAnswer ||
+         Result.Kind == ErrorKind::OutcomeUnknown;
+}
+
 ErrorKind giveUpKind(const AttemptState &State, const Outcome &Result,
                      TimePoint Now) {
   const bool Late = Now >= State.Deadline;
@@ -134,10 +142,7 @@
   if (Result.Event == OutcomeEvent::Lost && !State.Idempotent) {
     return {.Action = RetryAction::Fence};
   }
-  // Of an idempotent request a lost or started attempt may be repeated, but a
-  // rejection that isn't retryable would come again.
-  const bool Repeatable =
-      Safe || (State.Idempotent && Result.Event != OutcomeEvent::Rejected);
+  const bool Repeatable = Safe || (State.Idempotent && isRepeatable(Result));
   if (Repeatable && !Result.RetriesExhausted && State.Open == 0 &&
       mayAttempt(State, Budget, Now) && takeToken(Budget, Now)) {
     ++Budget.Retries;
