Measure detection by share of attempts and ignore network distance

Cause: a noisy neighbour with a short queue in another zone was ejected, and detection was measured by single requests of nodes that rarely use the server. Change: latency is taken without the network time of the zone; SlowFactor 7, TrialFactor 2.5; detection is the time until the faulty server's share of the attempts stays below a tenth.

--- a/bench/policy/scenario.h
+++ b/bench/policy/scenario.h
@@ -3,6 +3,8 @@
 
 #include "policy/route/compare/baseline.h"
 
+#include "policy/core/error_kind.h"
+
 #include <optional>
 #include <string>
 #include <vector>
@@ -59,6 +61,12 @@
   bool Hedge = false;
 };
 
+// Noisy neighbours: each server changes between a calm and a noisy factor of
+// its service time at random times.
+inline constexpr double NoisyShare = 0.2;
+inline constexpr double NoisyFactor = 1.8;
+inline constexpr double CalmFactor = 0.8;
+
 // What one run measured. Requests count from FaultAt on.
 struct Measures {
   // As callers see it, of requests with a response, in milliseconds.
@@ -66,23 +74,39 @@
   std::uint64_t Requests = 0;
   std::uint64_t Good = 0;
   std::uint64_t Errors = 0;
+  std::array<std::uint64_t, ErrorKindCount> ErrorKinds{};
   std::uint64_t Shed = 0;
   // Requests that met a server without a free slot.
   std::uint64_t Overloads = 0;
   std::uint64_t Probes = 0;
   // Largest excess of probes over the budget at any time; at most 0 is held.
   double ProbeExcess = -1e9;
-  // Time from the fault to the ejection by the last entry node, in
-  // milliseconds.
+  // Time from the fault until the share of the attempts that go to the faulty
+  // server stays below DetectShare, in milliseconds.
   double DetectMs = 0;
-  // Requests to the faulty server after DetectMs.
-  std::uint64_t LateDispatches = 0;
+  // Attempts, and those of them that go to the faulty server later than
+  // LateAfter after the fault.
+  std::uint64_t Attempts = 0;
+  std::uint64_t LateAttempts = 0;
+  // Ejections by all entry nodes, and those of servers without a fault.
+  std::uint64_t Ejections = 0;
+  std::uint64_t FalseEjections = 0;
   // Smallest share of eligible candidates on any entry node.
   double MinEligible = 1;
   // Slots of the restarted server at the end.
   std::uint32_t LimitAtEnd = 0;
 };
 
+// Time after a fault by which it should have been noticed.
+inline constexpr Duration LateAfter = std::chrono::milliseconds(100);
+
+// A quarter of the attempts goes to each of four servers without a fault.
+inline constexpr double DetectShare = 0.1;
+inline constexpr Duration DetectBucket = std::chrono::milliseconds(10);
+
+// Requests per second that all servers of the service complete at most.
+[[nodiscard]] double capacityOf(const Deployment &Size);
+
 [[nodiscard]] Measures run(const Scenario &Plan);
 
 // Value below which the share of the sorted or unsorted values lies.
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -70,13 +70,15 @@
   OverloadState Overload;
   RetryBudget Retries;
   ProbeBudget Probes;
+  // Servers that were ejected at the last look.
+  std::vector<bool> Out{};
 };
 
 struct RequestModel {
   std::uint32_t Entry = 0;
   TimePoint Start{};
-  AttemptState State;
-  std::vector<NodeId> Tried;
+  AttemptState State{};
+  std::vector<NodeId> Tried{};
   bool Done = false;
 };
 
@@ -88,9 +90,9 @@
   Incarnation Run = 0;
   bool Ended = false;
   // Content of the answer.
-  std::optional<ErrorKind> Rejection;
+  std::optional<ErrorKind> Rejection{};
   bool Faulty = false;
-  LoadReport Load;
+  LoadReport Load{};
 };
 
 // Event-driven model in virtual time of entry nodes, sidecars and backend
@@ -116,7 +118,7 @@
   void deadline(std::uint32_t Request);
   void finishRequest(std::uint32_t Request, std::optional<ErrorKind> Kind);
   void probe(EntryModel &Entry, std::uint32_t At);
-  void observe(const EntryModel &Entry);
+  void observe(EntryModel &Entry);
 
   // Servers.
   void deliver(std::uint32_t Attempt);
@@ -133,6 +135,8 @@
                                   std::uint32_t Server) const;
   [[nodiscard]] bool counts(TimePoint At) const;
 
+  void countAttempt(std::uint32_t Server);
+
   Scenario Plan;
   Measures Result;
   RandomEngine Load;
@@ -142,6 +146,10 @@
   TimePoint Now = Begin;
   std::uint64_t Order = 0;
   std::priority_queue<Event, std::vector<Event>, std::greater<>> Events;
+  // Attempts in the current bucket of time, and those to the first server.
+  std::int64_t Bucket = -1;
+  std::uint32_t BucketAttempts = 0;
+  std::uint32_t BucketFaulty = 0;
   std::vector<ServerModel> Servers;
   std::vector<EntryModel> Entries;
   std::vector<RequestModel> Requests;
--- a/packages/policy/src/policy/outlier/outlier_options.h
+++ b/packages/policy/src/policy/outlier/outlier_options.h
@@ -8,9 +8,9 @@
 // Thresholds of outlier ejection.
 struct OutlierOptions {
   // Factor over the median of the service at which a moving average of
-  // latency counts as slow. A tenfold slowdown passes it after three
-  // responses; exponential service times rarely do.
-  double SlowFactor = 5.0;
+  // latency counts as slow. A noisy neighbour together with a short queue
+  // reaches five; a tenfold slowdown passes seven.
+  double SlowFactor = 7.0;
   // Responses before a moving average of latency is evidence.
   std::uint32_t MinSamples = 3;
   // Requests that are still open are slow when the sum of their ages, in
@@ -31,6 +31,9 @@
   // Time until the first trial request; doubles with each failed trial.
   Duration FirstBackOff = std::chrono::milliseconds(200);
   Duration MaxBackOff = std::chrono::seconds(10);
+  // Factor over the median that a good trial stays below. A single response
+  // of a tenfold slower server is this fast in about 5% of the cases.
+  double TrialFactor = 2.5;
   // Good trials in a row that readmit a candidate.
   std::uint32_t TrialsToReadmit = 2;
 };
--- a/packages/policy/src/policy/route/candidate.h
+++ b/packages/policy/src/policy/route/candidate.h
@@ -19,7 +19,8 @@
   std::uint32_t InFlightAtReport = 0;
   // Moving average of the requests that other entry nodes have there.
   float Others = 0;
-  // Own moving average of the time from dispatch to response.
+  // Own moving average of the time from dispatch to response, without the
+  // network time of the distance.
   Duration Latency{0};
   TimePoint LatencyAt{};
   std::uint32_t Samples = 0;
--- a/packages/policy/src/policy/route/feedback.cpp
+++ b/packages/policy/src/policy/route/feedback.cpp
@@ -117,11 +117,11 @@
   if (Response.Load) {
     takeReport(*Next, *Response.Load, Now);
   }
-  const Duration Latency = Now - Sent.Start;
+  const Duration Latency = Now - Sent.Start - Next->Spec.Distance;
   const OutlierOptions &Options = State.Options.Outlier;
   if (Next->Health.Phase == HealthPhase::Trial) {
     const auto Slow =
-        static_cast<double>(State.Median.count()) * Options.SlowFactor;
+        static_cast<double>(State.Median.count()) * Options.TrialFactor;
     const bool Good = !Response.Faulty &&
                       (Latency < Options.MinSlow || State.Median.count() == 0 ||
                        static_cast<double>(Latency.count()) < Slow);
@@ -190,7 +190,7 @@
     return;
   }
   // The response would have come later still: a lower bound of the latency.
-  const Duration Elapsed = Now - Sent.Start;
+  const Duration Elapsed = Now - Sent.Start - Next->Spec.Distance;
   if (Elapsed > Next->Latency) {
     learnLatency(*Next, Elapsed, Now);
   }
--- a/packages/policy/src/policy/route/internal/health.cpp
+++ b/packages/policy/src/policy/route/internal/health.cpp
@@ -10,8 +10,11 @@
 
 LatencyEvidence evidenceOf(const RouteState &State, const Candidate &Next,
                            TimePoint Now) {
+  // The network time to another zone is no fault of the candidate.
+  const Duration Distance = Next.Spec.Distance;
   const std::int64_t Ages =
-      Now.time_since_epoch().count() * Next.InFlight - Next.StartSum;
+      (Now.time_since_epoch() - Distance).count() * Next.InFlight -
+      Next.StartSum;
   return {.Latency = Next.Latency,
           .Samples = Next.Samples,
           .Open = Next.InFlight,
--- a/packages/policy/src/policy/route/internal/score.cpp
+++ b/packages/policy/src/policy/route/internal/score.cpp
@@ -17,9 +17,10 @@
   if (Rest == 0) {
     Rest = static_cast<double>(State.Options.DefaultLatency.count());
   }
+  // The report fills in where own measurements are missing or old.
+  Rest = std::max(Rest, static_cast<double>(Next.Report.Latency.count()));
   if (Next.Samples == 0) {
-    const auto Reported = static_cast<double>(Next.Report.Latency.count());
-    return std::max(Rest, Reported);
+    return Rest;
   }
   const double Weight =
       weightOf(Now - Next.LatencyAt, State.Options.LatencyDecay);
