Add the settings of magnoliad with their reference page

Cause: every program of the system reads or writes this file, so its keys, ranges and defaults need one place.

--- /dev/null
+++ b/packages/settings/src/settings/node/internal/parse_value.h
@@ -0,0 +1,21 @@
+#ifndef SETTINGS_NODE_INTERNAL_PARSE_VALUE_H
+#define SETTINGS_NODE_INTERNAL_PARSE_VALUE_H
+
+#include "settings/node/setting_entry.h"
+
+#include <optional>
+#include <string_view>
+
+namespace magnolia::settings::internal {
+
+// Value of the entry's type and range, or nothing.
+[[nodiscard]] std::optional<SettingValue> parseValue(const SettingEntry &Entry,
+                                                     std::string_view Text);
+
+// "name,address,peer_port,zone,version" of section [static].
+[[nodiscard]] std::optional<StaticEndpoint>
+parseStaticEndpoint(std::string_view Text);
+
+} // namespace magnolia::settings::internal
+
+#endif
--- /dev/null
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -0,0 +1,90 @@
+#ifndef SETTINGS_NODE_NODE_SETTINGS_H
+#define SETTINGS_NODE_NODE_SETTINGS_H
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace magnolia::settings {
+
+// Address and port of another process.
+struct HostPort {
+  std::string Address;
+  std::uint16_t Port = 0;
+
+  bool operator==(const HostPort &) const = default;
+};
+
+// Backend server named by the settings file, for a start without a control
+// plane.
+struct StaticEndpoint {
+  std::string Service;
+  std::string Address;
+  std::uint16_t PeerPort = 0;
+  std::string Zone;
+  std::string Version;
+
+  bool operator==(const StaticEndpoint &) const = default;
+};
+
+// All settings of magnoliad; the table in setting_table.cpp describes them.
+struct NodeSettings {
+  using Milliseconds = std::chrono::milliseconds;
+
+  std::string Address;
+  std::uint16_t HttpPort = 0;
+  std::uint16_t PeerPort = 0;
+  std::uint16_t ControlPort = 0;
+  std::uint16_t GossipPort = 0;
+  std::string Region;
+  std::string Zone;
+  std::string ClusterKeyFile;
+
+  // True where the file has a [backend] section.
+  bool HasBackend = false;
+  std::string BackendAddress;
+  std::uint16_t BackendPort = 0;
+  std::string BackendService;
+  std::string BackendVersion;
+  std::uint32_t BackendSlots = 0;
+  std::uint32_t BackendConnections = 0;
+  std::string BackendHealthPath;
+  std::string BackendLoadPath;
+
+  // Port 0 where the file has no [store] section.
+  HostPort Store;
+  std::vector<HostPort> Contacts;
+  std::vector<StaticEndpoint> Static;
+
+  std::size_t BodyBytes = 0;
+  std::size_t AnswerBytes = 0;
+  std::size_t HeaderBytes = 0;
+  std::uint32_t HeldConnections = 0;
+  std::uint32_t PeerConnections = 0;
+  std::uint32_t IdlePeerConnections = 0;
+  std::uint32_t WaitQueue = 0;
+  std::uint32_t LedgerEntries = 0;
+  std::chrono::microseconds Spin{};
+  std::uint32_t Hops = 0;
+  Milliseconds Deadline{};
+  Milliseconds DeadlineMaximum{};
+  Milliseconds CallerIdle{};
+  Milliseconds CallerRead{};
+  Milliseconds ConnectTimeout{};
+  Milliseconds PeerIdle{};
+  Milliseconds PingAfter{};
+  Milliseconds PingTimeout{};
+  Milliseconds FenceTimeout{};
+  Milliseconds LoadPoll{};
+  Milliseconds ShutdownAnnounce{};
+  Milliseconds ShutdownTimeout{};
+
+  std::string LogLevel;
+  std::string LogFile;
+};
+
+} // namespace magnolia::settings
+
+#endif
--- /dev/null
+++ b/packages/settings/src/settings/node/read_settings.cpp
@@ -0,0 +1,205 @@
+#include "settings/node/read_settings.h"
+
+#include "settings/node/internal/parse_value.h"
+#include "settings/node/setting_entry.h"
+
+#include <ini.h>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace magnolia::settings {
+
+namespace {
+
+constexpr std::size_t StaticMaximum = 1024;
+constexpr std::string_view StaticPrefix = "service.";
+constexpr std::string_view StaticRange = "name,address,peer_port,zone,version";
+
+struct Reading {
+  NodeSettings Result;
+  std::set<std::pair<std::string, std::string>> Seen;
+  std::string Fault;
+};
+
+std::string place(std::string_view Section, std::string_view Key) {
+  return "section [" + std::string(Section) + "], key " + std::string(Key);
+}
+
+const SettingEntry *findEntry(std::string_view Section, std::string_view Key) {
+  const auto Table = settingTable();
+  const auto Found =
+      std::find_if(Table.begin(), Table.end(), [&](const SettingEntry &Entry) {
+        return Entry.Section == Section && Entry.Key == Key;
+      });
+  return Found == Table.end() ? nullptr : &*Found;
+}
+
+std::string unknownKey(std::string_view Section, std::string_view Key) {
+  std::string Known;
+  for (const SettingEntry &Entry : settingTable()) {
+    if (Entry.Section == Section) {
+      Known += (Known.empty() ? "" : ", ") + std::string(Entry.Key);
+    }
+  }
+  if (Known.empty()) {
+    return place(Section, Key) +
+           ": no such section; accepted: node, backend, store, contacts, "
+           "static, limits, log";
+  }
+  return place(Section, Key) + ": no such key; accepted: " + Known;
+}
+
+bool readStatic(Reading &State, std::string_view Key, std::string_view Text) {
+  const auto Endpoint = internal::parseStaticEndpoint(Text);
+  if (!Key.starts_with(StaticPrefix) || !Endpoint) {
+    State.Fault = place("static", Key) + ": not accepted; accepted: service.N" +
+                  " = " + std::string(StaticRange);
+    return false;
+  }
+  if (State.Result.Static.size() == StaticMaximum) {
+    State.Fault = place("static", Key) + ": more than " +
+                  std::to_string(StaticMaximum) + " entries";
+    return false;
+  }
+  State.Result.Static.push_back(*Endpoint);
+  return true;
+}
+
+bool readKey(Reading &State, std::string_view Section, std::string_view Key,
+             std::string_view Text) {
+  if (!State.Seen.emplace(Section, Key).second) {
+    State.Fault = place(Section, Key) + ": given more than once";
+    return false;
+  }
+  if (Section == "static") {
+    return readStatic(State, Key, Text);
+  }
+  const SettingEntry *Entry = findEntry(Section, Key);
+  if (!Entry) {
+    State.Fault = unknownKey(Section, Key);
+    return false;
+  }
+  std::optional<SettingValue> Value = internal::parseValue(*Entry, Text);
+  if (!Value) {
+    State.Fault = place(Section, Key) + ": \"" + std::string(Text) +
+                  "\" is not accepted; accepted: " + rangeText(*Entry);
+    return false;
+  }
+  Entry->Store(State.Result, std::move(*Value));
+  return true;
+}
+
+bool hasSection(const Reading &State, std::string_view Section) {
+  return std::any_of(
+      State.Seen.begin(), State.Seen.end(),
+      [Section](const auto &Seen) { return Seen.first == Section; });
+}
+
+// A required key of an optional section is required only where the section is
+// there at all.
+bool fillDefaults(Reading &State) {
+  for (const SettingEntry &Entry : settingTable()) {
+    if (State.Seen.contains(
+            {std::string(Entry.Section), std::string(Entry.Key)})) {
+      continue;
+    }
+    if (Entry.Required) {
+      if (Entry.Section == "backend" && !hasSection(State, "backend")) {
+        continue;
+      }
+      State.Fault = place(Entry.Section, Entry.Key) +
+                    ": missing; accepted: " + rangeText(Entry);
+      return false;
+    }
+    std::optional<SettingValue> Value =
+        internal::parseValue(Entry, Entry.Default);
+    if (Value) {
+      Entry.Store(State.Result, std::move(*Value));
+    }
+  }
+  State.Result.HasBackend = hasSection(State, "backend");
+  return true;
+}
+
+int onKey(void *User, const char *Section, const char *Key, const char *Text) {
+  return readKey(*static_cast<Reading *>(User), Section, Key, Text ? Text : "")
+             ? 1
+             : 0;
+}
+
+} // namespace
+
+std::optional<NodeSettings> parseSettings(std::string_view Text,
+                                          const std::string &Path,
+                                          policy::Error &LastError) {
+  Reading State;
+  const int Line = ini_parse_string(std::string(Text).c_str(), onKey, &State);
+  if (Line != 0 && State.Fault.empty()) {
+    State.Fault = "no section or key = value";
+  }
+  if (Line != 0) {
+    State.Fault = "line " + std::to_string(Line) + ": " + State.Fault;
+  }
+  if (Line != 0 || !fillDefaults(State)) {
+    LastError = {policy::ErrorKind::BadRequest, Path + ": " + State.Fault};
+    return std::nullopt;
+  }
+  return std::move(State.Result);
+}
+
+std::optional<NodeSettings> readSettings(const std::string &Path,
+                                         policy::Error &LastError) {
+  std::ifstream File(Path, std::ios::binary);
+  std::string Text(SettingsFileMaximumBytes + 1, '\0');
+  if (File) {
+    File.read(Text.data(), static_cast<std::streamsize>(Text.size()));
+    Text.resize(static_cast<std::size_t>(File.gcount()));
+  }
+  if (!File.is_open() || File.bad() || Text.size() > SettingsFileMaximumBytes) {
+    LastError = {policy::ErrorKind::BadRequest,
+                 Path + ": cannot be read or is over " +
+                     std::to_string(SettingsFileMaximumBytes) + " bytes"};
+    return std::nullopt;
+  }
+  return parseSettings(Text, Path, LastError);
+}
+
+std::string settingsPage() {
+  std::ostringstream Page;
+  Page << "# Settings of magnoliad\n\n"
+          "Made by `magnoliad --print-settings`. Check a file with `magnoliad "
+          "--config FILE --check`.\n";
+  std::string_view Section;
+  for (const SettingEntry &Entry : settingTable()) {
+    if (Entry.Section != Section) {
+      Section = Entry.Section;
+      Page << "\n## [" << Section << "]\n\n"
+           << (Section == "backend"
+                   ? "Optional: a node without it is an entry node until a "
+                     "backend server announces itself.\n\n"
+                   : "")
+           << "| key | accepted | default | meaning |\n"
+              "| --- | --- | --- | --- |\n";
+    }
+    Page << "| " << Entry.Key << " | " << rangeText(Entry) << " | "
+         << (Entry.Required          ? std::string("required")
+             : Entry.Default.empty() ? std::string("empty")
+                                     : std::string(Entry.Default))
+         << " | " << Entry.Meaning << " |\n";
+  }
+  Page << "\n## [static]\n\n"
+          "Optional: backend servers for a start without a control plane. The "
+          "first view from the control plane replaces them.\n\n"
+          "| key | accepted | default | meaning |\n"
+          "| --- | --- | --- | --- |\n"
+          "| service.N | "
+       << StaticRange
+       << " | empty | One backend server; N is any text. At most "
+       << StaticMaximum << " entries. |\n";
+  return Page.str();
+}
+
+} // namespace magnolia::settings
--- /dev/null
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -0,0 +1,257 @@
+#include "settings/node/setting_entry.h"
+
+#include <type_traits>
+#include <utility>
+
+namespace magnolia::settings {
+
+namespace {
+
+using Type = SettingType;
+
+constexpr std::int64_t Port = 65'535;
+constexpr std::int64_t NameBytes = 64;
+constexpr std::int64_t PathBytes = 1024;
+constexpr std::int64_t Mebibyte = 1024 * 1024;
+constexpr std::int64_t HourMs = 3'600'000;
+
+template <auto Member> void store(NodeSettings &S, SettingValue &&V) {
+  using Field = std::remove_reference_t<decltype(S.*Member)>;
+  if constexpr (std::is_same_v<Field, std::string>) {
+    S.*Member = std::move(V.Text);
+  } else {
+    S.*Member = static_cast<Field>(V.Number);
+  }
+}
+
+using Store = void (*)(NodeSettings &, SettingValue &&);
+
+template <auto Member>
+constexpr SettingEntry text(std::string_view Section, std::string_view Key,
+                            std::string_view Default, std::int64_t Minimum,
+                            std::int64_t Maximum, std::string_view Meaning) {
+  return {.Section = Section,
+          .Key = Key,
+          .Default = Default,
+          .Unit = "bytes",
+          .Choices = {},
+          .Meaning = Meaning,
+          .Minimum = Minimum,
+          .Maximum = Maximum,
+          .Store = store<Member>,
+          .Type = Type::Text};
+}
+
+constexpr SettingEntry number(std::string_view Section, std::string_view Key,
+                              std::string_view Default, std::int64_t Minimum,
+                              std::int64_t Maximum, std::string_view Unit,
+                              std::string_view Meaning, Store Setter) {
+  return {.Section = Section,
+          .Key = Key,
+          .Default = Default,
+          .Unit = Unit,
+          .Choices = {},
+          .Meaning = Meaning,
+          .Minimum = Minimum,
+          .Maximum = Maximum,
+          .Store = Setter,
+          .Type = Type::Number};
+}
+
+template <auto Member>
+constexpr SettingEntry number(std::string_view Section, std::string_view Key,
+                              std::string_view Default, std::int64_t Minimum,
+                              std::int64_t Maximum, std::string_view Unit,
+                              std::string_view Meaning) {
+  return number(Section, Key, Default, Minimum, Maximum, Unit, Meaning,
+                store<Member>);
+}
+
+constexpr SettingEntry required(SettingEntry Entry) {
+  Entry.Required = true;
+  return Entry;
+}
+
+constexpr SettingEntry address(std::string_view Section, std::string_view Key,
+                               std::string_view Default,
+                               std::string_view Meaning, Store Setter) {
+  return {.Section = Section,
+          .Key = Key,
+          .Default = Default,
+          .Unit = {},
+          .Choices = {},
+          .Meaning = Meaning,
+          .Store = Setter,
+          .Type = Type::Address};
+}
+
+using N = NodeSettings;
+constexpr std::string_view Limits = "limits";
+
+constexpr SettingEntry Table[] = {
+    required(address("node", "address", {},
+                     "IP address on which the node listens and under which "
+                     "other nodes reach it.",
+                     store<&N::Address>)),
+    required(number<&N::HttpPort>("node", "http_port", {}, 1, Port, {},
+                                  "TCP port for callers.")),
+    required(number<&N::PeerPort>(
+        "node", "peer_port", {}, 1, Port, {},
+        "TCP port for other nodes; the node's identity is the hash of address "
+        "and peer port.")),
+    required(number<&N::ControlPort>("node", "control_port", {}, 1, Port, {},
+                                     "TCP port for control calls (gRPC).")),
+    required(number<&N::GossipPort>("node", "gossip_port", {}, 1, Port, {},
+                                    "UDP port for membership.")),
+    text<&N::Region>("node", "region", "default", 1, NameBytes,
+                     "Region of the node."),
+    text<&N::Zone>("node", "zone", "default", 1, NameBytes,
+                   "Availability zone of the node."),
+    required(text<&N::ClusterKeyFile>(
+        "node", "cluster_key_file", {}, 1, PathBytes,
+        "File with the key that authenticates the nodes to each other; 16 to "
+        "4096 bytes.")),
+    address("backend", "address", "127.0.0.1",
+            "IP address of the node's own backend server.",
+            store<&N::BackendAddress>),
+    required(number<&N::BackendPort>("backend", "port", {}, 1, Port, {},
+                                     "Port of the backend server.")),
+    required(text<&N::BackendService>("backend", "service", {}, 1, NameBytes,
+                                      "Service that it belongs to.")),
+    text<&N::BackendVersion>("backend", "version", "1", 1, NameBytes,
+                             "Version that it runs."),
+    number<&N::BackendSlots>(
+        "backend", "slots", "12", 1, 100'000, "requests",
+        "Requests that the backend server runs at the same time."),
+    number<&N::BackendConnections>(
+        "backend", "connections", "200", 1, 100'000, "connections",
+        "Connections that the backend server accepts."),
+    text<&N::BackendHealthPath>("backend", "health_path", "", 0, PathBytes,
+                                "Path of its health endpoint; empty: none."),
+    text<&N::BackendLoadPath>(
+        "backend", "load_path", "", 0, PathBytes,
+        "Path of its load endpoint, used as a hint only; empty: none."),
+    address("store", "address", "127.0.0.1", "IP address of the store.",
+            [](NodeSettings &S, SettingValue &&V) {
+              S.Store.Address = std::move(V.Text);
+            }),
+    number("store", "port", "0", 0, Port, {},
+           "Port of the store; 0: the node uses no store.",
+           [](NodeSettings &S, SettingValue &&V) {
+             S.Store.Port = static_cast<std::uint16_t>(V.Number);
+           }),
+    {.Section = "contacts",
+     .Key = "nodes",
+     .Default = {},
+     .Unit = "nodes",
+     .Choices = {},
+     .Meaning = "Nodes to join through, as address:gossip_port separated by "
+                "commas.",
+     .Maximum = 64,
+     .Store = [](NodeSettings &S,
+                 SettingValue &&V) { S.Contacts = std::move(V.Contacts); },
+     .Type = Type::Contacts},
+    number<&N::BodyBytes>(Limits, "body_bytes", "16777216", 0, 1024 * Mebibyte,
+                          "bytes", "Longest request body."),
+    number<&N::AnswerBytes>(Limits, "answer_bytes", "16777216", 0,
+                            1024 * Mebibyte, "bytes", "Longest answer body."),
+    number<&N::HeaderBytes>(
+        Limits, "header_bytes", "32768", 1024, 131'072, "bytes",
+        "Longest head (first line and headers) of a request or answer."),
+    number<&N::HeldConnections>(
+        Limits, "held_connections", "1024", 1, 100'000, "connections",
+        "Connections of callers held at the same time; each has a thread."),
+    number<&N::PeerConnections>(
+        Limits, "peer_connections", "4096", 1, 100'000, "connections",
+        "Connections from other nodes held at the same time; each has a "
+        "thread."),
+    number<&N::IdlePeerConnections>(
+        Limits, "idle_peer_connections", "64", 0, 10'000, "connections",
+        "Idle connections kept open to each sidecar."),
+    number<&N::WaitQueue>(Limits, "wait_queue", "16", 0, 100'000, "requests",
+                          "Requests that may wait for a slot."),
+    number<&N::LedgerEntries>(
+        Limits, "ledger_entries", "262144", 16, 10'000'000, "entries",
+        "Non-idempotent requests remembered for ten minutes."),
+    number<&N::Spin>(
+        Limits, "spin_us", "50", 0, 10'000, "us",
+        "Time for which a thread polls a connection before it sleeps."),
+    number<&N::Hops>(Limits, "hops", "17", 1, 17, "hops",
+                     "Longest call chain."),
+    number<&N::Deadline>(Limits, "deadline_ms", "10000", 1, HourMs, "ms",
+                         "Deadline of requests that name none."),
+    number<&N::DeadlineMaximum>(Limits, "deadline_maximum_ms", "60000", 1,
+                                HourMs, "ms",
+                                "Longest deadline; a later one is shortened."),
+    number<&N::CallerIdle>(
+        Limits, "caller_idle_ms", "60000", 1, HourMs, "ms",
+        "Time after which an idle connection of a caller is closed."),
+    number<&N::CallerRead>(
+        Limits, "caller_read_ms", "10000", 1, HourMs, "ms",
+        "Longest pause while a request is read or an answer written."),
+    number<&N::ConnectTimeout>(Limits, "connect_timeout_ms", "250", 1, 60'000,
+                               "ms", "Longest time to open a connection."),
+    number<&N::PeerIdle>(
+        Limits, "peer_idle_ms", "10000", 1, HourMs, "ms",
+        "Time after which an idle connection to a sidecar is closed."),
+    number<&N::PingAfter>(
+        Limits, "ping_after_ms", "100", 1, 60'000, "ms",
+        "Time without an answer after which a busy connection is checked."),
+    number<&N::PingTimeout>(
+        Limits, "ping_timeout_ms", "150", 1, 60'000, "ms",
+        "Time without a reply to the check after which it counts as silent."),
+    number<&N::FenceTimeout>(
+        Limits, "fence_timeout_ms", "300", 1, 60'000, "ms",
+        "Longest wait for the result of a fence; then the outcome is unknown."),
+    number<&N::LoadPoll>(
+        Limits, "load_poll_ms", "1000", 100, HourMs, "ms",
+        "Interval at which the load endpoint of the backend server is read."),
+    number<&N::ShutdownAnnounce>(
+        Limits, "shutdown_announce_ms", "1000", 0, 60'000, "ms",
+        "Time for which a stopping node still accepts work, so that the other "
+        "nodes learn that it leaves."),
+    number<&N::ShutdownTimeout>(
+        Limits, "shutdown_timeout_ms", "15000", 1, HourMs, "ms",
+        "Longest wait for requests in flight at a stop."),
+    {.Section = "log",
+     .Key = "level",
+     .Default = "info",
+     .Unit = {},
+     .Choices = "debug|info|warning|error",
+     .Meaning = "Lowest level that is logged.",
+     .Store = store<&N::LogLevel>,
+     .Type = Type::Choice},
+    text<&N::LogFile>("log", "file", "", 0, PathBytes,
+                      "File that the log is appended to; empty: stderr."),
+};
+
+} // namespace
+
+std::span<const SettingEntry> settingTable() { return Table; }
+
+std::string rangeText(const SettingEntry &Entry) {
+  std::string Range =
+      std::to_string(Entry.Minimum) + " to " + std::to_string(Entry.Maximum);
+  switch (Entry.Type) {
+  case SettingType::Text:
+    return "text of " + Range + " bytes";
+  case SettingType::Address:
+    return "an IPv4 address";
+  case SettingType::Number:
+    return Entry.Unit.empty() ? Range : Range + " " + std::string(Entry.Unit);
+  case SettingType::Choice: {
+    std::string Words(Entry.Choices);
+    for (std::size_t At = Words.find('|'); At != std::string::npos;
+         At = Words.find('|', At)) {
+      Words.replace(At, 1, ", ");
+    }
+    return "one of " + Words;
+  }
+  case SettingType::Contacts:
+    return "up to " + std::to_string(Entry.Maximum) +
+           " address:port, separated by commas";
+  }
+  return Range;
+}
+
+} // namespace magnolia::settings
