--- a/packages/store/src/store/client/http_store.cpp
+++ b/packages/store/src/store/client/http_store.cpp
@@ -144,7 +144,7 @@
 
 } // namespace
 
-StoreOperations httpStore(HttpStoreOptions Options) {
+StoreOperations httpStore(const HttpStoreOptions &Options) {
   const StatePointer State(
       new HttpStoreState{Options, internal::ConnectionPool(Options)});
   StoreOperations Store;
--- a/packages/store/src/store/client/http_store.h
+++ b/packages/store/src/store/client/http_store.h
@@ -21,7 +21,7 @@
 // Store reached over HTTP with JSON bodies (section 2.5 of docs/design.md).
 // Opens connections on use, one call at a time on each; a call in a watch
 // does not hold up others.
-[[nodiscard]] StoreOperations httpStore(HttpStoreOptions Options);
+[[nodiscard]] StoreOperations httpStore(const HttpStoreOptions &Options);
 
 } // namespace magnolia::store
 
--- a/packages/store/src/store/client/internal/http_call.cpp
+++ b/packages/store/src/store/client/internal/http_call.cpp
@@ -143,9 +143,10 @@
                                      StoreError &LastError) {
   ++State.Counts->Calls[static_cast<std::size_t>(Call.Kind)];
   const auto Connection = State.Pool.take();
-  if (!Connection)
+  if (!Connection) {
     return fail(State, Call, StoreErrorKind::Unavailable,
                 "the client is closed", LastError);
+  }
   Timeout = std::max(Timeout, std::chrono::milliseconds(1));
   const Clock::time_point Deadline = Clock::now() + Timeout;
   setTimeouts(*Connection, Timeout);
