--- /dev/null
+++ b/packages/daemon/src/daemon/control/config_keys.h
@@ -0,0 +1,20 @@
+#ifndef DAEMON_CONTROL_CONFIG_KEYS_H
+#define DAEMON_CONTROL_CONFIG_KEYS_H
+
+#include "settings/record/record_key.h"
+
+#include <string_view>
+
+namespace magnolia::daemon {
+
+// True for the keys that every node holds. Contacts are read from the store
+// only while a node joins.
+[[nodiscard]] inline bool isConfigKey(std::string_view Key) {
+  return Key.starts_with(settings::ServicePrefix) ||
+         Key.starts_with(settings::ZonePrefix) ||
+         Key.starts_with(settings::MovePrefix);
+}
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/control/config_runner.cpp
@@ -0,0 +1,244 @@
+#include "daemon/control/config_runner.h"
+
+#include "daemon/control/clock.h"
+#include "daemon/control/config_keys.h"
+#include "daemon/control/control_client.h"
+#include "daemon/control/membership_runner.h"
+#include "daemon/control/task_queue.h"
+#include "policy/config/apply.h"
+#include "policy/config/exchange.h"
+#include "policy/config/spread.h"
+
+#include <algorithm>
+#include <optional>
+#include <set>
+#include <utility>
+#include <wire/control.pb.h>
+
+namespace magnolia::daemon {
+
+namespace {
+
+// A small table is compared often, so that one lost push is repaired within
+// the 5 s of today; a large one less often, to bound the traffic.
+constexpr std::size_t SmallTable = 256;
+constexpr policy::Duration SmallTableInterval = std::chrono::milliseconds(500);
+constexpr policy::Duration LargeTableInterval = std::chrono::seconds(5);
+
+wire::ConfigEntry toWire(const policy::ConfigEntry &Entry) {
+  wire::ConfigEntry Result;
+  Result.set_key(Entry.Key);
+  Result.set_revision(Entry.Revision);
+  Result.set_value(Entry.Value);
+  Result.set_tombstone(Entry.Tombstone);
+  return Result;
+}
+
+template <typename Range>
+std::vector<policy::ConfigEntry> fromWire(const Range &Entries) {
+  std::vector<policy::ConfigEntry> Result;
+  for (const wire::ConfigEntry &Entry : Entries) {
+    Result.push_back({.Key = Entry.key(),
+                      .Revision = Entry.revision(),
+                      .Value = Entry.value(),
+                      .Tombstone = Entry.tombstone()});
+  }
+  return Result;
+}
+
+ControlEndpoint endpointOf(const policy::Member &Target) {
+  return {.Address = Target.Address, .Port = Target.ControlPort};
+}
+
+// Keys of the table that a full read of the store no longer holds.
+std::vector<policy::ConfigEntry>
+deletedKeys(const policy::ConfigTable &Table,
+            const store::WatchResult &FullRead) {
+  std::set<std::string_view> Present;
+  for (const store::WatchEvent &Event : FullRead.Events) {
+    Present.insert(Event.Key);
+  }
+  std::vector<policy::ConfigEntry> Result;
+  for (const auto &[Key, Entry] : Table.Entries) {
+    if (!Entry.Tombstone && Entry.Revision <= FullRead.StoreRevision &&
+        !Present.contains(Key)) {
+      Result.push_back({.Key = Key,
+                        .Revision = FullRead.StoreRevision,
+                        .Value = {},
+                        .Tombstone = true});
+    }
+  }
+  return Result;
+}
+
+} // namespace
+
+ConfigRunner::ConfigRunner(MembershipRunner &Membership, ControlClient &Client,
+                           TaskQueue &Queue, policy::RandomEngine &Random)
+    : Membership(Membership), Client(Client), Queue(Queue), Random(Random) {}
+
+void ConfigRunner::setEntryHandler(EntryHandler Handler) {
+  OnEntry = std::move(Handler);
+}
+
+std::uint32_t ConfigRunner::apply(std::span<const policy::ConfigEntry> Entries,
+                                  Source From, std::uint32_t Rounds) {
+  std::vector<policy::ConfigEntry> New;
+  for (const policy::ConfigEntry &Entry : Entries) {
+    if (isConfigKey(Entry.Key) && policy::apply(Table, Entry)) {
+      OnEntry(Entry);
+      New.push_back(Entry);
+    }
+  }
+  if (!New.empty() && Rounds > 0 && From != Source::Repair) {
+    push(New, From, Rounds - 1);
+  }
+  return static_cast<std::uint32_t>(New.size());
+}
+
+void ConfigRunner::onStoreResult(store::WatchResult Result) {
+  // A store that lost its data starts again with low revisions. What was
+  // accepted stays in effect.
+  if (Result.StoreRevision < Table.HighestRevision && Result.Full) {
+    return;
+  }
+  std::vector<policy::ConfigEntry> Entries;
+  if (Result.Full) {
+    Entries = deletedKeys(Table, Result);
+  }
+  for (store::WatchEvent &Event : Result.Events) {
+    Entries.push_back({.Key = std::move(Event.Key),
+                       .Revision = Event.ModRevision,
+                       .Value = std::move(Event.Value),
+                       .Tombstone = Event.Deleted});
+  }
+  apply(Entries, Source::Store, policy::PushRounds);
+}
+
+void ConfigRunner::onPush(const wire::PushConfigRequest &Request,
+                          wire::ControlBody &Answer) {
+  // A push with every round left comes from an operator's tool.
+  const bool IsOrigin = Request.rounds() >= policy::PushRounds;
+  const std::uint32_t Applied = apply(
+      fromWire(Request.entries()), IsOrigin ? Source::Operator : Source::Peer,
+      std::min(Request.rounds(), policy::PushRounds));
+  Answer.mutable_push_config_answer()->set_applied(Applied);
+}
+
+void ConfigRunner::onExchange(const wire::ExchangeDigestRequest &Request,
+                              wire::ControlBody &Answer) {
+  wire::ExchangeDigestAnswer &Result = *Answer.mutable_exchange_digest_answer();
+  if (Request.buckets() == 0) {
+    policy::ConfigDigest Theirs;
+    const std::size_t Count = std::min<std::size_t>(
+        Theirs.Buckets.size(),
+        static_cast<std::size_t>(Request.bucket_digests_size()));
+    for (std::size_t I = 0; I < Count; ++I) {
+      Theirs.Buckets[I] = Request.bucket_digests(static_cast<int>(I));
+    }
+    Result.set_differing(
+        policy::differingBuckets(policy::digest(Table), Theirs));
+    return;
+  }
+  std::vector<policy::KeyRevision> Revisions;
+  for (const wire::KeyRevision &Entry : Request.revisions()) {
+    Revisions.push_back({.Key = Entry.key(), .Revision = Entry.revision()});
+  }
+  policy::ConfigDiff Diff = policy::diff(Table, Revisions, Request.buckets());
+  for (const policy::ConfigEntry &Entry : Diff.Newer) {
+    *Result.add_newer() = toWire(Entry);
+  }
+  for (std::string &Key : Diff.Wanted) {
+    Result.add_wanted(std::move(Key));
+  }
+}
+
+void ConfigRunner::onDifference(const policy::Member &Other,
+                                policy::TimePoint Now) {
+  if (Now < NextExchange) {
+    return;
+  }
+  NextExchange = Now + (Table.Entries.size() < SmallTable ? SmallTableInterval
+                                                          : LargeTableInterval);
+  ++Exchanges;
+  wire::ControlBody Body;
+  wire::ExchangeDigestRequest &Request = *Body.mutable_exchange_digest();
+  for (const std::uint64_t Bucket : policy::digest(Table).Buckets) {
+    Request.add_bucket_digests(Bucket);
+  }
+  Client.call(endpointOf(Other), std::move(Body),
+              [this, Other](std::optional<wire::ControlBody> Answer) {
+                if (!Answer || !Answer->has_exchange_digest_answer()) {
+                  return;
+                }
+                const std::uint64_t Differing =
+                    Answer->exchange_digest_answer().differing();
+                if (Differing != 0) {
+                  Queue.post([this, Other, Differing] {
+                    exchangeRevisions(Other, Differing);
+                  });
+                }
+              });
+}
+
+void ConfigRunner::push(std::span<const policy::ConfigEntry> Entries,
+                        Source From, std::uint32_t Rounds) {
+  // Each zone has its own watchers, so that only an operator's push has to
+  // cross zones.
+  const std::vector<policy::Member> Targets =
+      policy::pushTargets(Membership.self(), Membership.members(),
+                          {.Origin = From == Source::Operator}, Random);
+  for (const policy::Member &Target : Targets) {
+    wire::ControlBody Body;
+    wire::PushConfigRequest &Request = *Body.mutable_push_config();
+    Request.set_rounds(Rounds);
+    for (const policy::ConfigEntry &Entry : Entries) {
+      *Request.add_entries() = toWire(Entry);
+    }
+    Client.call(endpointOf(Target), std::move(Body),
+                [](const std::optional<wire::ControlBody> &) {});
+  }
+}
+
+void ConfigRunner::exchangeRevisions(const policy::Member &Other,
+                                     std::uint64_t Buckets) {
+  wire::ControlBody Body;
+  wire::ExchangeDigestRequest &Request = *Body.mutable_exchange_digest();
+  Request.set_buckets(Buckets);
+  for (policy::KeyRevision &Held : policy::revisions(Table, Buckets)) {
+    wire::KeyRevision &Entry = *Request.add_revisions();
+    Entry.set_key(std::move(Held.Key));
+    Entry.set_revision(Held.Revision);
+  }
+  Client.call(endpointOf(Other), std::move(Body),
+              [this, Other](std::optional<wire::ControlBody> Answer) {
+                if (Answer && Answer->has_exchange_digest_answer()) {
+                  Queue.post([this, Other, Answer = *std::move(Answer)] {
+                    onNewer(Other, Answer);
+                  });
+                }
+              });
+}
+
+void ConfigRunner::onNewer(const policy::Member &Other,
+                           const wire::ControlBody &Answer) {
+  const wire::ExchangeDigestAnswer &Result = Answer.exchange_digest_answer();
+  apply(fromWire(Result.newer()), Source::Repair, 0);
+  const std::vector<std::string> Wanted(Result.wanted().begin(),
+                                        Result.wanted().end());
+  const std::vector<policy::ConfigEntry> Missing =
+      policy::missingFrom(Table, Wanted);
+  if (Missing.empty()) {
+    return;
+  }
+  wire::ControlBody Body;
+  wire::PushConfigRequest &Request = *Body.mutable_push_config();
+  Request.set_rounds(0);
+  for (const policy::ConfigEntry &Entry : Missing) {
+    *Request.add_entries() = toWire(Entry);
+  }
+  Client.call(endpointOf(Other), std::move(Body),
+              [](const std::optional<wire::ControlBody> &) {});
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/control/config_runner.h
@@ -0,0 +1,74 @@
+#ifndef DAEMON_CONTROL_CONFIG_RUNNER_H
+#define DAEMON_CONTROL_CONFIG_RUNNER_H
+
+#include "daemon/control/fwd.h"
+#include "policy/config/config_table.h"
+#include "policy/core/types.h"
+#include "policy/membership/member.h"
+#include "store/core/watch_result.h"
+
+#include <cstdint>
+#include <functional>
+#include <span>
+#include <vector>
+
+namespace magnolia::wire {
+class ControlBody;
+class ExchangeDigestRequest;
+class PushConfigRequest;
+} // namespace magnolia::wire
+
+namespace magnolia::daemon {
+
+class MembershipRunner;
+
+// Keeps the configuration table of this node: takes entries from the store,
+// from operators and from other nodes, spreads new ones and repairs
+// differences. Used by the control thread only.
+class ConfigRunner {
+public:
+  // Where a batch of entries comes from decides how far it is spread.
+  enum class Source { Store, Operator, Peer, Repair };
+  // Called for each entry that changed the table.
+  using EntryHandler = std::function<void(const policy::ConfigEntry &Entry)>;
+
+  ConfigRunner(MembershipRunner &Membership, ControlClient &Client,
+               TaskQueue &Queue, policy::RandomEngine &Random);
+
+  void setEntryHandler(EntryHandler Handler);
+
+  // Applies the entries and spreads those that were new. Returns their number.
+  std::uint32_t apply(std::span<const policy::ConfigEntry> Entries, Source From,
+                      std::uint32_t Rounds);
+
+  void onStoreResult(store::WatchResult Result);
+  void onPush(const wire::PushConfigRequest &Request,
+              wire::ControlBody &Answer);
+  void onExchange(const wire::ExchangeDigestRequest &Request,
+                  wire::ControlBody &Answer);
+
+  // Starts a repair with a member whose table differs, at a bounded rate.
+  void onDifference(const policy::Member &Other, policy::TimePoint Now);
+
+  [[nodiscard]] const policy::ConfigTable &table() const { return Table; }
+  [[nodiscard]] std::uint64_t exchanges() const { return Exchanges; }
+
+private:
+  void push(std::span<const policy::ConfigEntry> Entries, Source From,
+            std::uint32_t Rounds);
+  void exchangeRevisions(const policy::Member &Other, std::uint64_t Buckets);
+  void onNewer(const policy::Member &Other, const wire::ControlBody &Answer);
+
+  MembershipRunner &Membership;
+  ControlClient &Client;
+  TaskQueue &Queue;
+  policy::RandomEngine &Random;
+  EntryHandler OnEntry;
+  policy::ConfigTable Table;
+  policy::TimePoint NextExchange;
+  std::uint64_t Exchanges = 0;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/control/control_client.cpp
@@ -0,0 +1,97 @@
+#include "daemon/control/control_client.h"
+
+#include "policy/core/error.h"
+#include "wire/seal.h"
+
+#include <algorithm>
+#include <chrono>
+#include <grpcpp/grpcpp.h>
+#include <wire/control.grpc.pb.h>
+
+namespace magnolia::daemon {
+
+namespace {
+
+constexpr int MaximumCallsInFlight = 64;
+constexpr std::size_t MaximumChannels = 16;
+constexpr std::chrono::seconds CallTimeout{2};
+constexpr int MaximumMessageBytes = 8 << 20;
+
+// State of one call; it lives until the callback has run.
+struct PendingCall {
+  grpc::ClientContext Context;
+  std::shared_ptr<grpc::Channel> Channel;
+  std::unique_ptr<wire::Control::Stub> Stub;
+  wire::SealedMessage Request;
+  wire::SealedMessage Answer;
+};
+
+} // namespace
+
+ControlClient::ControlClient(std::string ClusterKey, policy::NodeId Self)
+    : ClusterKey(std::move(ClusterKey)), Self(Self) {}
+
+ControlClient::~ControlClient() {
+  for (int Left = InFlight; Left != 0; Left = InFlight) {
+    InFlight.wait(Left);
+  }
+}
+
+void ControlClient::call(const ControlEndpoint &Target, wire::ControlBody Body,
+                         ControlCallback Callback) {
+  if (InFlight.fetch_add(1) >= MaximumCallsInFlight) {
+    InFlight.fetch_sub(1);
+    ++Refused;
+    Callback(std::nullopt);
+    return;
+  }
+  Body.set_from(Self);
+  auto Call = std::make_shared<PendingCall>();
+  Call->Channel = channelTo(Target);
+  Call->Stub = wire::Control::NewStub(Call->Channel);
+  Call->Request = wire::seal(ClusterKey, Body);
+  Call->Context.set_deadline(std::chrono::system_clock::now() + CallTimeout);
+  BytesSent += Call->Request.ByteSizeLong();
+  auto *const Started = Call.get();
+  Started->Stub->async()->Call(
+      &Started->Context, &Started->Request, &Started->Answer,
+      [this, Call = std::move(Call),
+       Callback = std::move(Callback)](const grpc::Status &Status) {
+        policy::Error LastError;
+        std::optional<wire::ControlBody> Answer;
+        if (Status.ok()) {
+          Answer = wire::open(ClusterKey, Call->Answer, LastError);
+        }
+        Callback(std::move(Answer));
+        InFlight.fetch_sub(1);
+        InFlight.notify_all();
+      });
+}
+
+std::shared_ptr<grpc::Channel>
+ControlClient::channelTo(const ControlEndpoint &Target) {
+  const std::lock_guard Lock(Mutex);
+  const auto Found =
+      std::find_if(Channels.begin(), Channels.end(),
+                   [&](const auto &Entry) { return Entry.first == Target; });
+  if (Found != Channels.end()) {
+    Channels.splice(Channels.begin(), Channels, Found);
+    return Channels.front().second;
+  }
+  grpc::ChannelArguments Arguments;
+  Arguments.SetMaxReceiveMessageSize(MaximumMessageBytes);
+  Arguments.SetMaxSendMessageSize(MaximumMessageBytes);
+  // A node that restarted is reachable again soon.
+  Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
+  Arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
+  Channels.emplace_front(
+      Target, grpc::CreateCustomChannel(
+                  "ipv4:" + Target.Address + ":" + std::to_string(Target.Port),
+                  grpc::InsecureChannelCredentials(), Arguments));
+  if (Channels.size() > MaximumChannels) {
+    Channels.pop_back();
+  }
+  return Channels.front().second;
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/control/control_client.h
@@ -0,0 +1,64 @@
+#ifndef DAEMON_CONTROL_CONTROL_CLIENT_H
+#define DAEMON_CONTROL_CONTROL_CLIENT_H
+
+#include "daemon/control/control_endpoint.h"
+#include "policy/core/types.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+
+namespace grpc {
+class Channel;
+}
+
+namespace magnolia::wire {
+class ControlBody;
+}
+
+namespace magnolia::daemon {
+
+// Receives the answer, or nothing where the call failed.
+using ControlCallback =
+    std::function<void(std::optional<wire::ControlBody> Answer)>;
+
+// Calls the Control service of other nodes. Calls do not block; the callback
+// runs on a thread of the gRPC library. Calls in flight and open channels are
+// bounded.
+class ControlClient {
+public:
+  ControlClient(std::string ClusterKey, policy::NodeId Self);
+  ControlClient(const ControlClient &) = delete;
+  ControlClient &operator=(const ControlClient &) = delete;
+  // Waits for the calls in flight; each has a deadline.
+  ~ControlClient();
+
+  void call(const ControlEndpoint &Target, wire::ControlBody Body,
+            ControlCallback Callback);
+
+  [[nodiscard]] std::uint64_t refused() const { return Refused; }
+  [[nodiscard]] std::uint64_t bytesSent() const { return BytesSent; }
+
+private:
+  std::shared_ptr<grpc::Channel> channelTo(const ControlEndpoint &Target);
+
+  const std::string ClusterKey;
+  const policy::NodeId Self;
+  std::mutex Mutex;
+  // Most recently used first.
+  std::list<std::pair<ControlEndpoint, std::shared_ptr<grpc::Channel>>>
+      Channels;
+  std::atomic<int> InFlight = 0;
+  std::atomic<std::uint64_t> Refused = 0;
+  std::atomic<std::uint64_t> BytesSent = 0;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/control/control_endpoint.h
@@ -0,0 +1,20 @@
+#ifndef DAEMON_CONTROL_CONTROL_ENDPOINT_H
+#define DAEMON_CONTROL_CONTROL_ENDPOINT_H
+
+#include <compare>
+#include <cstdint>
+#include <string>
+
+namespace magnolia::daemon {
+
+// Where a node serves the Control service.
+struct ControlEndpoint {
+  std::string Address;
+  std::uint16_t Port = 0;
+
+  auto operator<=>(const ControlEndpoint &) const = default;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/control/control_options.h
@@ -0,0 +1,34 @@
+#ifndef DAEMON_CONTROL_CONTROL_OPTIONS_H
+#define DAEMON_CONTROL_CONTROL_OPTIONS_H
+
+#include "policy/core/types.h"
+#include "policy/membership/contact.h"
+#include "policy/membership/member.h"
+#include "wire/seal/cluster_key.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace magnolia::daemon {
+
+struct ControlOptions {
+  // Identity, addresses, place and first facts of this node.
+  policy::Member Self;
+  wire::ClusterKey Key;
+  // Seed nodes from the settings; the store adds its own.
+  std::vector<policy::Contact> Contacts;
+  std::string StoreAddress;
+  // 0 for a node without a store, which learns everything from its peers.
+  std::uint16_t StorePort = 0;
+  // Cost of a request to another zone of the region, and to another region.
+  policy::Duration ZoneDistance = std::chrono::milliseconds(1);
+  policy::Duration RegionDistance = std::chrono::milliseconds(30);
+  std::uint64_t Seed = 0;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/control/evidence_codec.h
@@ -0,0 +1,24 @@
+#ifndef DAEMON_CONTROL_EVIDENCE_CODEC_H
+#define DAEMON_CONTROL_EVIDENCE_CODEC_H
+
+#include "policy/move/fwd.h"
+
+#include <optional>
+#include <string>
+
+namespace magnolia::wire {
+class EvidenceRequest;
+}
+
+namespace magnolia::daemon {
+
+[[nodiscard]] wire::EvidenceRequest
+toRequest(const std::string &Service, const policy::EvidenceReport &Report);
+
+// Report of a message, or nothing where it has too many routes.
+[[nodiscard]] std::optional<policy::EvidenceReport>
+toReport(const wire::EvidenceRequest &Request);
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/control/fleet_records.cpp
@@ -0,0 +1,92 @@
+#include "daemon/control/fleet_records.h"
+
+#include "policy/zone/zone.h"
+#include "policy/zone/zone_record.h"
+#include "settings/record/parse_record.h"
+#include "settings/record/record_key.h"
+
+#include <optional>
+#include <string_view>
+#include <utility>
+
+namespace magnolia::daemon {
+
+namespace {
+
+// Name in a key, or nothing for a key of another kind.
+std::optional<std::string> nameIn(std::string_view Key,
+                                  std::string_view Prefix) {
+  if (!Key.starts_with(Prefix)) {
+    return std::nullopt;
+  }
+  return std::string(Key.substr(Prefix.size()));
+}
+
+bool applyService(FleetRecords &Records, const std::string &Name,
+                  const policy::ConfigEntry &Entry, policy::Error &LastError) {
+  if (Entry.Tombstone) {
+    Records.Services.erase(Name);
+    return true;
+  }
+  std::optional<settings::ServiceRecord> Record =
+      settings::parseService(Entry.Value, LastError);
+  if (!Record || Record->Service != Name) {
+    return false;
+  }
+  Records.Services[Name] = *std::move(Record);
+  return true;
+}
+
+bool applyZone(FleetRecords &Records, const std::string &Name,
+               const policy::ConfigEntry &Entry, policy::TimePoint Now,
+               policy::Error &LastError) {
+  policy::ZoneRecord Record = {
+      .Zone = Name, .Out = false, .Reason = {}, .Revision = Entry.Revision};
+  if (!Entry.Tombstone) {
+    const std::optional<settings::ZoneRecord> Stored =
+        settings::parseZone(Entry.Value, LastError);
+    if (!Stored) {
+      return false;
+    }
+    Record.Out = Stored->Out;
+    Record.Reason = Stored->Operator;
+  }
+  policy::applyZone(Records.Zones[Name], Record, Now);
+  return true;
+}
+
+bool applyMove(FleetRecords &Records, const std::string &Name,
+               const policy::ConfigEntry &Entry, policy::Error &LastError) {
+  if (Entry.Tombstone) {
+    Records.Moves.erase(Name);
+    return true;
+  }
+  std::optional<settings::StoredMove> Stored =
+      settings::parseMove(Entry.Value, LastError);
+  if (!Stored || Stored->Move.Service != Name) {
+    return false;
+  }
+  Stored->Move.Revision = Entry.Revision;
+  Records.Moves[Name] = std::move(Stored->Move);
+  return true;
+}
+
+} // namespace
+
+bool applyEntry(FleetRecords &Records, const policy::ConfigEntry &Entry,
+                policy::TimePoint SteadyNow, policy::Error &LastError) {
+  LastError = {policy::ErrorKind::BadRequest,
+               "the name in the value differs from the key " + Entry.Key};
+  bool Applied = true;
+  if (const auto Service = nameIn(Entry.Key, settings::ServicePrefix)) {
+    Applied = applyService(Records, *Service, Entry, LastError);
+  } else if (const auto Zone = nameIn(Entry.Key, settings::ZonePrefix)) {
+    Applied = applyZone(Records, *Zone, Entry, SteadyNow, LastError);
+  } else if (const auto Move = nameIn(Entry.Key, settings::MovePrefix)) {
+    Applied = applyMove(Records, *Move, Entry, LastError);
+  }
+  Records.Malformed += Applied ? 0 : 1;
+  return Applied;
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -0,0 +1,292 @@
+#include "daemon/control/internal/control_core.h"
+
+#include "daemon/control/clock.h"
+#include "daemon/control/config_keys.h"
+#include "daemon/control/view_builder.h"
+#include "daemon/log/log.h"
+#include "daemon/view/evidence_recorder.h"
+#include "daemon/view/view_holder.h"
+#include "settings/record/format_record.h"
+#include "settings/record/parse_record.h"
+#include "settings/record/record_key.h"
+#include "store/client/http_store.h"
+
+#include <algorithm>
+#include <chrono>
+#include <optional>
+#include <utility>
+#include <vector>
+#include <wire/control.pb.h>
+#include <wire/gossip.pb.h>
+
+namespace magnolia::daemon::internal {
+
+namespace {
+
+constexpr std::size_t MaximumQueuedTasks = 16384;
+constexpr std::chrono::milliseconds TickPeriod{50};
+constexpr std::chrono::milliseconds StoreTimeout{2000};
+// Shortest time between two views, and the time after which a view is built
+// anew while it holds shares that change with time.
+constexpr policy::Duration ViewPause = std::chrono::milliseconds(10);
+constexpr policy::Duration ViewPeriod = std::chrono::milliseconds(500);
+// A node that knows no other member asks the store for contacts this often.
+constexpr policy::Duration JoinPeriod = std::chrono::seconds(3);
+constexpr policy::Duration ContactPeriod = std::chrono::seconds(30);
+
+std::vector<policy::Contact> contactsIn(const store::RangeResult &Range) {
+  std::vector<policy::Contact> Contacts;
+  policy::Error LastError;
+  for (const store::Entry &Entry : Range.Entries) {
+    if (const auto Record = settings::parseContact(Entry.Value, LastError)) {
+      Contacts.push_back(
+          {.Address = Record->Address, .GossipPort = Record->GossipPort});
+    }
+  }
+  return Contacts;
+}
+
+} // namespace
+
+ControlCore::ControlCore(ControlOptions Given, ControlThread::Links Links)
+    : Options(std::move(Given)), Shared(std::move(Links)), Random(Options.Seed),
+      Queue(MaximumQueuedTasks),
+      Brakes(Shared.Cuts,
+             [this](std::string Service, std::string MoveId,
+                    policy::Verdict Held) {
+               Queue.post([this, Service = std::move(Service),
+                           MoveId = std::move(MoveId), Held = std::move(Held)] {
+                 Moves->onOwnVerdict(Service, MoveId, Held);
+               });
+             }),
+      Client(Options.Key.Bytes, Options.Self.Node) {}
+
+bool ControlCore::open(policy::Error &LastError) {
+  const policy::Member &Self = Options.Self;
+  Gossip = GossipSocket::open(
+      Self.Address, Self.GossipPort, Options.Key,
+      [this](wire::GossipDatagram Datagram) {
+        Queue.post([this, Datagram = std::move(Datagram)] {
+          Membership->onDatagram(Datagram, steadyNow(),
+                                 Config->table().Digest.Whole);
+        });
+      },
+      LastError);
+  if (!Gossip) {
+    return false;
+  }
+  openStore();
+  Membership =
+      std::make_unique<MembershipRunner>(Self, *Gossip, Client, Queue, Random);
+  Config = std::make_unique<ConfigRunner>(*Membership, Client, Queue, Random);
+  Moves =
+      std::make_unique<MoveRunner>(MoveRunner::Links{.Membership = *Membership,
+                                                     .Config = *Config,
+                                                     .Brakes = Brakes,
+                                                     .Client = Client,
+                                                     .Queue = Queue,
+                                                     .Store = Store.get(),
+                                                     .Random = Random});
+  Membership->addContacts(Options.Contacts);
+  Membership->setDifferenceHandler([this](const policy::Member &Other) {
+    Config->onDifference(Other, steadyNow());
+  });
+  Config->setEntryHandler(
+      [this](const policy::ConfigEntry &Entry) { onEntry(Entry); });
+  Server = ControlServer::open(
+      {.Address = Self.Address, .Port = Self.ControlPort}, Options.Key.Bytes,
+      [this](wire::ControlBody Body, ControlReply Reply) {
+        return onCall(std::move(Body), std::move(Reply));
+      },
+      LastError);
+  if (!Server) {
+    return false;
+  }
+  connectTraffic();
+  Thread = std::thread([this] { run(); });
+  return true;
+}
+
+void ControlCore::openStore() {
+  if (Options.StorePort == 0) {
+    return;
+  }
+  Store = std::make_unique<StoreWorker>(
+      store::httpStore(
+          {.Address = Options.StoreAddress, .Port = Options.StorePort}),
+      [this](store::WatchResult Result) {
+        Queue.post([this, Result = std::move(Result)] {
+          Config->onStoreResult(Result);
+        });
+      },
+      Options.Seed);
+}
+
+void ControlCore::connectTraffic() {
+  Shared.Evidence.setHook(
+      [this](const EvidenceSample &Sample) { Brakes.count(Sample); });
+  Shared.Backend.setListener([this](const LocalBackendState &State) {
+    Queue.post([this, State] { onBackend(State); });
+  });
+  Queue.post([this] { onBackend(Shared.Backend.state()); });
+}
+
+void ControlCore::stop() {
+  Shared.Backend.setListener({});
+  Queue.close();
+  if (Thread.joinable()) {
+    Thread.join();
+  }
+  // Their threads post to the closed queue, which refuses.
+  Store.reset();
+  Server.reset();
+  Gossip.reset();
+}
+
+void ControlCore::run() {
+  auto NextTick = std::chrono::steady_clock::now();
+  while (Queue.runFor(NextTick)) {
+    const auto Now = std::chrono::steady_clock::now();
+    if (Now >= NextTick) {
+      tick();
+      NextTick = Now + TickPeriod;
+    }
+    publishView(steadyNow());
+  }
+}
+
+void ControlCore::tick() {
+  const policy::TimePoint Now = steadyNow();
+  Membership->tick(Now, Config->table().Digest.Whole);
+  Moves->tick(Now, wallNow());
+  if (Store) {
+    joinThroughStore(Now);
+    watchStore();
+  }
+}
+
+void ControlCore::joinThroughStore(policy::TimePoint Now) {
+  if (Membership->members().size() > 1 || Now < NextJoin) {
+    return;
+  }
+  NextJoin = Now + JoinPeriod;
+  Store->submit([this](const store::StoreOperations &Operations) {
+    store::StoreError LastError;
+    const auto Range =
+        Operations.Range(settings::ContactPrefix, StoreTimeout, LastError);
+    if (Range) {
+      Queue.post([this, Contacts = contactsIn(*Range)] {
+        Membership->addContacts(Contacts);
+      });
+    }
+  });
+}
+
+void ControlCore::watchStore() {
+  const bool Watch = Membership->isWatcher();
+  if (Watch != Store->isWatching()) {
+    log(LogLevel::Info, Watch ? "store watch started" : "store watch ended");
+    Store->setWatching(Watch);
+    NextContact = steadyNow();
+  }
+  if (Watch && steadyNow() >= NextContact) {
+    NextContact = steadyNow() + ContactPeriod;
+    writeContact();
+  }
+}
+
+void ControlCore::writeContact() {
+  // The slot is the rank among the watchers of the zone.
+  std::uint32_t Slot = 0;
+  const policy::Member &Self = Membership->self();
+  for (const policy::Member &Other : Membership->watchers()) {
+    Slot += Other.Zone == Self.Zone && Other.Node < Self.Node ? 1 : 0;
+  }
+  const store::PutRequest Wanted = {
+      .Key = settings::contactKey(Self.Zone, Slot),
+      .Value = settings::formatContact({.Address = Self.Address,
+                                        .GossipPort = Self.GossipPort,
+                                        .Zone = Self.Zone,
+                                        .Incarnation = Self.Run})};
+  Store->submit([Wanted](const store::StoreOperations &Operations) {
+    store::PutRequest Request = Wanted;
+    store::StoreError LastError;
+    const auto Held = Operations.Read(Request.Key, StoreTimeout, LastError);
+    if (!Held && LastError.Kind != store::StoreErrorKind::NotFound) {
+      return;
+    }
+    if (Held && Held->Value == Request.Value) {
+      return;
+    }
+    Request.Expected = Held ? Held->ModRevision : 0;
+    // A lost race is repeated in the next period.
+    (void)Operations.Put(Request, StoreTimeout, LastError);
+  });
+}
+
+void ControlCore::publishView(policy::TimePoint Now) {
+  if (Membership->generation() != ViewGeneration) {
+    ViewDirty = true;
+  }
+  const bool Due = ViewDirty ? Now >= LastView + ViewPause
+                             : ViewVaries && Now >= LastView + ViewPeriod;
+  if (!Due) {
+    return;
+  }
+  ViewGeneration = Membership->generation();
+  ViewDirty = false;
+  LastView = Now;
+  ClusterView View = buildView({.Self = Membership->self(),
+                                .Members = Membership->members(),
+                                .Records = Records,
+                                .ZoneDistance = Options.ZoneDistance,
+                                .RegionDistance = Options.RegionDistance,
+                                .SteadyNow = Now,
+                                .WallNow = wallNow()});
+  ViewVaries = !View.ZoneWeight.empty() ||
+               std::any_of(Records.Moves.begin(), Records.Moves.end(),
+                           [](const auto &Move) {
+                             return !policy::hasEnded(Move.second);
+                           });
+  Shared.Views.publish(std::move(View));
+}
+
+void ControlCore::onEntry(const policy::ConfigEntry &Entry) {
+  policy::Error LastError;
+  if (!applyEntry(Records, Entry, steadyNow(), LastError)) {
+    log(LogLevel::Error, "configuration value rejected",
+        {{"key", std::string_view(Entry.Key)},
+         {"revision", Entry.Revision},
+         {"reason", std::string_view(LastError.Detail)}});
+    return;
+  }
+  log(LogLevel::Info, "configuration in effect",
+      {{"key", std::string_view(Entry.Key)}, {"revision", Entry.Revision}});
+  if (Entry.Key.starts_with(settings::MovePrefix)) {
+    const std::string_view Service =
+        std::string_view(Entry.Key).substr(settings::MovePrefix.size());
+    const auto Move = Records.Moves.find(Service);
+    if (Move == Records.Moves.end()) {
+      Moves->onRemoved(Service);
+    } else {
+      Moves->onRecord(Move->second);
+    }
+  }
+  ViewDirty = true;
+}
+
+void ControlCore::onBackend(const LocalBackendState &Backend) {
+  Membership->announce(
+      {.Service = Backend.Present ? Backend.Service : std::string(),
+       .Version = Backend.Present ? Backend.Version : std::string(),
+       .Draining = Draining || Backend.Draining});
+}
+
+void ControlCore::announceDraining() {
+  Draining = true;
+  onBackend(Shared.Backend.state());
+}
+
+void ControlCore::announceLeft() { Membership->leave(steadyNow()); }
+
+} // namespace magnolia::daemon::internal
--- /dev/null
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -0,0 +1,84 @@
+#ifndef DAEMON_CONTROL_INTERNAL_CONTROL_CORE_H
+#define DAEMON_CONTROL_INTERNAL_CONTROL_CORE_H
+
+#include "daemon/control/config_runner.h"
+#include "daemon/control/control_client.h"
+#include "daemon/control/control_options.h"
+#include "daemon/control/control_server.h"
+#include "daemon/control/control_thread.h"
+#include "daemon/control/fleet_records.h"
+#include "daemon/control/gossip_socket.h"
+#include "daemon/control/membership_runner.h"
+#include "daemon/control/move_brakes.h"
+#include "daemon/control/move_runner.h"
+#include "daemon/control/store_worker.h"
+#include "daemon/control/task_queue.h"
+#include "daemon/view/local_backend.h"
+
+#include <memory>
+#include <string>
+#include <thread>
+
+namespace magnolia::daemon::internal {
+
+// State and timers of the control thread. All functions but open(), stop(),
+// queue() and metrics() run on it.
+class ControlCore {
+public:
+  ControlCore(ControlOptions Options, ControlThread::Links Shared);
+  ControlCore(const ControlCore &) = delete;
+  ControlCore &operator=(const ControlCore &) = delete;
+  ~ControlCore() = default;
+
+  [[nodiscard]] bool open(policy::Error &LastError);
+  void stop();
+
+  [[nodiscard]] TaskQueue &queue() { return Queue; }
+  [[nodiscard]] std::string metrics() const;
+
+  void announceDraining();
+  void announceLeft();
+  [[nodiscard]] std::string dump();
+
+private:
+  void openStore();
+  void connectTraffic();
+  void run();
+  void tick();
+  void joinThroughStore(policy::TimePoint Now);
+  void watchStore();
+  void writeContact();
+  void publishView(policy::TimePoint Now);
+  void onEntry(const policy::ConfigEntry &Entry);
+  void onBackend(const LocalBackendState &Backend);
+  [[nodiscard]] bool onCall(wire::ControlBody Body, ControlReply Reply);
+  void answer(const wire::ControlBody &Request, wire::ControlBody &Answer);
+  void answerStatus(wire::ControlBody &Answer) const;
+
+  ControlOptions Options;
+  ControlThread::Links Shared;
+  policy::RandomEngine Random;
+  TaskQueue Queue;
+  MoveBrakes Brakes;
+  ControlClient Client;
+  std::unique_ptr<GossipSocket> Gossip;
+  std::unique_ptr<StoreWorker> Store;
+  std::unique_ptr<MembershipRunner> Membership;
+  std::unique_ptr<ConfigRunner> Config;
+  std::unique_ptr<MoveRunner> Moves;
+  std::unique_ptr<ControlServer> Server;
+  FleetRecords Records;
+  bool Draining = false;
+  // What the published view was built from.
+  std::uint64_t ViewGeneration = 0;
+  bool ViewDirty = true;
+  bool ViewVaries = false;
+  policy::TimePoint LastView;
+  policy::TimePoint NextJoin;
+  policy::TimePoint NextContact;
+  std::thread Thread;
+};
+
+} // namespace magnolia::daemon::internal
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/control/move_runner.cpp
@@ -0,0 +1,249 @@
+#include "daemon/control/move_runner.h"
+
+#include "daemon/control/clock.h"
+#include "daemon/control/config_runner.h"
+#include "daemon/control/control_client.h"
+#include "daemon/control/evidence_codec.h"
+#include "daemon/control/membership_runner.h"
+#include "daemon/control/move_brakes.h"
+#include "daemon/control/store_worker.h"
+#include "daemon/control/task_queue.h"
+#include "policy/config/spread.h"
+#include "policy/move/advance.h"
+#include "settings/record/format_record.h"
+#include "settings/record/record_key.h"
+#include "store/client/put_resolved.h"
+
+#include <algorithm>
+#include <utility>
+#include <wire/control.pb.h>
+
+namespace magnolia::daemon {
+
+namespace {
+
+constexpr policy::Duration ReportPeriod = std::chrono::milliseconds(500);
+constexpr std::chrono::milliseconds WriteTimeout{2000};
+
+ControlEndpoint endpointOf(const policy::Member &Target) {
+  return {.Address = Target.Address, .Port = Target.ControlPort};
+}
+
+// Unique among all writers of a record: the node, its run and a counter.
+std::string operationId(const policy::Member &Self, std::uint64_t Count) {
+  return std::to_string(Self.Node) + "-" + std::to_string(Self.Run) + "-" +
+         std::to_string(Count);
+}
+
+// Outcome of a write and the record that the store holds after it.
+struct WriteResult {
+  bool Written = false;
+  std::optional<policy::ConfigEntry> Held;
+};
+
+WriteResult writeRecord(const store::StoreOperations &Store,
+                        const store::PutRequest &Request,
+                        const std::string &OperationId) {
+  store::StoreError LastError;
+  const auto Revision =
+      store::putResolved(Store, Request, OperationId, WriteTimeout, LastError);
+  if (Revision) {
+    return {.Written = true,
+            .Held = policy::ConfigEntry{.Key = Request.Key,
+                                        .Revision = *Revision,
+                                        .Value = Request.Value,
+                                        .Tombstone = false}};
+  }
+  if (LastError.Kind != store::StoreErrorKind::Conflict) {
+    return {};
+  }
+  // Another writer was first: its record is the one to go on from.
+  const auto Held = Store.Read(Request.Key, WriteTimeout, LastError);
+  if (!Held) {
+    return {};
+  }
+  return {.Written = false,
+          .Held = policy::ConfigEntry{.Key = Held->Key,
+                                      .Revision = Held->ModRevision,
+                                      .Value = Held->Value,
+                                      .Tombstone = false}};
+}
+
+} // namespace
+
+void MoveRunner::onRecord(const policy::MoveRecord &Record) {
+  Records[Record.Service] = Record;
+  To.Brakes.setRecord(Record);
+  if (policy::hasEnded(Record)) {
+    Drives.erase(Record.Service);
+  }
+}
+
+void MoveRunner::onRemoved(std::string_view Service) {
+  if (const auto Found = Records.find(Service); Found != Records.end()) {
+    Records.erase(Found);
+  }
+  if (const auto Found = Drives.find(Service); Found != Drives.end()) {
+    Drives.erase(Found);
+  }
+  To.Brakes.removeRecord(Service);
+}
+
+void MoveRunner::onOwnVerdict(const std::string &Service,
+                              const std::string &MoveId,
+                              const policy::Verdict &Held) {
+  spread(Service, MoveId, Held, policy::PushRounds);
+}
+
+void MoveRunner::onVerdict(const wire::VerdictRequest &Request) {
+  const policy::Verdict Sent = {.Kind = policy::VerdictKind::Bad,
+                                .Reason = Request.reason()};
+  if (To.Brakes.join(Request.service(), Request.move(), Sent) &&
+      Request.rounds() > 0) {
+    spread(Request.service(), Request.move(), Sent,
+           std::min(Request.rounds(), policy::PushRounds) - 1);
+  }
+}
+
+void MoveRunner::onEvidence(const wire::EvidenceRequest &Request) {
+  if (const auto Report = toReport(Request)) {
+    addReport(Request.service(), *Report, wallNow());
+  }
+}
+
+void MoveRunner::tick(policy::TimePoint SteadyNow, policy::TimePoint WallNow) {
+  To.Brakes.refresh(WallNow);
+  if (SteadyNow >= NextReport) {
+    NextReport = SteadyNow + ReportPeriod;
+    sendReports(WallNow);
+  }
+  if (To.Store == nullptr || !To.Membership.isWatcher()) {
+    return;
+  }
+  for (const auto &[Service, Record] : Records) {
+    if (!policy::hasEnded(Record)) {
+      drive(Record, WallNow);
+    }
+  }
+}
+
+void MoveRunner::sendReports(policy::TimePoint WallNow) {
+  const policy::Member &Self = To.Membership.self();
+  for (const auto &[Service, Report] :
+       To.Brakes.takeReports(Self.Node, Self.Run)) {
+    const policy::Member *const Driver = driverOf(Report.MoveId);
+    if (Driver == nullptr) {
+      continue;
+    }
+    if (Driver->Node != Self.Node) {
+      wire::ControlBody Body;
+      *Body.mutable_evidence() = toRequest(Service, Report);
+      To.Client.call(endpointOf(*Driver), std::move(Body),
+                     [](const std::optional<wire::ControlBody> &) {});
+      continue;
+    }
+    addReport(Service, Report, WallNow);
+  }
+}
+
+void MoveRunner::addReport(const std::string &Service,
+                           const policy::EvidenceReport &Report,
+                           policy::TimePoint WallNow) {
+  const auto Record = Records.find(Service);
+  if (Record == Records.end() || policy::hasEnded(Record->second)) {
+    return;
+  }
+  policy::MoveEvidence &Evidence = Drives[Service].Evidence;
+  if (policy::addReport(Evidence, Record->second, Report, WallNow)) {
+    To.Brakes.join(Service, Record->second.Id, Evidence.Held);
+    spread(Service, Record->second.Id, Evidence.Held, policy::PushRounds);
+  }
+}
+
+void MoveRunner::drive(const policy::MoveRecord &Record,
+                       policy::TimePoint WallNow) {
+  Drive &Held = Drives[Record.Service];
+  policy::addVerdict(Held.Evidence, Record, Record.Id,
+                     To.Brakes.verdict(Record.Service));
+  if (Held.Writing) {
+    return;
+  }
+  const auto Next = policy::advance(Record, Held.Evidence, WallNow);
+  if (!Next) {
+    Held.DueRevision = 0;
+    return;
+  }
+  if (Held.DueRevision != Record.Revision) {
+    Held.DueRevision = Record.Revision;
+    Held.DueAt = WallNow;
+  }
+  if (policy::shouldDrive(To.Membership.self().Node, To.Membership.watchers(),
+                          Record.Id, Held.DueAt, WallNow)) {
+    write(*Next);
+  }
+}
+
+void MoveRunner::write(const policy::MoveRecord &Next) {
+  const std::string OperationId = operationId(To.Membership.self(), ++Writes);
+  const store::PutRequest Request = {
+      .Key = settings::moveKey(Next.Service),
+      .Value = settings::formatMove(
+          {.Move = Next,
+           .OperationId = OperationId,
+           .Driver = To.Membership.self().Address + ":" +
+                     std::to_string(To.Membership.self().PeerPort)}),
+      .Expected = Next.Revision};
+  Drives[Next.Service].Writing =
+      To.Store->submit([this, Request, OperationId, Service = Next.Service](
+                           const store::StoreOperations &Store) {
+        WriteResult Result = writeRecord(Store, Request, OperationId);
+        To.Queue.post([this, Service, Result = std::move(Result)] {
+          if (Result.Held) {
+            To.Config.apply(std::span(&*Result.Held, 1),
+                            ConfigRunner::Source::Operator, policy::PushRounds);
+          }
+          onWritten(Service, Result.Written);
+        });
+      });
+}
+
+void MoveRunner::onWritten(const std::string &Service, bool Written) {
+  if (!Written) {
+    ++FailedWrites;
+  }
+  if (const auto Found = Drives.find(Service); Found != Drives.end()) {
+    Found->second.Writing = false;
+  }
+}
+
+void MoveRunner::spread(const std::string &Service, const std::string &MoveId,
+                        const policy::Verdict &Held, std::uint32_t Rounds) {
+  std::vector<policy::Member> Targets =
+      policy::pushTargets(To.Membership.self(), To.Membership.members(),
+                          {.Origin = Rounds == policy::PushRounds}, To.Random);
+  if (const policy::Member *const Driver = driverOf(MoveId)) {
+    Targets.push_back(*Driver);
+  }
+  for (const policy::Member &Target : Targets) {
+    wire::ControlBody Body;
+    wire::VerdictRequest &Request = *Body.mutable_verdict();
+    Request.set_service(Service);
+    Request.set_move(MoveId);
+    Request.set_reason(Held.Reason);
+    Request.set_rounds(Rounds);
+    To.Client.call(endpointOf(Target), std::move(Body),
+                   [](const std::optional<wire::ControlBody> &) {});
+  }
+}
+
+const policy::Member *MoveRunner::driverOf(std::string_view MoveId) const {
+  const std::vector<policy::Member> &Watchers = To.Membership.watchers();
+  for (const policy::Member &Candidate : Watchers) {
+    if (policy::driverRank(Candidate.Node, Watchers, MoveId) == 0U) {
+      return &Candidate;
+    }
+  }
+  return nullptr;
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/control/store_worker.cpp
@@ -0,0 +1,136 @@
+#include "daemon/control/store_worker.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace magnolia::daemon {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t MaximumJobs = 64;
+constexpr milliseconds WatchWait{10000};
+constexpr milliseconds CallTimeout{2000};
+constexpr milliseconds FirstBackoff{100};
+constexpr milliseconds LongestBackoff{2000};
+constexpr milliseconds JobPoll{200};
+// Every key: one waiting watch per watcher covers services, zones and moves.
+constexpr std::string_view AllKeys;
+
+store::WatchResult asWatchResult(store::RangeResult Range) {
+  store::WatchResult Result = {
+      .Events = {}, .StoreRevision = Range.StoreRevision, .Full = true};
+  for (store::Entry &Entry : Range.Entries) {
+    Result.Events.push_back({.Key = std::move(Entry.Key),
+                             .Value = std::move(Entry.Value),
+                             .ModRevision = Entry.ModRevision,
+                             .Deleted = false});
+  }
+  return Result;
+}
+
+} // namespace
+
+StoreWorker::StoreWorker(store::StoreOperations Operations,
+                         WatchHandler Handler, std::uint64_t Seed)
+    : Store(std::move(Operations)), Handler(std::move(Handler)), Random(Seed),
+      Jobs(MaximumJobs), Watcher([this] { watchLoop(); }),
+      Runner([this] { jobLoop(); }) {}
+
+StoreWorker::~StoreWorker() {
+  {
+    const std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  Changed.notify_all();
+  Store.Close();
+  Jobs.close();
+  Watcher.join();
+  Runner.join();
+}
+
+void StoreWorker::setWatching(bool On) {
+  {
+    const std::lock_guard Lock(Mutex);
+    Watching = On;
+  }
+  Changed.notify_all();
+}
+
+bool StoreWorker::submit(StoreJob Job) {
+  return Jobs.post([this, Job = std::move(Job)] { Job(Store); });
+}
+
+bool StoreWorker::isWatching() const {
+  const std::lock_guard Lock(Mutex);
+  return Watching;
+}
+
+void StoreWorker::watchLoop() {
+  std::optional<store::Revision> After;
+  int Failures = 0;
+  while (waitUntilWatching()) {
+    StoreUp = watchOnce(After);
+    if (StoreUp) {
+      Failures = 0;
+      continue;
+    }
+    // A failed watch starts again from a full read, so that no change is lost.
+    After.reset();
+    pauseAfterFailure(++Failures);
+  }
+}
+
+bool StoreWorker::watchOnce(std::optional<store::Revision> &After) {
+  store::StoreError LastError;
+  if (!After) {
+    std::optional<store::RangeResult> Range =
+        Store.Range(AllKeys, CallTimeout, LastError);
+    if (!Range) {
+      return false;
+    }
+    After = Range->StoreRevision;
+    Handler(asWatchResult(*std::move(Range)));
+    return true;
+  }
+  std::optional<store::WatchResult> Result = Store.Watch(
+      {.Prefix = std::string(AllKeys), .After = *After, .Wait = WatchWait},
+      CallTimeout, LastError);
+  if (!Result || Result->StoreRevision < *After) {
+    return false;
+  }
+  After = Result->StoreRevision;
+  if (!Result->Events.empty() || Result->Full) {
+    Handler(*std::move(Result));
+  }
+  return true;
+}
+
+bool StoreWorker::waitUntilWatching() {
+  std::unique_lock Lock(Mutex);
+  Changed.wait(Lock, [this] { return Stopping || Watching; });
+  return !Stopping;
+}
+
+void StoreWorker::pauseAfterFailure(int Failures) {
+  // The pause doubles and is random, so that the watchers of a fleet do not
+  // return to a recovering store at the same moment.
+  constexpr int MaximumDoublings = 5;
+  const milliseconds Longest =
+      std::min(LongestBackoff,
+               FirstBackoff * (1 << std::min(Failures, MaximumDoublings)));
+  std::uniform_int_distribution<milliseconds::rep> Pause(Longest.count() / 2,
+                                                         Longest.count());
+  std::unique_lock Lock(Mutex);
+  Changed.wait_for(Lock, milliseconds(Pause(Random)),
+                   [this] { return Stopping; });
+}
+
+void StoreWorker::jobLoop() {
+  while (Jobs.runFor(std::chrono::steady_clock::now() + JobPoll)) {
+  }
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/control/task_queue.h
@@ -0,0 +1,46 @@
+#ifndef DAEMON_CONTROL_TASK_QUEUE_H
+#define DAEMON_CONTROL_TASK_QUEUE_H
+
+#include <chrono>
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+
+namespace magnolia::daemon {
+
+using Task = std::function<void()>;
+
+// Bounded queue of work for one consumer thread. A full queue refuses new
+// tasks and counts them, so that a burst of input cannot exhaust memory.
+class TaskQueue {
+public:
+  explicit TaskQueue(std::size_t Capacity) : Capacity(Capacity) {}
+
+  // Adds a task and returns false where the queue is full or closed.
+  bool post(Task Work);
+
+  // Runs the tasks that are queued, waiting for the first one until the time
+  // limit. Returns false once the queue is closed and empty.
+  bool runFor(std::chrono::steady_clock::time_point Until);
+
+  // Refuses further tasks and wakes the consumer.
+  void close();
+
+  [[nodiscard]] std::uint64_t refused() const;
+  [[nodiscard]] std::size_t size() const;
+
+private:
+  const std::size_t Capacity;
+  mutable std::mutex Mutex;
+  std::condition_variable Ready;
+  std::deque<Task> Tasks;
+  std::uint64_t Refused = 0;
+  bool Closed = false;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/test/daemon/control/control_server.cpp
@@ -0,0 +1,70 @@
+#include "daemon/control/control_server.h"
+
+#include "daemon/control/control_client.h"
+#include "policy/core/error.h"
+
+#include <future>
+#include <gtest/gtest.h>
+#include <memory>
+#include <optional>
+#include <string>
+#include <wire/control.pb.h>
+
+namespace magnolia::daemon {
+namespace {
+
+constexpr std::uint16_t Port = 19471;
+const std::string Key = "a cluster key of the test";
+
+std::optional<wire::ControlBody> callWith(const std::string &ClusterKey) {
+  ControlClient Client(ClusterKey, 1);
+  std::promise<std::optional<wire::ControlBody>> Answer;
+  wire::ControlBody Body;
+  Body.mutable_verdict()->set_service("catalogue");
+  Client.call({.Address = "127.0.0.1", .Port = Port}, std::move(Body),
+              [&Answer](std::optional<wire::ControlBody> Result) {
+                Answer.set_value(std::move(Result));
+              });
+  return Answer.get_future().get();
+}
+
+// Guards against an unknown sender that changes membership, configuration or a
+// verdict: the handler must not see its message.
+TEST(ControlServer, RefusesAnUnknownSender) {
+  int Handled = 0;
+  policy::Error LastError;
+  const auto Server = ControlServer::open(
+      {.Address = "127.0.0.1", .Port = Port}, Key,
+      [&Handled](const wire::ControlBody &Body, const ControlReply &Reply) {
+        ++Handled;
+        Reply(Body);
+        return true;
+      },
+      LastError);
+  ASSERT_TRUE(Server) << LastError.Detail;
+
+  EXPECT_FALSE(callWith("another key of sufficient length"));
+  EXPECT_EQ(Handled, 0);
+  EXPECT_EQ(Server->refused(), 1U);
+
+  const auto Answer = callWith(Key);
+  ASSERT_TRUE(Answer);
+  EXPECT_EQ(Answer->verdict().service(), "catalogue");
+  EXPECT_EQ(Handled, 1);
+}
+
+// Guards against a call that is lost without an answer while the control
+// thread is behind.
+TEST(ControlServer, AnswersWhereTheHandlerCannotTakeTheCall) {
+  policy::Error LastError;
+  const auto Server = ControlServer::open(
+      {.Address = "127.0.0.1", .Port = Port}, Key,
+      [](const wire::ControlBody &, const ControlReply &) { return false; },
+      LastError);
+  ASSERT_TRUE(Server) << LastError.Detail;
+  EXPECT_FALSE(callWith(Key));
+  EXPECT_EQ(Server->refused(), 1U);
+}
+
+} // namespace
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/test/daemon/control/task_queue.cpp
@@ -0,0 +1,32 @@
+#include "daemon/control/task_queue.h"
+
+#include <chrono>
+#include <gtest/gtest.h>
+
+namespace magnolia::daemon {
+namespace {
+
+// Guards against a burst of input that exhausts memory.
+TEST(TaskQueue, RefusesOverItsCapacity) {
+  TaskQueue Queue(2);
+  EXPECT_TRUE(Queue.post([] {}));
+  EXPECT_TRUE(Queue.post([] {}));
+  EXPECT_FALSE(Queue.post([] {}));
+  EXPECT_EQ(Queue.refused(), 1U);
+}
+
+// Guards against a caller that waits for a task which is dropped at the stop.
+TEST(TaskQueue, RunsWhatItHoldsAfterClose) {
+  TaskQueue Queue(2);
+  int Runs = 0;
+  EXPECT_TRUE(Queue.post([&Runs] { ++Runs; }));
+  Queue.close();
+  EXPECT_FALSE(Queue.post([&Runs] { ++Runs; }));
+  const auto Now = std::chrono::steady_clock::now();
+  EXPECT_TRUE(Queue.runFor(Now));
+  EXPECT_FALSE(Queue.runFor(Now));
+  EXPECT_EQ(Runs, 1);
+}
+
+} // namespace
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/test/daemon/control/view_builder.cpp
@@ -0,0 +1,119 @@
+#include "daemon/control/view_builder.h"
+
+#include <gtest/gtest.h>
+#include <string>
+#include <vector>
+
+namespace magnolia::daemon {
+namespace {
+
+using std::chrono::seconds;
+
+policy::Member member(policy::NodeId Node, std::string Version,
+                      policy::MemberState State = policy::MemberState::Alive) {
+  return {.Node = Node,
+          .Address = "127.0.0.1",
+          .PeerPort = 7000,
+          .Region = "r1",
+          .Zone = "z1",
+          .Service = "catalogue",
+          .Version = std::move(Version),
+          .Run = 1,
+          .State = State};
+}
+
+struct MoveCase {
+  const char *Guards;
+  policy::MovePhase Phase;
+  bool PastDeadline;
+  std::vector<std::string> Serving;
+  double Share;
+};
+
+class MovePhases : public testing::TestWithParam<MoveCase> {};
+
+TEST_P(MovePhases, DecideWhichVersionsServe) {
+  const MoveCase &Case = GetParam();
+  SCOPED_TRACE(Case.Guards);
+  FleetRecords Records;
+  Records.Services["catalogue"] = {.Service = "catalogue"};
+  Records.Moves["catalogue"] = {
+      .Service = "catalogue",
+      .FromVersion = "1",
+      .ToVersion = "2",
+      .Id = "m",
+      .Deadline = policy::TimePoint(seconds(100)),
+      .Phase = Case.Phase,
+      .Share = Case.Phase == policy::MovePhase::Shifting ? 0.25 : 0};
+  const std::vector<policy::Member> Members = {member(1, "1"), member(2, "2")};
+  const ClusterView View = buildView(
+      {.Self = Members[0],
+       .Members = Members,
+       .Records = Records,
+       .SteadyNow = policy::TimePoint(seconds(1)),
+       .WallNow = policy::TimePoint(seconds(Case.PastDeadline ? 101 : 99))});
+  const ServiceView &Service = *View.Services.at("catalogue");
+  std::vector<std::string> Serving;
+  for (const BackendEndpoint &Endpoint : Service.Backends) {
+    Serving.push_back(Endpoint.Version);
+  }
+  EXPECT_EQ(Serving, Case.Serving);
+  EXPECT_DOUBLE_EQ(Service.NewShare, Case.Share);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    ViewBuilder, MovePhases,
+    testing::Values(MoveCase{"a new version that serves before its move starts",
+                             policy::MovePhase::Planned,
+                             false,
+                             {"1"},
+                             0},
+                    MoveCase{"a move in progress without its new version",
+                             policy::MovePhase::Shifting,
+                             false,
+                             {"1", "2"},
+                             0.25},
+                    MoveCase{"a move that goes on past its deadline",
+                             policy::MovePhase::Shifting,
+                             true,
+                             {"1", "2"},
+                             0},
+                    MoveCase{
+                        "an old version that serves after the move is done",
+                        policy::MovePhase::Done,
+                        false,
+                        {"2"},
+                        0},
+                    MoveCase{"a version that serves after it was taken back",
+                             policy::MovePhase::TakenBack,
+                             false,
+                             {"1"},
+                             0}));
+
+// Guards against work for members that are gone, and against the loss of
+// members that are only suspected: the routing reacts to those sooner.
+TEST(ViewBuilder, LeavesOutUnreachableMembers) {
+  FleetRecords Records;
+  Records.Services["catalogue"] = {.Service = "catalogue"};
+  const std::vector<policy::Member> Members = {
+      member(1, "1"), member(2, "1", policy::MemberState::Suspect),
+      member(3, "1", policy::MemberState::Unreachable),
+      member(4, "1", policy::MemberState::Left)};
+  const ClusterView View =
+      buildView({.Self = Members[0], .Members = Members, .Records = Records});
+  ASSERT_EQ(View.Services.at("catalogue")->Backends.size(), 2U);
+  EXPECT_EQ(View.Services.at("catalogue")->Backends[1].Node, 2U);
+}
+
+// Guards against new work for a zone that is out of service.
+TEST(ViewBuilder, ListsZonesOutOfService) {
+  FleetRecords Records;
+  Records.Zones["z1"].Record = {.Zone = "z1", .Out = true, .Revision = 3};
+  const policy::Member Self = member(1, "1");
+  const ClusterView View =
+      buildView({.Self = Self, .Members = {}, .Records = Records});
+  EXPECT_TRUE(View.ZonesOut.contains("z1"));
+}
+
+} // namespace
+} // namespace magnolia::daemon
