Add the records of the store and the service files

Cause: magnoliactl and the nodes need one reading of the records kept in the store and of the files beside each service's code. Conclusion: unknown fields are ignored, so records of later versions stay readable.

--- /dev/null
+++ b/packages/settings/src/settings/record/format_record.cpp
@@ -0,0 +1,102 @@
+#include "settings/record/format_record.h"
+
+#include "settings/record/limits.h"
+
+#include <nlohmann/json.hpp>
+
+#include <chrono>
+
+namespace magnolia::settings {
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+// Text that is not UTF-8 is replaced rather than thrown for.
+std::string dump(const Json &Document) {
+  return Document.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::string cut(const std::string &Text) { return Text.substr(0, MaxTextSize); }
+
+std::int64_t millisecondsOf(policy::TimePoint Time) {
+  return std::chrono::floor<std::chrono::milliseconds>(Time.time_since_epoch())
+      .count();
+}
+
+Json toJson(const RouteRecord &Route) {
+  Json Object{{"prefix", Route.Prefix}};
+  if (!Route.IdempotentMethods.empty()) {
+    Object["idempotent_methods"] = Route.IdempotentMethods;
+  }
+  if (Route.Idempotent) {
+    Object["idempotent"] = *Route.Idempotent;
+  }
+  if (Route.TimeoutMs != 0) {
+    Object["timeout_ms"] = Route.TimeoutMs;
+  }
+  return Object;
+}
+
+} // namespace
+
+std::string formatService(const ServiceRecord &Service) {
+  Json Routes = Json::array();
+  for (const RouteRecord &Route : Service.Routes) {
+    Routes.push_back(toJson(Route));
+  }
+  return dump({{"service", Service.Service},
+               {"operation_id", Service.OperationId},
+               {"routes", Routes},
+               {"retry_ratio", Service.RetryRatio},
+               {"probe_ratio", Service.ProbeRatio},
+               {"probe_floor", Service.ProbeFloor}});
+}
+
+std::string formatZone(const ZoneRecord &Zone) {
+  return dump({{"zone", Zone.Zone},
+               {"out", Zone.Out},
+               {"since_ms", Zone.SinceMs},
+               {"operation_id", Zone.OperationId},
+               {"operator", cut(Zone.Operator)}});
+}
+
+std::string formatMove(const StoredMove &Stored) {
+  const policy::MoveRecord &Move = Stored.Move;
+  return dump({{"id", Move.Id},
+               {"service", Move.Service},
+               {"from", Move.FromVersion},
+               {"to", Move.ToVersion},
+               {"start_ms", millisecondsOf(Move.Start)},
+               {"deadline_ms", millisecondsOf(Move.Deadline)},
+               {"phase", toString(Move.Phase)},
+               {"step", Move.Step},
+               {"step_since_ms", millisecondsOf(Move.StepSince)},
+               {"share", Move.Share},
+               {"ended_at_ms", millisecondsOf(Move.EndedAt)},
+               {"reason", cut(Move.EndReason)},
+               {"operation_id", Stored.OperationId},
+               {"driver", cut(Stored.Driver)}});
+}
+
+std::string formatContact(const ContactRecord &Contact) {
+  return dump({{"address", Contact.Address},
+               {"gossip_port", Contact.GossipPort},
+               {"zone", Contact.Zone},
+               {"incarnation", Contact.Incarnation}});
+}
+
+std::string_view toString(policy::MovePhase Phase) {
+  switch (Phase) {
+  case policy::MovePhase::Planned:
+    return "planned";
+  case policy::MovePhase::Shifting:
+    return "shifting";
+  case policy::MovePhase::Done:
+    return "done";
+  case policy::MovePhase::TakenBack:
+    return "taken_back";
+  }
+  return "planned";
+}
+
+} // namespace magnolia::settings
--- /dev/null
+++ b/packages/settings/src/settings/record/internal/field_reader.h
@@ -0,0 +1,57 @@
+#ifndef SETTINGS_RECORD_INTERNAL_FIELD_READER_H
+#define SETTINGS_RECORD_INTERNAL_FIELD_READER_H
+
+#include "policy/core/error.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace magnolia::settings::internal {
+
+// Reads checked fields of one JSON object. The first fault is kept; after it,
+// fields read as empty values.
+class FieldReader {
+public:
+  // Parses the value of a key; What names the record in messages.
+  FieldReader(std::string_view What, std::string_view Value);
+  FieldReader(std::string_view What, nlohmann::json Object);
+
+  std::string text(const char *Name, std::size_t MaxSize);
+  // Text that may be absent or empty.
+  std::string optionalText(const char *Name, std::size_t MaxSize);
+  // Name of a service, zone or version.
+  std::string name(const char *Name);
+  std::uint64_t number(const char *Name, std::uint64_t Minimum,
+                       std::uint64_t Maximum);
+  std::uint64_t number(const char *Name, std::uint64_t Minimum,
+                       std::uint64_t Maximum, std::uint64_t IfAbsent);
+  double real(const char *Name, double Maximum, double IfAbsent);
+  bool flag(const char *Name);
+  std::optional<bool> optionalFlag(const char *Name);
+  // Null where the field is absent.
+  const nlohmann::json *array(const char *Name, std::size_t MaxSize);
+
+  void fail(std::string_view Name, std::string_view Expected);
+  void failWith(std::string Message);
+
+  [[nodiscard]] bool failed() const { return !Message.empty(); }
+  [[nodiscard]] const std::string &message() const { return Message; }
+  // Moves the first fault to LastError and returns whether there was one.
+  [[nodiscard]] bool report(policy::Error &LastError) const;
+
+private:
+  const nlohmann::json *find(const char *Name) const;
+
+  std::string What;
+  nlohmann::json Object;
+  std::string Message;
+};
+
+} // namespace magnolia::settings::internal
+
+#endif
--- /dev/null
+++ b/packages/settings/src/settings/record/limits.h
@@ -0,0 +1,32 @@
+#ifndef SETTINGS_RECORD_LIMITS_H
+#define SETTINGS_RECORD_LIMITS_H
+
+#include <cstddef>
+#include <cstdint>
+
+namespace magnolia::settings {
+
+// Accepted ranges of the fields of records, for the store and for service
+// files. Sizes are in bytes.
+inline constexpr std::size_t MaxRecordSize = 256UL * 1024;
+inline constexpr std::size_t MaxNameSize = 64;
+// Text for people; longer text is cut off when a record is written.
+inline constexpr std::size_t MaxTextSize = 512;
+// A byte that is not UTF-8 is written as a replacement character of 3 bytes.
+inline constexpr std::size_t MaxStoredTextSize = 3 * MaxTextSize;
+inline constexpr std::size_t MaxPrefixSize = 256;
+inline constexpr std::size_t MaxMethodSize = 16;
+inline constexpr std::size_t MaxMethods = 16;
+inline constexpr std::size_t MaxRoutes = 200;
+inline constexpr std::uint64_t MaxTimeoutMs = 600'000;
+inline constexpr double MaxRetryRatio = 1.0;
+inline constexpr double MaxProbeRatio = 1.0;
+// Probes per second and entry node.
+inline constexpr double MaxProbeFloor = 1000.0;
+// Milliseconds since the Unix epoch, at the end of the year 9999.
+inline constexpr std::uint64_t MaxTimeMs = 253'402'300'799'999;
+inline constexpr std::uint64_t MaxPort = 65'535;
+
+} // namespace magnolia::settings
+
+#endif
--- /dev/null
+++ b/packages/settings/src/settings/record/parse_record.cpp
@@ -0,0 +1,167 @@
+#include "settings/record/parse_record.h"
+
+#include "settings/record/check_service.h"
+#include "settings/record/format_record.h"
+#include "settings/record/internal/field_reader.h"
+#include "settings/record/limits.h"
+
+#include <chrono>
+#include <utility>
+
+namespace magnolia::settings {
+namespace {
+
+using internal::FieldReader;
+using Json = nlohmann::json;
+
+constexpr std::uint64_t MaxStep = 1000;
+
+policy::TimePoint timeOf(std::uint64_t Milliseconds) {
+  return policy::TimePoint(
+      std::chrono::milliseconds(static_cast<std::int64_t>(Milliseconds)));
+}
+
+policy::TimePoint time(FieldReader &Fields, const char *Name) {
+  return timeOf(Fields.number(Name, 0, MaxTimeMs, 0));
+}
+
+void readMethods(FieldReader &Fields, RouteRecord &Route) {
+  const Json *Methods = Fields.array("idempotent_methods", MaxMethods);
+  if (Methods == nullptr) {
+    return;
+  }
+  for (const Json &Method : *Methods) {
+    if (!Method.is_string()) {
+      Fields.fail("idempotent_methods", "a list of HTTP methods");
+      return;
+    }
+    Route.IdempotentMethods.push_back(Method.get<std::string>());
+  }
+}
+
+RouteRecord routeOf(FieldReader &Fields) {
+  RouteRecord Route;
+  Route.Prefix = Fields.text("prefix", MaxPrefixSize);
+  readMethods(Fields, Route);
+  Route.Idempotent = Fields.optionalFlag("idempotent");
+  Route.TimeoutMs = Fields.number("timeout_ms", 0, MaxTimeoutMs, 0);
+  return Route;
+}
+
+std::optional<policy::MovePhase> phaseOf(std::string_view Name) {
+  using enum policy::MovePhase;
+  for (const policy::MovePhase Phase : {Planned, Shifting, Done, TakenBack}) {
+    if (Name == toString(Phase)) {
+      return Phase;
+    }
+  }
+  return std::nullopt;
+}
+
+void checkMove(FieldReader &Fields, const policy::MoveRecord &Move) {
+  if (Move.FromVersion == Move.ToVersion) {
+    Fields.failWith("\"from\" and \"to\" name the same version");
+  }
+  if (Move.Deadline <= Move.Start) {
+    Fields.failWith("\"deadline_ms\" is not after \"start_ms\"");
+  }
+}
+
+} // namespace
+
+std::optional<ServiceRecord> parseService(std::string_view Value,
+                                          policy::Error &LastError) {
+  FieldReader Fields("service record", Value);
+  ServiceRecord Service;
+  Service.Service = Fields.name("service");
+  Service.OperationId = Fields.text("operation_id", MaxNameSize);
+  Service.RetryRatio =
+      Fields.real("retry_ratio", MaxRetryRatio, Service.RetryRatio);
+  Service.ProbeRatio =
+      Fields.real("probe_ratio", MaxProbeRatio, Service.ProbeRatio);
+  Service.ProbeFloor =
+      Fields.real("probe_floor", MaxProbeFloor, Service.ProbeFloor);
+  if (const Json *Routes = Fields.array("routes", MaxRoutes)) {
+    for (const Json &Object : *Routes) {
+      FieldReader RouteFields("service record: route " +
+                                  std::to_string(Service.Routes.size() + 1),
+                              Object);
+      Service.Routes.push_back(routeOf(RouteFields));
+      if (RouteFields.report(LastError)) {
+        return std::nullopt;
+      }
+    }
+  }
+  if (Fields.report(LastError)) {
+    return std::nullopt;
+  }
+  if (const auto Fault = findFault(Service)) {
+    LastError = {policy::ErrorKind::BadRequest,
+                 "service record: route \"" + Fault->Route + "\": field \"" +
+                     Fault->Field + "\": " + Fault->Detail};
+    return std::nullopt;
+  }
+  return Service;
+}
+
+std::optional<ZoneRecord> parseZone(std::string_view Value,
+                                    policy::Error &LastError) {
+  FieldReader Fields("zone record", Value);
+  ZoneRecord Zone;
+  Zone.Zone = Fields.name("zone");
+  Zone.Out = Fields.flag("out");
+  Zone.SinceMs = Fields.number("since_ms", 0, MaxTimeMs);
+  Zone.OperationId = Fields.text("operation_id", MaxNameSize);
+  Zone.Operator = Fields.optionalText("operator", MaxStoredTextSize);
+  if (Fields.report(LastError)) {
+    return std::nullopt;
+  }
+  return Zone;
+}
+
+std::optional<StoredMove> parseMove(std::string_view Value,
+                                    policy::Error &LastError) {
+  FieldReader Fields("move record", Value);
+  StoredMove Stored;
+  policy::MoveRecord &Move = Stored.Move;
+  Move.Id = Fields.text("id", MaxNameSize);
+  Move.Service = Fields.name("service");
+  Move.FromVersion = Fields.name("from");
+  Move.ToVersion = Fields.name("to");
+  Move.Start = timeOf(Fields.number("start_ms", 0, MaxTimeMs));
+  Move.Deadline = timeOf(Fields.number("deadline_ms", 0, MaxTimeMs));
+  const auto Phase = phaseOf(Fields.text("phase", MaxNameSize));
+  if (!Phase) {
+    Fields.fail("phase", "planned, shifting, done or taken_back");
+  }
+  Move.Phase = Phase.value_or(policy::MovePhase::Planned);
+  Move.Step = static_cast<std::uint32_t>(Fields.number("step", 0, MaxStep, 0));
+  Move.StepSince = time(Fields, "step_since_ms");
+  Move.Share = Fields.real("share", 1.0, 0.0);
+  Move.EndedAt = time(Fields, "ended_at_ms");
+  Move.EndReason = Fields.optionalText("reason", MaxStoredTextSize);
+  Stored.OperationId = Fields.text("operation_id", MaxNameSize);
+  Stored.Driver = Fields.optionalText("driver", MaxStoredTextSize);
+  checkMove(Fields, Move);
+  if (Fields.report(LastError)) {
+    return std::nullopt;
+  }
+  return Stored;
+}
+
+std::optional<ContactRecord> parseContact(std::string_view Value,
+                                          policy::Error &LastError) {
+  FieldReader Fields("contact record", Value);
+  ContactRecord Contact;
+  Contact.Address = Fields.text("address", MaxTextSize);
+  Contact.GossipPort =
+      static_cast<std::uint16_t>(Fields.number("gossip_port", 1, MaxPort));
+  Contact.Zone = Fields.name("zone");
+  Contact.Incarnation = Fields.number("incarnation", 0, UINT64_MAX);
+  if (Fields.report(LastError)) {
+    return std::nullopt;
+  }
+  return Contact;
+}
+
+} // namespace magnolia::settings
--- /dev/null
+++ b/packages/settings/src/settings/record/record_key.h
@@ -0,0 +1,27 @@
+#ifndef SETTINGS_RECORD_RECORD_KEY_H
+#define SETTINGS_RECORD_RECORD_KEY_H
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace magnolia::settings {
+
+// Prefixes of the keys in the store.
+inline constexpr std::string_view ServicePrefix = "services/";
+inline constexpr std::string_view ZonePrefix = "zones/";
+inline constexpr std::string_view MovePrefix = "moves/";
+inline constexpr std::string_view ContactPrefix = "contacts/";
+
+[[nodiscard]] std::string serviceKey(std::string_view Service);
+[[nodiscard]] std::string zoneKey(std::string_view Zone);
+[[nodiscard]] std::string moveKey(std::string_view Service);
+[[nodiscard]] std::string contactKey(std::string_view Zone, std::uint32_t Slot);
+
+// True for the name of a service, zone or version: 1 to 64 letters, digits,
+// '.', '_' and '-', starting with a letter or digit.
+[[nodiscard]] bool isName(std::string_view Text);
+
+} // namespace magnolia::settings
+
+#endif
--- /dev/null
+++ b/packages/settings/src/settings/record/service_record.h
@@ -0,0 +1,28 @@
+#ifndef SETTINGS_RECORD_SERVICE_RECORD_H
+#define SETTINGS_RECORD_SERVICE_RECORD_H
+
+#include "settings/record/route_record.h"
+
+#include <string>
+#include <vector>
+
+namespace magnolia::settings {
+
+// Configuration of one service, under services/<name>.
+struct ServiceRecord {
+  std::string Service;
+  // Identifies the write, so that a lost response can be resolved.
+  std::string OperationId;
+  std::vector<RouteRecord> Routes;
+  // Extra attempts per request that retries and hedges may use.
+  double RetryRatio = 0.1;
+  // Probes per request, and probes per second on top.
+  double ProbeRatio = 0.01;
+  double ProbeFloor = 5.0;
+
+  bool operator==(const ServiceRecord &) const = default;
+};
+
+} // namespace magnolia::settings
+
+#endif
--- /dev/null
+++ b/packages/settings/src/settings/service/move_deadline.h
@@ -0,0 +1,39 @@
+#ifndef SETTINGS_SERVICE_MOVE_DEADLINE_H
+#define SETTINGS_SERVICE_MOVE_DEADLINE_H
+
+#include "policy/core/error.h"
+#include "policy/core/types.h"
+
+#include <optional>
+#include <string_view>
+
+namespace magnolia::settings {
+
+// Deadline of a move as operators write it.
+struct MoveDeadline {
+  // True where Offset counts from the start of the move, false where it
+  // counts from the Unix epoch.
+  bool Relative = false;
+  policy::Duration Offset{};
+
+  bool operator==(const MoveDeadline &) const = default;
+};
+
+// Reads RFC 3339 in UTC with whole seconds (2026-12-04T18:00:00Z), or a time
+// from the start: +90s, +30m, +2h.
+[[nodiscard]] std::optional<MoveDeadline>
+parseMoveDeadline(std::string_view Text, policy::Error &LastError);
+
+// Point on the wall clock for a move that starts now.
+[[nodiscard]] policy::TimePoint deadlineAt(const MoveDeadline &Deadline,
+                                           policy::TimePoint Now);
+
+// Shortest time from start to deadline in which a move can complete.
+[[nodiscard]] policy::Duration shortestMove();
+
+// Longest time from start to deadline.
+inline constexpr policy::Duration LongestMove = std::chrono::hours(24 * 30);
+
+} // namespace magnolia::settings
+
+#endif
--- /dev/null
+++ b/packages/settings/src/settings/service/service_file.h
@@ -0,0 +1,22 @@
+#ifndef SETTINGS_SERVICE_SERVICE_FILE_H
+#define SETTINGS_SERVICE_SERVICE_FILE_H
+
+#include "settings/record/service_record.h"
+#include "settings/service/move_plan.h"
+
+#include <optional>
+#include <string>
+
+namespace magnolia::settings {
+
+// Contents of one NAME.service.ini file.
+struct ServiceFile {
+  std::string Path;
+  // The operation id is left empty; publishing sets it.
+  ServiceRecord Service;
+  std::optional<MovePlan> Move;
+};
+
+} // namespace magnolia::settings
+
+#endif
