--- /dev/null
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -0,0 +1,396 @@
+#include "daemon/entry/entry_call.h"
+
+#include "daemon/net/clock.h"
+#include "daemon/net/socket.h"
+#include "policy/overload/admit_service.h"
+#include "policy/probe/next_probe.h"
+#include "policy/retry/plan_next.h"
+#include "policy/route/choose.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace magnolia::daemon {
+
+using policy::ErrorKind;
+using policy::OutcomeEvent;
+
+namespace {
+
+// Time after the deadline for which the entry node waits for the sidecar's own
+// statement on whether the request ran.
+constexpr policy::Duration DeadlineGrace = std::chrono::milliseconds(25);
+
+// A connection that was idle for longer is checked with the request itself.
+constexpr policy::Duration CheckAfterIdle = std::chrono::seconds(1);
+
+constexpr std::uint16_t FirstServerError = 500;
+
+} // namespace
+
+EntryCall::EntryCall(Entry &Owner, Given Given)
+    : Owner(Owner), Call(std::move(Given)) {
+  State.Idempotent = Call.Request.Idempotent;
+  State.Hops = Call.Request.Hops;
+  State.Deadline = Call.Request.Deadline;
+  State.RetriesExhausted = Call.RetriesExhausted;
+}
+
+CallAnswer EntryCall::run() {
+  if (const auto Refusal = refusalAtOnce()) {
+    return errorAnswer(*Refusal, "refused by the entry node");
+  }
+  if (const auto Ended = startAttempt()) {
+    resolve(*Ended, nullptr);
+  }
+  while (!Result) {
+    wait();
+    step(now());
+  }
+  const policy::TimePoint End = now();
+  cancelOpen(End);
+  const bool Accepted =
+      !Result->Kind || !policy::isCapacityRejection(*Result->Kind);
+  const std::lock_guard Lock(Call.Runtime->Mutex);
+  policy::record(Call.Runtime->Overload, Accepted, End);
+  return std::move(*Result);
+}
+
+std::optional<ErrorKind> EntryCall::refusalAtOnce() {
+  const policy::TimePoint Now = now();
+  if (State.Hops > Owner.Options.Hops) {
+    return ErrorKind::TooManyHops;
+  }
+  if (const auto Refusal = policy::checkFirst(State, Now)) {
+    return Refusal;
+  }
+  ServiceRuntime &Runtime = *Call.Runtime;
+  const std::lock_guard Lock(Runtime.Mutex);
+  policy::recordRequest(Runtime.Probes, Now);
+  if (!policy::admitService(Runtime.Overload, Now, threadEngine())) {
+    return ErrorKind::Overloaded;
+  }
+  policy::recordRequest(Runtime.Retries, Now);
+  return std::nullopt;
+}
+
+std::optional<EntryCall::Attempt>
+EntryCall::chooseTarget(policy::Error &ChooseError) {
+  ServiceRuntime &Runtime = *Call.Runtime;
+  policy::RouteQuery Query{.Idempotent = State.Idempotent,
+                           .Excluded = Tried,
+                           .Versions = {},
+                           .Key = {}};
+  if (!State.Idempotent && !Call.Request.IdempotencyKey.empty()) {
+    Query.Key = policy::hashOf(Call.Request.IdempotencyKey);
+  }
+  const std::lock_guard Lock(Runtime.Mutex);
+  const auto Shares = versionShares(Runtime, Owner.Use.Cuts);
+  Query.Versions = Shares;
+  const policy::TimePoint Now = now();
+  const auto Node =
+      policy::choose(Runtime.Route, Query, Now, threadEngine(), ChooseError);
+  if (!Node) {
+    return std::nullopt;
+  }
+  const BackendEndpoint &Target = Runtime.Endpoints.at(*Node);
+  Attempt Made;
+  Made.Sent = policy::onDispatch(Runtime.Route, *Node, Now);
+  Made.Peer = {
+      .Node = *Node, .Address = Target.Address, .Port = Target.PeerPort};
+  Made.Version = Target.Version;
+  if (!HedgeAt && State.Idempotent && Runtime.Route.Median.count() > 0) {
+    HedgeAt = Now + policy::hedgeDelay(Runtime.Route.Median);
+  }
+  return Made;
+}
+
+std::optional<policy::Outcome> EntryCall::startAttempt() {
+  policy::Error ChooseError;
+  std::optional<Attempt> Made = chooseTarget(ChooseError);
+  if (!Made) {
+    if (Open.empty()) {
+      Result = LastError ? std::move(*LastError)
+                         : errorAnswer(ChooseError.Kind, ChooseError.Detail);
+    }
+    return std::nullopt;
+  }
+  Tried.push_back(Made->Peer.Node);
+  policy::onAttempt(State);
+  if (const auto Ended = dispatch(*Made)) {
+    policy::onAttemptEnd(State);
+    return Ended;
+  }
+  Open.push_back(std::move(*Made));
+  return std::nullopt;
+}
+
+std::optional<policy::Outcome> EntryCall::dispatch(Attempt &Made) {
+  Call.Request.Version = Made.Version;
+  if (Made.Peer.Node == Owner.Options.Node) {
+    Owner.Use.Counts.count(Counter::LocalAttempts);
+    Call.Request.SidecarRun = Owner.Options.Run;
+    Made.Local = std::make_unique<SidecarCall>(Owner.Use.Own, Call.Request);
+    Made.Local->start(now());
+    return std::nullopt;
+  }
+  Owner.Use.Counts.count(Counter::Attempts);
+  PeerPool::Taken Taken = Owner.Use.Peers.take(Made.Peer, State.Deadline);
+  if (!Taken.Connection) {
+    Owner.Use.Counts.count(Counter::PeerConnectFailures);
+    return notSent(Made, "the sidecar does not accept connections");
+  }
+  Made.SentTo = Taken.Connection->Other.Run;
+  Call.Request.SidecarRun = Made.SentTo;
+  Made.Remote = std::make_unique<PeerExchange>(std::move(Taken.Connection),
+                                               Owner.Options.Exchange);
+  if (!Made.Remote->start(Call.Request, now(),
+                          Taken.Idle && *Taken.Idle > CheckAfterIdle)) {
+    return notSent(Made, "the connection to the sidecar broke");
+  }
+  return std::nullopt;
+}
+
+policy::Outcome EntryCall::notSent(const Attempt &Made, std::string Reason) {
+  {
+    const std::lock_guard Lock(Call.Runtime->Mutex);
+    policy::onFailure(Call.Runtime->Route, Made.Sent,
+                      ErrorKind::BackendConnectFailed, now());
+  }
+  LastError = errorAnswer(ErrorKind::BackendConnectFailed, std::move(Reason));
+  return {.Event = OutcomeEvent::Rejected,
+          .Kind = ErrorKind::BackendConnectFailed};
+}
+
+void EntryCall::wait() {
+  std::vector<pollfd> Fds;
+  policy::TimePoint Until = State.Deadline + DeadlineGrace;
+  for (const Attempt &Next : Open) {
+    if (Next.Local && Next.Local->done()) {
+      return;
+    }
+    Fds.push_back({.fd = Next.Remote ? Next.Remote->fd() : Next.Local->fd(),
+                   .events = POLLIN,
+                   .revents = 0});
+    Until = std::min(Until, Next.Remote ? Next.Remote->nextCheck()
+                                        : Next.Local->nextCheck());
+  }
+  Fds.push_back({.fd = Call.CallerFd, .events = POLLRDHUP, .revents = 0});
+  if (HedgeAt) {
+    Until = std::min(Until, *HedgeAt);
+  }
+  (void)waitReady(Fds, Until, Owner.Options.Spin);
+  CallerReady = Fds.back().revents != 0;
+}
+
+void EntryCall::step(policy::TimePoint Now) {
+  // Attempts that are added meanwhile are advanced in the next step.
+  const std::size_t Count = Open.size();
+  auto Place = Open.begin();
+  for (std::size_t I = 0; I < Count && !Result; ++I) {
+    advance(Place++, Now);
+  }
+  if (!Result && callerIsGone()) {
+    Result = errorAnswer(ErrorKind::Cancelled, "the caller went away");
+  }
+  if (!Result && Now >= State.Deadline + DeadlineGrace) {
+    deadlinePassed(Now);
+  }
+  if (!Result && HedgeAt && Now >= *HedgeAt) {
+    HedgeAt = policy::TimePoint::max();
+    resolve({.Event = OutcomeEvent::Slow}, nullptr);
+  }
+}
+
+void EntryCall::advance(std::list<Attempt>::iterator Place,
+                        policy::TimePoint Now) {
+  if (Place->Local) {
+    Place->Local->advance(Now);
+    if (Place->Local->done()) {
+      answered(Place, std::move(Place->Local->answer()), Now);
+    }
+    return;
+  }
+  switch (Place->Remote->advance(Now)) {
+  case ExchangeStatus::Pending:
+    return;
+  case ExchangeStatus::Done:
+    Owner.Use.Peers.give(Place->Peer, Place->Remote->release(), false);
+    answered(Place, std::move(Place->Remote->answer()), Now);
+    return;
+  case ExchangeStatus::Lost:
+    Owner.Use.Counts.count(Counter::SilentConnections);
+    Owner.Use.Peers.discard(Place->Peer.Node);
+    lost(Place, Now);
+    return;
+  }
+}
+
+void EntryCall::answered(std::list<Attempt>::iterator Place, CallAnswer Answer,
+                         policy::TimePoint Now) {
+  if (Answer.Kind) {
+    failed(Place, std::move(Answer), Now);
+    return;
+  }
+  const bool Faulty = Answer.Status >= FirstServerError;
+  {
+    const std::lock_guard Lock(Call.Runtime->Mutex);
+    policy::onAnswer(Call.Runtime->Route, Place->Sent,
+                     {.Load = Answer.Load, .Faulty = Faulty}, Now);
+  }
+  record(*Place, Faulty, Now);
+  policy::onAttemptEnd(State);
+  Open.erase(Place);
+  Owner.Use.Counts.count(Counter::Answers);
+  Result = std::move(Answer);
+}
+
+void EntryCall::failed(std::list<Attempt>::iterator Place, CallAnswer Answer,
+                       policy::TimePoint Now) {
+  const ErrorKind Kind = *Answer.Kind;
+  const bool NotRun = policy::errorEntry(Kind).Run == policy::RunOutcome::No;
+  {
+    const std::lock_guard Lock(Call.Runtime->Mutex);
+    policy::RouteState &Route = Call.Runtime->Route;
+    if (NotRun) {
+      policy::onRejection(Route, Place->Sent, Kind, Answer.Load, Now);
+    } else if (Kind == ErrorKind::AnswerTooLarge) {
+      policy::onAnswer(Route, Place->Sent,
+                       {.Load = Answer.Load, .Faulty = false}, Now);
+    } else {
+      policy::onFailure(Route, Place->Sent, Kind, Now);
+    }
+  }
+  if (!NotRun) {
+    record(*Place, true, Now);
+  }
+  policy::onAttemptEnd(State);
+  Open.erase(Place);
+  LastError = std::move(Answer);
+  // A run that broke off may be repeated only where the request is idempotent;
+  // the sidecar's statement needs no fence.
+  const bool Repeatable = Kind == ErrorKind::BackendBrokenAnswer ||
+                          Kind == ErrorKind::OutcomeUnknown;
+  resolve({.Event = Repeatable && State.Idempotent ? OutcomeEvent::Lost
+                                                   : OutcomeEvent::Rejected,
+           .Kind = Kind},
+          nullptr);
+}
+
+void EntryCall::lost(std::list<Attempt>::iterator Place,
+                     policy::TimePoint Now) {
+  {
+    const std::lock_guard Lock(Call.Runtime->Mutex);
+    policy::onFailure(Call.Runtime->Route, Place->Sent,
+                      ErrorKind::OutcomeUnknown, Now);
+  }
+  record(*Place, true, Now);
+  if (State.Idempotent) {
+    policy::onAttemptEnd(State);
+  }
+  const Attempt Ended = std::move(*Place);
+  Open.erase(Place);
+  LastError = errorAnswer(ErrorKind::OutcomeUnknown,
+                          "the sidecar gave no answer to the request");
+  resolve({.Event = OutcomeEvent::Lost, .Kind = ErrorKind::OutcomeUnknown},
+          &Ended);
+}
+
+void EntryCall::deadlinePassed(policy::TimePoint Now) {
+  while (!Result && !Open.empty()) {
+    lost(Open.begin(), Now);
+  }
+}
+
+void EntryCall::resolve(const policy::Outcome &First, const Attempt *Lost) {
+  std::optional<policy::Outcome> Next = First;
+  while (Next) {
+    policy::RetryDecision Decision;
+    {
+      const std::lock_guard Lock(Call.Runtime->Mutex);
+      Decision = policy::planNext(State, *Next, Call.Runtime->Retries, now());
+    }
+    Next.reset();
+    switch (Decision.Action) {
+    case policy::RetryAction::RetryElsewhere:
+      Owner.Use.Counts.count(Counter::Retries);
+      Next = startAttempt();
+      break;
+    case policy::RetryAction::Hedge:
+      Owner.Use.Counts.count(Counter::Hedges);
+      Next = startAttempt();
+      break;
+    case policy::RetryAction::Fence:
+      Next = fence(*Lost);
+      break;
+    case policy::RetryAction::KeepWaiting:
+      break;
+    case policy::RetryAction::GiveUp:
+      giveUp(Decision);
+      break;
+    }
+  }
+}
+
+policy::Outcome EntryCall::fence(const Attempt &Lost) {
+  Metrics &Counts = Owner.Use.Counts;
+  Counts.count(Counter::Fences);
+  FenceResult Fenced = FenceResult::Silent;
+  if (Lost.Remote) {
+    Fenced = Owner.Use.Peers.fence(Lost.Peer, Call.Request.Id, Lost.SentTo,
+                                   now() + Owner.Options.FenceTimeout);
+  } else {
+    Fenced = Owner.Use.Own.fence(Call.Request.Id, now()) ? FenceResult::NeverRun
+                                                         : FenceResult::Started;
+  }
+  policy::onAttemptEnd(State);
+  switch (Fenced) {
+  case FenceResult::NeverRun:
+    Counts.count(Counter::FencesNeverRun);
+    return {.Event = OutcomeEvent::FenceNeverRun, .Kind = ErrorKind::Fenced};
+  case FenceResult::Started:
+    Counts.count(Counter::FencesStarted);
+    return {.Event = OutcomeEvent::FenceStarted,
+            .Kind = ErrorKind::OutcomeUnknown};
+  case FenceResult::Silent:
+    break;
+  }
+  Counts.count(Counter::FencesSilent);
+  return {.Event = OutcomeEvent::FenceSilent,
+          .Kind = ErrorKind::OutcomeUnknown};
+}
+
+void EntryCall::giveUp(const policy::RetryDecision &Decision) {
+  Exhausted = Decision.RetriesExhausted;
+  Result = errorAnswer(Decision.Kind, LastError ? std::move(LastError->Detail)
+                                                : std::string());
+}
+
+void EntryCall::cancelOpen(policy::TimePoint Now) {
+  for (Attempt &Next : Open) {
+    Owner.Use.Counts.count(Counter::Cancels);
+    if (Next.Remote) {
+      Next.Remote->cancel(Now);
+      Owner.Use.Peers.give(Next.Peer, Next.Remote->release(), true);
+    } else {
+      Next.Local->cancel(ErrorKind::Cancelled, Now);
+    }
+    const std::lock_guard Lock(Call.Runtime->Mutex);
+    policy::onFailure(Call.Runtime->Route, Next.Sent, ErrorKind::Cancelled,
+                      Now);
+  }
+  Open.clear();
+}
+
+void EntryCall::record(const Attempt &Ended, bool Failed,
+                       policy::TimePoint Now) {
+  Owner.Use.Evidence.record({.Service = Call.Request.Service,
+                             .Route = Call.Route,
+                             .Version = Ended.Version,
+                             .Failed = Failed,
+                             .Latency = Now - Ended.Sent.Start});
+}
+
+bool EntryCall::callerIsGone() { return CallerReady; }
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -0,0 +1,165 @@
+#include "daemon/entry/http_service.h"
+
+#include "daemon/entry/entry_call.h"
+#include "daemon/entry/parse_call.h"
+#include "daemon/net/clock.h"
+#include "daemon/net/socket.h"
+
+#include <sys/socket.h>
+
+#include <array>
+#include <utility>
+
+namespace magnolia::daemon {
+
+using policy::ErrorKind;
+
+namespace {
+
+// Bytes and time for which the rest of a rejected request is read, so that
+// the answer is not lost in a reset of the connection.
+constexpr std::size_t DrainBytes = std::size_t{4} << 20;
+constexpr policy::Duration DrainTime = std::chrono::milliseconds(500);
+
+void drainInput(int Fd) {
+  ::shutdown(Fd, SHUT_WR);
+  std::array<char, 16'384> Room{};
+  const policy::TimePoint Until = now() + DrainTime;
+  for (std::size_t Total = 0; Total < DrainBytes;) {
+    const auto Count = receiveSome(Fd, Room);
+    if (Count < 0 || (Count == 0 && !waitReadable(Fd, Until))) {
+      return;
+    }
+    Total += static_cast<std::size_t>(Count);
+  }
+}
+
+} // namespace
+
+void HttpService::serve(Session &Accepted) {
+  HttpReader Reader(HttpReader::Kind::Request, Options.Limits);
+  for (;;) {
+    std::optional<HttpRequest> Request = readRequest(Reader, Accepted);
+    if (!Request) {
+      return;
+    }
+    const policy::TimePoint Start = now();
+    const std::string Method = Request->Method;
+    const bool KeepAlive = Request->KeepAlive;
+    HttpResponse Response = answer(std::move(*Request), Accepted.fd());
+    Response.KeepAlive = KeepAlive && !Closing;
+    const bool GoOn = Response.KeepAlive;
+    const bool Written = write(Accepted.fd(), std::move(Response), Method);
+    Owner.Use.Counts.time(Timing::Request, now() - Start);
+    Accepted.Busy = false;
+    if (!Written || !GoOn) {
+      return;
+    }
+    Reader.begin();
+  }
+}
+
+void HttpService::refuse(int Fd) {
+  HttpResponse Response = errorResponse(
+      ErrorKind::Overloaded, "too many connections to this node", false);
+  Response.KeepAlive = false;
+  (void)write(Fd, std::move(Response), {});
+}
+
+std::optional<HttpRequest> HttpService::readRequest(HttpReader &Reader,
+                                                    Session &Accepted) {
+  bool ContinueSent = false;
+  for (;;) {
+    const HttpReadStatus Status = Reader.read();
+    if (Status == HttpReadStatus::Ready) {
+      Accepted.Busy = true;
+      return Reader.takeRequest();
+    }
+    if (Status != HttpReadStatus::NeedMore) {
+      rejectMalformed(Accepted.fd(), Status);
+      return std::nullopt;
+    }
+    if (Reader.expectsContinue() && !ContinueSent) {
+      ContinueSent = true;
+      if (!sendAll(Accepted.fd(), "HTTP/1.1 100 Continue\r\n\r\n", {},
+                   now() + Options.Read)) {
+        return std::nullopt;
+      }
+    }
+    const auto Count = receiveSome(Accepted.fd(), Reader.room());
+    if (Count > 0) {
+      Accepted.Busy = true;
+      Reader.commit(static_cast<std::size_t>(Count));
+    } else if (Count < 0 ||
+               !waitReadable(
+                   Accepted.fd(),
+                   now() + (Reader.hasBytes() ? Options.Read : Options.Idle))) {
+      return std::nullopt;
+    }
+  }
+}
+
+void HttpService::rejectMalformed(int Fd, HttpReadStatus Status) {
+  Owner.Use.Counts.count(Counter::MalformedRequests);
+  HttpResponse Response;
+  if (Status == HttpReadStatus::BodyTooLarge) {
+    Response =
+        errorResponse(ErrorKind::BodyTooLarge,
+                      "the body is over " +
+                          std::to_string(Options.Limits.BodyBytes) + " bytes",
+                      false);
+    Owner.Use.Counts.countError(ErrorKind::BodyTooLarge);
+  } else {
+    Response = errorResponse(
+        ErrorKind::BadRequest,
+        Status == HttpReadStatus::HeadTooLarge
+            ? "the headers are over " +
+                  std::to_string(Options.Limits.HeadBytes) + " bytes or " +
+                  std::to_string(HttpHeaderMaximumCount) + " headers"
+            : "the request is no valid HTTP/1.1",
+        false);
+    Owner.Use.Counts.countError(ErrorKind::BadRequest);
+  }
+  Response.KeepAlive = false;
+  if (write(Fd, std::move(Response), {})) {
+    drainInput(Fd);
+  }
+}
+
+HttpResponse HttpService::answer(HttpRequest Request, int Fd) {
+  if (isLocal(Request)) {
+    return answerLocal(Local, Request, remoteAddress(Fd));
+  }
+  Metrics &Counts = Owner.Use.Counts;
+  Counts.count(Counter::Requests);
+  policy::Error LastError;
+  auto Call = parseCall(Owner, std::move(Request), now(), LastError);
+  if (!Call) {
+    Counts.countError(LastError.Kind);
+    return errorResponse(LastError.Kind, LastError.Detail, false);
+  }
+  Call->CallerFd = Fd;
+  EntryCall Running(Owner, std::move(*Call));
+  CallAnswer Answer = Running.run();
+  if (Answer.Kind) {
+    Counts.countError(*Answer.Kind);
+    return errorResponse(*Answer.Kind, Answer.Detail,
+                         Running.retriesExhausted());
+  }
+  HttpResponse Response;
+  Response.Status = Answer.Status;
+  Response.Headers = std::move(Answer.Headers);
+  Response.Body = std::move(Answer.Body);
+  return Response;
+}
+
+bool HttpService::write(int Fd, HttpResponse Response,
+                        std::string_view Method) {
+  const std::string Head = responseHead(Response, Method);
+  const std::string_view Body = hasBody(Response.Status, Method)
+                                    ? std::string_view(Response.Body)
+                                    : std::string_view();
+  return sendAll(Fd, Head, Body, now() + Options.Read);
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/entry/local_endpoints.cpp
@@ -0,0 +1,132 @@
+#include "daemon/entry/local_endpoints.h"
+
+#include "daemon/entry/parse_call.h"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <utility>
+
+namespace magnolia::daemon {
+
+namespace {
+
+constexpr std::size_t AnnouncementMaximum = 4096;
+constexpr std::size_t NameMaximum = 64;
+constexpr std::uint32_t CountMaximum = 100'000;
+
+HttpResponse text(std::uint16_t Status, std::string Type, std::string Body) {
+  HttpResponse Response;
+  Response.Status = Status;
+  Response.Headers = {{"Content-Type", std::move(Type)}};
+  Response.Body = std::move(Body);
+  return Response;
+}
+
+HttpResponse badRequest(std::string_view Detail) {
+  return errorResponse(policy::ErrorKind::BadRequest, Detail, false);
+}
+
+// Reads an optional whole number; false where it is there but out of range.
+template <class Number>
+bool readNumber(const nlohmann::json &From, const char *Name,
+                std::uint64_t Minimum, std::uint64_t Maximum, Number &To) {
+  const auto Found = From.find(Name);
+  if (Found == From.end()) {
+    return true;
+  }
+  if (!Found->is_number_unsigned()) {
+    return false;
+  }
+  const auto Value = Found->get<std::uint64_t>();
+  To = static_cast<Number>(Value);
+  return Value >= Minimum && Value <= Maximum;
+}
+
+bool readName(const nlohmann::json &From, const char *Name, std::string &To) {
+  const auto Found = From.find(Name);
+  if (Found == From.end()) {
+    return true;
+  }
+  if (!Found->is_string()) {
+    return false;
+  }
+  To = Found->get<std::string>();
+  return !To.empty() && To.size() <= NameMaximum;
+}
+
+// Fields that are not announced keep their values from the settings.
+std::optional<LocalBackendState> readAnnouncement(const std::string &Body,
+                                                  LocalBackendState State) {
+  if (Body.size() > AnnouncementMaximum) {
+    return std::nullopt;
+  }
+  const auto Json = nlohmann::json::parse(Body, nullptr, false);
+  if (!Json.is_object() || !readName(Json, "service", State.Service) ||
+      !readName(Json, "version", State.Version) ||
+      !readNumber(Json, "port", 1, 65'535, State.Port) ||
+      !readNumber(Json, "slots", 1, CountMaximum, State.Slots) ||
+      !readNumber(Json, "connections", 1, CountMaximum, State.Connections) ||
+      !readNumber(Json, "incarnation", 0,
+                  std::numeric_limits<std::uint64_t>::max(), State.Run) ||
+      State.Service.empty() || State.Version.empty() || State.Port == 0) {
+    return std::nullopt;
+  }
+  State.Present = true;
+  State.Draining = false;
+  return State;
+}
+
+HttpResponse announce(const LocalEndpoints &Endpoints,
+                      const HttpRequest &Request, const std::string &Remote) {
+  if (Remote != Endpoints.OwnAddress && !Remote.starts_with("127.")) {
+    return badRequest("only the backend server beside this node may announce "
+                      "itself");
+  }
+  LocalBackendState Known = Endpoints.Backend.state();
+  if (Request.Method == "DELETE") {
+    Known.Draining = true;
+    Endpoints.Announce(Known);
+    return text(200, "application/json", "{}");
+  }
+  if (Known.Address.empty()) {
+    Known.Address = Remote;
+  }
+  const auto State = readAnnouncement(Request.Body, std::move(Known));
+  if (!State) {
+    return badRequest(
+        "expected JSON with service, version, port (1 to 65535), slots and "
+        "connections (1 to 100000) and incarnation");
+  }
+  Endpoints.Announce(*State);
+  return text(200, "application/json", "{}");
+}
+
+} // namespace
+
+HttpResponse answerLocal(const LocalEndpoints &Endpoints,
+                         const HttpRequest &Request,
+                         const std::string &RemoteAddress) {
+  const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
+  if (Path == "/-/backend" &&
+      (Request.Method == "POST" || Request.Method == "DELETE")) {
+    return announce(Endpoints, Request, RemoteAddress);
+  }
+  if (Request.Method != "GET") {
+    return badRequest("no such endpoint of the node");
+  }
+  if (Path == "/-/metrics") {
+    return text(200, "text/plain; version=0.0.4", Endpoints.Metrics());
+  }
+  if (Path == "/-/dump") {
+    return text(200, "application/json", Endpoints.Dump());
+  }
+  if (Path == "/-/health") {
+    return text(200, "application/json", R"({"status":"ok"})");
+  }
+  return text(404, "text/plain", "no such endpoint of the node\n");
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/entry/prober.cpp
@@ -0,0 +1,73 @@
+#include "daemon/entry/prober.h"
+
+#include "daemon/net/clock.h"
+#include "policy/probe/next_probe.h"
+#include "policy/route/feedback.h"
+
+#include <chrono>
+#include <optional>
+
+namespace magnolia::daemon {
+
+namespace {
+
+constexpr auto Interval = std::chrono::milliseconds(20);
+constexpr policy::Duration ProbeTimeout = std::chrono::milliseconds(100);
+
+} // namespace
+
+Prober::Prober(Entry &Owner) : Owner(Owner), Thread([this] { run(); }) {}
+
+Prober::~Prober() {
+  {
+    const std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  Wake.notify_all();
+  Thread.join();
+}
+
+void Prober::run() {
+  std::unique_lock Lock(Mutex);
+  while (!Wake.wait_for(Lock, Interval, [this] { return Stopping; })) {
+    Lock.unlock();
+    probeServices();
+    Owner.Use.Peers.closeIdle(now());
+    Lock.lock();
+  }
+}
+
+void Prober::probeServices() {
+  for (const auto &[Name, Runtime] : Owner.Services.all()) {
+    probeService(*Runtime);
+  }
+}
+
+void Prober::probeService(ServiceRuntime &Runtime) {
+  std::optional<policy::NodeId> Node;
+  PeerAddress Peer;
+  {
+    const std::lock_guard Lock(Runtime.Mutex);
+    Node =
+        policy::nextProbe(Runtime.Probes, Runtime.Route, now(), threadEngine());
+    if (!Node) {
+      return;
+    }
+    const BackendEndpoint &Target = Runtime.Endpoints.at(*Node);
+    Peer = {.Node = *Node, .Address = Target.Address, .Port = Target.PeerPort};
+  }
+  Metrics &Counts = Owner.Use.Counts;
+  Counts.count(Counter::Probes);
+  const std::optional<policy::LoadReport> Load =
+      *Node == Owner.Options.Node
+          ? std::optional(Owner.Use.Own.load())
+          : Owner.Use.Peers.probe(Peer, now() + ProbeTimeout);
+  if (!Load) {
+    Counts.count(Counter::ProbesFailed);
+    return;
+  }
+  const std::lock_guard Lock(Runtime.Mutex);
+  policy::onReport(Runtime.Route, *Node, *Load, now());
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/http/reader.cpp
@@ -0,0 +1,186 @@
+#include "daemon/http/reader.h"
+
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstring>
+#include <optional>
+#include <string>
+
+namespace magnolia::daemon {
+
+namespace {
+
+namespace beast = boost::beast::http;
+using RequestParser = beast::request_parser<beast::string_body>;
+using ResponseParser = beast::response_parser<beast::string_body>;
+
+constexpr std::size_t ReadBytes = 16'384;
+constexpr unsigned FirstFinalStatus = 200;
+
+template <class Parser>
+void setUp(std::optional<Parser> &Made, const HttpLimits &Limits) {
+  Made.emplace();
+  Made->eager(true);
+  Made->header_limit(static_cast<std::uint32_t>(Limits.HeadBytes));
+  Made->body_limit(Limits.BodyBytes);
+}
+
+HttpReadStatus faultOf(const boost::system::error_code &Fault) {
+  if (Fault == beast::error::header_limit) {
+    return HttpReadStatus::HeadTooLarge;
+  }
+  if (Fault == beast::error::body_limit) {
+    return HttpReadStatus::BodyTooLarge;
+  }
+  return HttpReadStatus::Malformed;
+}
+
+template <class Message> HttpHeaders takeHeaders(const Message &From) {
+  HttpHeaders Headers;
+  for (const auto &Field : From.base()) {
+    const auto Name = Field.name_string();
+    const auto Value = Field.value();
+    Headers.push_back({std::string(Name.data(), Name.size()),
+                       std::string(Value.data(), Value.size())});
+  }
+  return Headers;
+}
+
+template <class Message> bool tooManyHeaders(const Message &From) {
+  const auto &Fields = From.base();
+  return static_cast<std::size_t>(std::distance(Fields.begin(), Fields.end())) >
+         HttpHeaderMaximumCount;
+}
+
+} // namespace
+
+struct HttpReader::State {
+  Kind Read;
+  HttpLimits Limits;
+  std::optional<RequestParser> Request;
+  std::optional<ResponseParser> Response;
+  bool Headless = false;
+  std::string Bytes;
+  std::size_t Begin = 0;
+  std::size_t End = 0;
+
+  void start() {
+    if (Read == Kind::Request) {
+      setUp(Request, Limits);
+    } else {
+      setUp(Response, Limits);
+      Response->skip(Headless);
+    }
+  }
+
+  template <class Parser> HttpReadStatus advance(Parser &To) {
+    while (!To.is_done() && Begin < End) {
+      boost::system::error_code Fault;
+      Begin += To.put(
+          boost::asio::const_buffer(Bytes.data() + Begin, End - Begin), Fault);
+      if (Fault == beast::error::need_more) {
+        return End - Begin > Limits.HeadBytes && !To.is_header_done()
+                   ? HttpReadStatus::HeadTooLarge
+                   : HttpReadStatus::NeedMore;
+      }
+      if (Fault) {
+        return faultOf(Fault);
+      }
+    }
+    if (To.is_header_done() && tooManyHeaders(To.get())) {
+      return HttpReadStatus::HeadTooLarge;
+    }
+    return To.is_done() ? HttpReadStatus::Ready : HttpReadStatus::NeedMore;
+  }
+
+  HttpReadStatus advanceResponse() {
+    for (;;) {
+      const HttpReadStatus Status = advance(*Response);
+      if (Response->is_header_done() && Response->need_eof() && !Headless) {
+        return HttpReadStatus::Malformed;
+      }
+      if (Status != HttpReadStatus::Ready ||
+          Response->get().result_int() >= FirstFinalStatus) {
+        return Status;
+      }
+      // An interim answer: the final one follows.
+      start();
+    }
+  }
+};
+
+HttpReader::HttpReader(Kind Read, HttpLimits Limits)
+    : Held(std::make_unique<State>()) {
+  Held->Read = Read;
+  Held->Limits = Limits;
+  Held->start();
+}
+
+HttpReader::~HttpReader() = default;
+HttpReader::HttpReader(HttpReader &&) noexcept = default;
+HttpReader &HttpReader::operator=(HttpReader &&) noexcept = default;
+
+void HttpReader::begin(std::string_view Method) {
+  Held->Headless = Method == "HEAD";
+  Held->start();
+}
+
+std::span<char> HttpReader::room() {
+  State &S = *Held;
+  if (S.Begin == S.End) {
+    S.Begin = S.End = 0;
+  } else if (S.Begin > 0) {
+    std::memmove(S.Bytes.data(), S.Bytes.data() + S.Begin, S.End - S.Begin);
+    S.End -= S.Begin;
+    S.Begin = 0;
+  }
+  if (S.Bytes.size() - S.End < ReadBytes) {
+    S.Bytes.resize(S.End + ReadBytes);
+  }
+  return {S.Bytes.data() + S.End, S.Bytes.size() - S.End};
+}
+
+void HttpReader::commit(std::size_t Count) { Held->End += Count; }
+
+HttpReadStatus HttpReader::read() {
+  return Held->Read == Kind::Request ? Held->advance(*Held->Request)
+                                     : Held->advanceResponse();
+}
+
+bool HttpReader::hasBytes() const {
+  return Held->Begin < Held->End ||
+         (Held->Read == Kind::Request && Held->Request->got_some());
+}
+
+bool HttpReader::expectsContinue() const {
+  const auto &Parser = Held->Request;
+  return Parser && Parser->is_header_done() && !Parser->is_done() &&
+         boost::beast::iequals(Parser->get()[beast::field::expect],
+                               "100-continue");
+}
+
+HttpRequest HttpReader::takeRequest() {
+  auto &Message = Held->Request->get();
+  HttpRequest Request;
+  const auto Method = Message.method_string();
+  const auto Target = Message.target();
+  Request.Method.assign(Method.data(), Method.size());
+  Request.Target.assign(Target.data(), Target.size());
+  Request.Headers = takeHeaders(Message);
+  Request.Body = std::move(Message.body());
+  Request.KeepAlive = Held->Request->keep_alive();
+  return Request;
+}
+
+HttpResponse HttpReader::takeResponse() {
+  auto &Message = Held->Response->get();
+  HttpResponse Response;
+  Response.Status = static_cast<std::uint16_t>(Message.result_int());
+  Response.Headers = takeHeaders(Message);
+  Response.Body = std::move(Message.body());
+  Response.KeepAlive = Held->Response->keep_alive();
+  return Response;
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/http/reader.h
@@ -0,0 +1,70 @@
+#ifndef DAEMON_HTTP_READER_H
+#define DAEMON_HTTP_READER_H
+
+#include "daemon/http/message.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+
+namespace magnolia::daemon {
+
+struct HttpLimits {
+  std::size_t HeadBytes = 32'768;
+  std::size_t BodyBytes = 16'777'216;
+};
+
+// Most headers in one message.
+inline constexpr std::size_t HttpHeaderMaximumCount = 200;
+
+enum class HttpReadStatus : std::uint8_t {
+  Ready,
+  NeedMore,
+  Malformed,
+  HeadTooLarge,
+  BodyTooLarge,
+};
+
+// Cuts HTTP/1.1 messages out of a stream with Boost.Beast's parser.
+// cpp-httplib is not used here because it decodes %XX in header values, by
+// which a caller can smuggle in headers, changes bodies with an encoding, and
+// checks idle connections only every 1 to 11 ms.
+class HttpReader {
+public:
+  enum class Kind : std::uint8_t { Request, Response };
+
+  HttpReader(Kind Read, HttpLimits Limits);
+  ~HttpReader();
+  HttpReader(HttpReader &&) noexcept;
+  HttpReader &operator=(HttpReader &&) noexcept;
+
+  // Starts a new message. For a response the method of its request says
+  // whether it has a body.
+  void begin(std::string_view Method = {});
+
+  // Free room to read into, and the number of bytes that were read there.
+  [[nodiscard]] std::span<char> room();
+  void commit(std::size_t Count);
+
+  // Goes on with the bytes at hand. Ready once the whole message is there; a
+  // response whose end only the end of the connection would show is
+  // Malformed, because a cut could not be told from its end.
+  [[nodiscard]] HttpReadStatus read();
+
+  // True where bytes of an unfinished or further message are held.
+  [[nodiscard]] bool hasBytes() const;
+  // True where the caller waits for leave to send the body.
+  [[nodiscard]] bool expectsContinue() const;
+
+  [[nodiscard]] HttpRequest takeRequest();
+  [[nodiscard]] HttpResponse takeResponse();
+
+private:
+  struct State;
+  std::unique_ptr<State> Held;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/metrics/metrics.h
@@ -0,0 +1,91 @@
+#ifndef DAEMON_METRICS_METRICS_H
+#define DAEMON_METRICS_METRICS_H
+
+#include "policy/core/error_kind.h"
+#include "policy/core/types.h"
+
+#include <array>
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace magnolia::daemon {
+
+enum class Counter : std::uint8_t {
+  Requests,
+  Answers,
+  Attempts,
+  LocalAttempts,
+  Retries,
+  Hedges,
+  Fences,
+  FencesNeverRun,
+  FencesStarted,
+  FencesSilent,
+  Cancels,
+  SilentConnections,
+  PeerConnectFailures,
+  HandshakesRefused,
+  BrokenFrames,
+  Probes,
+  ProbesFailed,
+  SidecarRequests,
+  BackendConnections,
+  BackendConnectFailures,
+  BackendBrokenAnswers,
+  BackendRestarts,
+  BackendSheds,
+  LoadPolls,
+  MalformedRequests,
+};
+
+inline constexpr std::size_t CounterCount =
+    static_cast<std::size_t>(Counter::MalformedRequests) + 1;
+
+enum class Timing : std::uint8_t {
+  // Entry node: from the whole request to the whole answer.
+  Request,
+  // Sidecar: from the request to the backend server to its whole answer.
+  Backend,
+  // Sidecar: time outside of the backend server.
+  SidecarOwn,
+};
+
+inline constexpr std::size_t TimingCount =
+    static_cast<std::size_t>(Timing::SidecarOwn) + 1;
+
+// Counters and latency histograms of one node. All functions may be called by
+// any thread.
+class Metrics {
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics &) = delete;
+  Metrics &operator=(const Metrics &) = delete;
+
+  void count(Counter Which, std::uint64_t By = 1);
+  // Counts an error answer to a caller.
+  void countError(policy::ErrorKind Kind);
+  void time(Timing Which, policy::Duration Length);
+
+  [[nodiscard]] std::uint64_t value(Counter Which) const;
+  [[nodiscard]] std::uint64_t errors(policy::ErrorKind Kind) const;
+  [[nodiscard]] static std::string_view name(Counter Which);
+
+  // Prometheus text format.
+  [[nodiscard]] std::string prometheusText() const;
+
+private:
+  struct Histograms;
+
+  std::array<std::atomic<std::uint64_t>, CounterCount> Counts{};
+  std::array<std::atomic<std::uint64_t>, policy::ErrorKindCount> Errors{};
+  std::unique_ptr<Histograms> Times;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/net/connection_server.cpp
@@ -0,0 +1,132 @@
+#include "daemon/net/connection_server.h"
+
+#include "daemon/net/clock.h"
+#include "daemon/net/socket.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <chrono>
+#include <system_error>
+#include <utility>
+
+namespace magnolia::daemon {
+
+namespace {
+
+// Pause after accept fails for lack of descriptors.
+constexpr auto AcceptPause = std::chrono::milliseconds(10);
+
+} // namespace
+
+ConnectionServer::ConnectionServer(Options Given) : Given(std::move(Given)) {}
+
+ConnectionServer::~ConnectionServer() {
+  stopAccepting();
+  breakAll();
+  std::unique_lock Lock(Mutex);
+  Ended.wait(Lock, [this] { return Sessions.empty(); });
+}
+
+bool ConnectionServer::start(policy::Error &LastError) {
+  Listener = listenTcp(Given.Address, Given.Port, LastError);
+  if (!Listener.valid()) {
+    return false;
+  }
+  Acceptor = std::thread([this] { acceptLoop(); });
+  return true;
+}
+
+void ConnectionServer::stopAccepting() {
+  if (Stopping.exchange(true) || !Acceptor.joinable()) {
+    return;
+  }
+  ::shutdown(Listener.fd(), SHUT_RDWR);
+  Acceptor.join();
+  Listener.reset();
+}
+
+void ConnectionServer::closeIdle() {
+  const std::lock_guard Lock(Mutex);
+  for (const Session &Open : Sessions) {
+    if (!Open.Busy) {
+      ::shutdown(Open.fd(), SHUT_RD);
+    }
+  }
+}
+
+void ConnectionServer::breakAll() {
+  const std::lock_guard Lock(Mutex);
+  for (const Session &Open : Sessions) {
+    ::shutdown(Open.fd(), SHUT_RDWR);
+  }
+}
+
+bool ConnectionServer::waitEmpty(policy::TimePoint Deadline) {
+  std::unique_lock Lock(Mutex);
+  return Ended.wait_for(Lock, Deadline - now(),
+                        [this] { return Sessions.empty(); });
+}
+
+std::uint16_t ConnectionServer::port() const {
+  return localPort(Listener.fd());
+}
+
+std::size_t ConnectionServer::connections() const {
+  const std::lock_guard Lock(Mutex);
+  return Sessions.size();
+}
+
+std::uint64_t ConnectionServer::refused() const { return Refused; }
+
+void ConnectionServer::acceptLoop() {
+  while (!Stopping) {
+    UniqueFd Fd(::accept4(Listener.fd(), nullptr, nullptr, SOCK_CLOEXEC));
+    if (Fd.valid()) {
+      accepted(std::move(Fd));
+    } else if (!Stopping && errno != EINTR && errno != ECONNABORTED) {
+      std::this_thread::sleep_for(AcceptPause);
+    }
+  }
+}
+
+void ConnectionServer::accepted(UniqueFd Fd) {
+  setUpSocket(Fd.fd());
+  std::list<Session>::iterator Place;
+  {
+    const std::lock_guard Lock(Mutex);
+    if (Sessions.size() < Given.Maximum) {
+      Sessions.emplace_front(std::move(Fd));
+      Place = Sessions.begin();
+    }
+  }
+  if (Fd.valid()) {
+    ++Refused;
+    if (Given.Refuse) {
+      Given.Refuse(Fd.fd());
+    }
+    return;
+  }
+  try {
+    std::thread([this, Place] { serve(Place); }).detach();
+  } catch (const std::system_error &) {
+    // No thread to be had: the connection is closed.
+    ++Refused;
+    const std::lock_guard Lock(Mutex);
+    Sessions.erase(Place);
+  }
+}
+
+void ConnectionServer::serve(std::list<Session>::iterator Place) {
+  try {
+    Given.Serve(*Place);
+  } catch (const std::exception &) {
+    // Lack of memory for this connection: it is closed.
+    ++Refused;
+  }
+  const std::lock_guard Lock(Mutex);
+  Sessions.erase(Place);
+  Ended.notify_all();
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/net/fwd.h
@@ -0,0 +1,12 @@
+#ifndef DAEMON_NET_FWD_H
+#define DAEMON_NET_FWD_H
+
+namespace magnolia::daemon {
+
+class ConnectionServer;
+class Session;
+class UniqueFd;
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/node/fwd.h
@@ -0,0 +1,10 @@
+#ifndef DAEMON_NODE_FWD_H
+#define DAEMON_NODE_FWD_H
+
+namespace magnolia::daemon {
+
+class Node;
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/node/node.h
@@ -0,0 +1,72 @@
+#ifndef DAEMON_NODE_NODE_H
+#define DAEMON_NODE_NODE_H
+
+#include "daemon/dump/dump.h"
+#include "daemon/entry/entry.h"
+#include "daemon/entry/http_service.h"
+#include "daemon/entry/prober.h"
+#include "daemon/metrics/metrics.h"
+#include "daemon/net/connection_server.h"
+#include "daemon/peer/peer_pool.h"
+#include "daemon/sidecar/backend_watch.h"
+#include "daemon/sidecar/peer_service.h"
+#include "daemon/sidecar/sidecar.h"
+#include "daemon/view/evidence_recorder.h"
+#include "daemon/view/local_backend.h"
+#include "daemon/view/version_cuts.h"
+#include "daemon/view/view_holder.h"
+#include "settings/node/node_settings.h"
+#include "wire/seal/cluster_key.h"
+
+#include <optional>
+
+namespace magnolia::daemon {
+
+// The data path of one node. The control thread works on its public parts:
+// it publishes views, drains the evidence, listens to the own backend server
+// and adds to the dump.
+class Node {
+public:
+  Node(settings::NodeSettings Given, wire::ClusterKey Key);
+
+  [[nodiscard]] bool start(policy::Error &LastError);
+
+  // Announces that the node leaves. It still serves callers, but its backend
+  // server takes no new work.
+  void beginStop();
+  // Ends new work and waits for the requests in flight. False where some did
+  // not end in time.
+  [[nodiscard]] bool finishStop();
+
+  const settings::NodeSettings Settings;
+  const wire::ClusterKey Key;
+  const policy::NodeId Id;
+  const policy::Incarnation Run;
+
+  Metrics Counts;
+  ViewHolder Views;
+  VersionCuts Cuts;
+  EvidenceRecorder Evidence;
+  LocalBackend Backend;
+  Dump State;
+
+private:
+  void publishStatic();
+  void announce(const LocalBackendState &Announced);
+
+  PeerPool Peers;
+  Sidecar Own;
+  Entry Calls;
+  PeerServiceOptions PeerOptions;
+  PeerService PeerSide;
+  LocalEndpoints Endpoints;
+  HttpService CallerSide;
+  ConnectionServer PeerServer;
+  ConnectionServer HttpServer;
+  std::optional<BackendWatch> Watch;
+  std::optional<Prober> Probes;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/peer/call_frames.cpp
@@ -0,0 +1,180 @@
+#include "daemon/peer/call_frames.h"
+
+#include "daemon/peer/peer_connection.h"
+#include "wire/convert/convert.h"
+#include "wire/frame/limits.h"
+#include "wire/peer.pb.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+
+namespace magnolia::daemon {
+
+namespace {
+
+using wire::BodyChunkBytes;
+
+// Answers of backend servers and of the system have final statuses.
+constexpr std::uint32_t StatusMinimum = 200;
+constexpr std::uint32_t StatusMaximum = 599;
+
+template <class Message>
+void writeHeaders(const HttpHeaders &From, Message &To) {
+  for (const HttpHeader &Header : From) {
+    auto *Added = To.add_headers();
+    Added->set_name(Header.Name);
+    Added->set_value(Header.Value);
+  }
+}
+
+template <class Message>
+bool readHeaders(const Message &From, HttpHeaders &To) {
+  if (static_cast<std::size_t>(From.headers_size()) >
+      wire::HeaderMaximumCount) {
+    return false;
+  }
+  To.clear();
+  To.reserve(static_cast<std::size_t>(From.headers_size()));
+  for (const auto &Header : From.headers()) {
+    To.push_back({Header.name(), Header.value()});
+    if (!isValidHeader(To.back())) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool queuePieces(PeerConnection &Connection, const policy::RequestId &Id,
+                 std::string_view Rest) {
+  wire::PeerFrame Frame;
+  while (!Rest.empty()) {
+    const std::string_view Piece = Rest.substr(0, BodyChunkBytes);
+    Rest.remove_prefix(Piece.size());
+    wire::PeerBody &Body = *Frame.mutable_body();
+    wire::toWire(Id, *Body.mutable_id());
+    Body.set_data(std::string(Piece));
+    Body.set_last(Rest.empty());
+    if (!Connection.queue(Frame)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+std::uint32_t remainingMs(policy::TimePoint Deadline, policy::TimePoint Now) {
+  const auto Left =
+      std::chrono::ceil<std::chrono::milliseconds>(Deadline - Now).count();
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+      Left, 0, std::numeric_limits<std::int32_t>::max()));
+}
+
+bool isPlain(std::string_view Text) {
+  return !Text.empty() && std::none_of(Text.begin(), Text.end(), [](char C) {
+    const auto Byte = static_cast<unsigned char>(C);
+    return Byte <= ' ' || Byte == 0x7F;
+  });
+}
+
+} // namespace
+
+bool queueRequest(PeerConnection &Connection, const CallRequest &Request,
+                  policy::TimePoint Now) {
+  wire::PeerFrame Frame;
+  wire::PeerRequest &Message = *Frame.mutable_request();
+  wire::toWire(Request.Id, *Message.mutable_id());
+  Message.set_service(Request.Service);
+  Message.set_version(Request.Version);
+  Message.set_method(Request.Method);
+  Message.set_target(Request.Target);
+  writeHeaders(Request.Headers, Message);
+  Message.set_idempotent(Request.Idempotent);
+  Message.set_remaining_deadline_ms(remainingMs(Request.Deadline, Now));
+  Message.set_hops(Request.Hops);
+  Message.set_sidecar_incarnation(Request.SidecarRun);
+  Message.set_idempotency_key(Request.IdempotencyKey);
+  const std::string_view Body = Request.Body;
+  Message.set_body(std::string(Body.substr(0, BodyChunkBytes)));
+  Message.set_body_continues(Body.size() > BodyChunkBytes);
+  return Connection.queue(Frame) &&
+         (!Message.body_continues() ||
+          queuePieces(Connection, Request.Id, Body.substr(BodyChunkBytes)));
+}
+
+bool queueAnswer(PeerConnection &Connection, const policy::RequestId &Id,
+                 const CallAnswer &Answer) {
+  wire::PeerFrame Frame;
+  wire::PeerAnswer &Message = *Frame.mutable_answer();
+  wire::toWire(Id, *Message.mutable_id());
+  wire::toWire(Answer.Load, *Message.mutable_load());
+  if (Answer.Kind) {
+    Message.set_error_kind(static_cast<std::uint32_t>(*Answer.Kind) + 1);
+    Message.set_error_detail(Answer.Detail);
+    return Connection.queue(Frame);
+  }
+  Message.set_status(Answer.Status);
+  writeHeaders(Answer.Headers, Message);
+  const std::string_view Body = Answer.Body;
+  Message.set_body(std::string(Body.substr(0, BodyChunkBytes)));
+  Message.set_body_continues(Body.size() > BodyChunkBytes);
+  return Connection.queue(Frame) &&
+         (!Message.body_continues() ||
+          queuePieces(Connection, Id, Body.substr(BodyChunkBytes)));
+}
+
+AssemblyStatus BodyAssembly::add(std::string &Body, wire::PeerBody &Piece) {
+  if (Piece.aborted() || wire::fromWire(Piece.id()) != Id) {
+    return AssemblyStatus::Broken;
+  }
+  return addPiece(Body, Piece.data(), Piece.last());
+}
+
+AssemblyStatus BodyAssembly::addPiece(std::string &Body, std::string_view Piece,
+                                      bool Last) {
+  if (!Over && Body.size() + Piece.size() > Limit) {
+    Over = true;
+    Body.clear();
+  }
+  if (Over) {
+    return Last ? AssemblyStatus::TooLargeDone : AssemblyStatus::TooLargeMore;
+  }
+  Body.append(Piece);
+  return Last ? AssemblyStatus::Done : AssemblyStatus::More;
+}
+
+bool readRequest(const wire::PeerFrame &Frame, CallRequest &Request,
+                 policy::TimePoint Now) {
+  const wire::PeerRequest &Message = Frame.request();
+  Request.Id = wire::fromWire(Message.id());
+  Request.Service = Message.service();
+  Request.Version = Message.version();
+  Request.Method = Message.method();
+  Request.Target = Message.target();
+  Request.Idempotent = Message.idempotent();
+  Request.Deadline =
+      Now + std::chrono::milliseconds(Message.remaining_deadline_ms());
+  Request.Hops = Message.hops();
+  Request.SidecarRun = Message.sidecar_incarnation();
+  Request.IdempotencyKey = Message.idempotency_key();
+  return readHeaders(Message, Request.Headers) && isPlain(Request.Method) &&
+         isPlain(Request.Target);
+}
+
+bool readAnswer(const wire::PeerFrame &Frame, CallAnswer &Answer) {
+  const wire::PeerAnswer &Message = Frame.answer();
+  Answer.Load = wire::fromWire(Message.load());
+  if (Message.error_kind() != 0) {
+    if (Message.error_kind() > policy::ErrorKindCount) {
+      return false;
+    }
+    Answer.Kind = static_cast<policy::ErrorKind>(Message.error_kind() - 1);
+    Answer.Detail = Message.error_detail();
+    return !Message.body_continues();
+  }
+  Answer.Status = static_cast<std::uint16_t>(Message.status());
+  return Message.status() >= StatusMinimum &&
+         Message.status() <= StatusMaximum &&
+         readHeaders(Message, Answer.Headers);
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/peer/fwd.h
@@ -0,0 +1,16 @@
+#ifndef DAEMON_PEER_FWD_H
+#define DAEMON_PEER_FWD_H
+
+namespace magnolia::daemon {
+
+class PeerConnection;
+class PeerExchange;
+class PeerPool;
+struct CallAnswer;
+struct CallRequest;
+struct PeerIdentity;
+struct PeerLimits;
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/peer/peer_exchange.cpp
@@ -0,0 +1,114 @@
+#include "daemon/peer/peer_exchange.h"
+
+#include "daemon/net/clock.h"
+#include "wire/convert/convert.h"
+#include "wire/peer.pb.h"
+
+#include <algorithm>
+
+namespace magnolia::daemon {
+
+PeerExchange::PeerExchange(std::unique_ptr<PeerConnection> Taken,
+                           ExchangeOptions Options)
+    : Connection(std::move(Taken)), Options(Options) {}
+
+bool PeerExchange::start(const CallRequest &Request, policy::TimePoint Now,
+                         bool CheckAtOnce) {
+  Id = Request.Id;
+  Assembly = BodyAssembly(Options.AnswerBytes, Id);
+  NextPing = Now + Options.PingAfter;
+  if (!queueRequest(*Connection, Request, Now)) {
+    return false;
+  }
+  if (CheckAtOnce) {
+    // The request may be sent whole even where this fails; advance finds out.
+    (void)ping(Now);
+    return true;
+  }
+  return Connection->flush(Request.Deadline);
+}
+
+bool PeerExchange::ping(policy::TimePoint Now) {
+  wire::PeerFrame Frame;
+  Frame.mutable_ping()->set_sequence(++PingSequence);
+  PingSent = Now;
+  return Connection->send(Frame, Now + Options.PingTimeout);
+}
+
+ExchangeStatus PeerExchange::advance(policy::TimePoint Now) {
+  wire::PeerFrame Frame;
+  for (;;) {
+    const ReceiveStatus Received = Connection->receive(Frame);
+    if (Received == ReceiveStatus::Broken) {
+      return ExchangeStatus::Lost;
+    }
+    if (Received == ReceiveStatus::Nothing) {
+      break;
+    }
+    // Any frame shows that the connection lives.
+    PingSent.reset();
+    NextPing = Now + Options.PingAfter;
+    const ExchangeStatus Status = takeFrame(Frame);
+    if (Status != ExchangeStatus::Pending) {
+      return Status;
+    }
+  }
+  if (PingSent) {
+    return Now >= *PingSent + Options.PingTimeout ? ExchangeStatus::Lost
+                                                  : ExchangeStatus::Pending;
+  }
+  if (Now >= NextPing && !ping(Now)) {
+    return ExchangeStatus::Lost;
+  }
+  return ExchangeStatus::Pending;
+}
+
+policy::TimePoint PeerExchange::nextCheck() const {
+  return PingSent ? *PingSent + Options.PingTimeout : NextPing;
+}
+
+void PeerExchange::cancel(policy::TimePoint Now) {
+  wire::PeerFrame Frame;
+  wire::toWire(Id, *Frame.mutable_cancel()->mutable_id());
+  // The outcome does not matter: a broken connection cancels as well.
+  (void)Connection->send(Frame, Now + Options.PingTimeout);
+}
+
+ExchangeStatus PeerExchange::takeFrame(wire::PeerFrame &Frame) {
+  if (Frame.has_pong()) {
+    return ExchangeStatus::Pending;
+  }
+  if (Frame.has_body() && HeadSeen) {
+    return bodyStatus(Assembly.add(Answer.Body, *Frame.mutable_body()));
+  }
+  if (!Frame.has_answer() || HeadSeen ||
+      wire::fromWire(Frame.answer().id()) != Id || !readAnswer(Frame, Answer)) {
+    return ExchangeStatus::Lost;
+  }
+  HeadSeen = true;
+  return bodyStatus(Assembly.addPiece(Answer.Body, Frame.answer().body(),
+                                      !Frame.answer().body_continues()));
+}
+
+ExchangeStatus PeerExchange::bodyStatus(AssemblyStatus Status) {
+  switch (Status) {
+  case AssemblyStatus::More:
+  case AssemblyStatus::TooLargeMore:
+    return ExchangeStatus::Pending;
+  case AssemblyStatus::Done:
+    return ExchangeStatus::Done;
+  case AssemblyStatus::TooLargeDone: {
+    const policy::LoadReport Load = Answer.Load;
+    Answer = errorAnswer(policy::ErrorKind::AnswerTooLarge,
+                         "the answer body is over " +
+                             std::to_string(Options.AnswerBytes) + " bytes");
+    Answer.Load = Load;
+    return ExchangeStatus::Done;
+  }
+  case AssemblyStatus::Broken:
+    return ExchangeStatus::Lost;
+  }
+  return ExchangeStatus::Lost;
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/sidecar/backend_pool.cpp
@@ -0,0 +1,71 @@
+#include "daemon/sidecar/backend_pool.h"
+
+#include "daemon/net/socket.h"
+
+#include <utility>
+
+namespace magnolia::daemon {
+
+void BackendPool::retarget(const std::string &NewAddress,
+                           std::uint16_t NewPort) {
+  std::vector<std::unique_ptr<BackendConnection>> Closed;
+  const std::lock_guard Lock(Mutex);
+  if (Address == NewAddress && Port == NewPort) {
+    return;
+  }
+  Address = NewAddress;
+  Port = NewPort;
+  ++Target;
+  Closed.swap(Idle);
+}
+
+void BackendPool::closeAll() {
+  std::vector<std::unique_ptr<BackendConnection>> Closed;
+  const std::lock_guard Lock(Mutex);
+  ++Target;
+  Closed.swap(Idle);
+}
+
+std::unique_ptr<BackendConnection> BackendPool::takeIdle() {
+  const std::lock_guard Lock(Mutex);
+  while (!Idle.empty()) {
+    std::unique_ptr<BackendConnection> Free = std::move(Idle.back());
+    Idle.pop_back();
+    if (isUsable(Free->Socket.fd())) {
+      Free->Reused = true;
+      return Free;
+    }
+  }
+  return nullptr;
+}
+
+std::unique_ptr<BackendConnection>
+BackendPool::open(policy::TimePoint Deadline) {
+  std::string To;
+  std::uint16_t ToPort = 0;
+  std::uint64_t ToTarget = 0;
+  {
+    const std::lock_guard Lock(Mutex);
+    To = Address;
+    ToPort = Port;
+    ToTarget = Target;
+  }
+  UniqueFd Socket = connectTcp(To, ToPort, Deadline);
+  if (!Socket.valid()) {
+    return nullptr;
+  }
+  return std::make_unique<BackendConnection>(BackendConnection{
+      .Socket = std::move(Socket),
+      .Reader = HttpReader(HttpReader::Kind::Response, Limits),
+      .Target = ToTarget,
+      .Reused = false});
+}
+
+void BackendPool::give(std::unique_ptr<BackendConnection> Free) {
+  const std::lock_guard Lock(Mutex);
+  if (Free->Target == Target) {
+    Idle.push_back(std::move(Free));
+  }
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/sidecar/lingering.cpp
@@ -0,0 +1,91 @@
+#include "daemon/sidecar/lingering.h"
+
+#include "daemon/net/clock.h"
+#include "daemon/net/socket.h"
+
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cstdint>
+#include <utility>
+#include <vector>
+
+namespace magnolia::daemon {
+
+namespace {
+
+// True where the answer is whole or the connection has ended.
+bool hasEnded(BackendConnection &Connection) {
+  for (;;) {
+    const auto Count =
+        receiveSome(Connection.Socket.fd(), Connection.Reader.room());
+    if (Count <= 0) {
+      return Count < 0;
+    }
+    Connection.Reader.commit(static_cast<std::size_t>(Count));
+    if (Connection.Reader.read() != HttpReadStatus::NeedMore) {
+      return true;
+    }
+  }
+}
+
+} // namespace
+
+Lingering::Lingering(std::function<void()> Release)
+    : Release(std::move(Release)), Wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)),
+      Thread([this] { run(); }) {}
+
+Lingering::~Lingering() {
+  {
+    const std::lock_guard Lock(Mutex);
+    Stopping = true;
+  }
+  eventfd_write(Wake.fd(), 1);
+  Thread.join();
+}
+
+void Lingering::add(std::unique_ptr<BackendConnection> Connection,
+                    policy::TimePoint Until) {
+  ::shutdown(Connection->Socket.fd(), SHUT_WR);
+  {
+    const std::lock_guard Lock(Mutex);
+    Added.push_back({.Connection = std::move(Connection), .Until = Until});
+  }
+  eventfd_write(Wake.fd(), 1);
+}
+
+std::size_t Lingering::removeEnded() {
+  const policy::TimePoint Now = now();
+  return std::erase_if(Entries, [Now](Entry &Next) {
+    return hasEnded(*Next.Connection) || Now >= Next.Until;
+  });
+}
+
+void Lingering::run() {
+  for (;;) {
+    std::vector<pollfd> Fds = {
+        {.fd = Wake.fd(), .events = POLLIN, .revents = 0}};
+    policy::TimePoint Next = policy::TimePoint::max();
+    for (const Entry &Open : Entries) {
+      Fds.push_back(
+          {.fd = Open.Connection->Socket.fd(), .events = POLLIN, .revents = 0});
+      Next = std::min(Next, Open.Until);
+    }
+    (void)waitReady(Fds, std::min(Next, now() + std::chrono::hours(1)), {});
+    eventfd_t Ignored = 0;
+    eventfd_read(Wake.fd(), &Ignored);
+    {
+      const std::lock_guard Lock(Mutex);
+      if (Stopping) {
+        return;
+      }
+      Entries.splice(Entries.end(), Added);
+    }
+    for (std::size_t Left = removeEnded(); Left > 0; --Left) {
+      Release();
+    }
+  }
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/sidecar/peer_service.cpp
@@ -0,0 +1,185 @@
+#include "daemon/sidecar/peer_service.h"
+
+#include "daemon/net/clock.h"
+#include "daemon/net/socket.h"
+#include "daemon/sidecar/sidecar_call.h"
+#include "wire/convert/convert.h"
+#include "wire/peer.pb.h"
+
+#include <array>
+#include <utility>
+
+namespace magnolia::daemon {
+
+using policy::ErrorKind;
+
+void PeerService::serve(Session &Accepted) {
+  PeerConnection Connection(UniqueFd(::dup(Accepted.fd())));
+  if (!welcome(Connection, Options.Own, now() + Options.HandshakeTimeout)) {
+    Owner.metrics().count(Counter::HandshakesRefused);
+    return;
+  }
+  wire::PeerFrame Frame;
+  for (;;) {
+    switch (Connection.await(Frame, now() + Options.IdleTimeout)) {
+    case ReceiveStatus::Nothing:
+      return;
+    case ReceiveStatus::Broken:
+      if (Connection.hasBytes()) {
+        Owner.metrics().count(Counter::BrokenFrames);
+      }
+      return;
+    case ReceiveStatus::Frame:
+      if (serveFrame(Connection, Frame, Accepted) == Next::Close) {
+        return;
+      }
+    }
+  }
+}
+
+PeerService::Next PeerService::serveFrame(PeerConnection &Connection,
+                                          wire::PeerFrame &Frame,
+                                          Session &Accepted) {
+  if (Frame.has_cancel()) {
+    // The request was answered meanwhile.
+    return Next::Continue;
+  }
+  if (Frame.has_request()) {
+    Accepted.Busy = true;
+    const Next After = serveRequest(Connection, Frame);
+    Accepted.Busy = false;
+    return After;
+  }
+  return answerControl(Connection, Frame) ? Next::Continue : Next::Close;
+}
+
+bool PeerService::answerControl(PeerConnection &Connection,
+                                const wire::PeerFrame &Frame) {
+  wire::PeerFrame Answer;
+  if (Frame.has_fence()) {
+    wire::PeerFenceResult &Result = *Answer.mutable_fence_result();
+    *Result.mutable_id() = Frame.fence().id();
+    Result.set_never_run(
+        Owner.fence(wire::fromWire(Frame.fence().id()), now()));
+    wire::toWire(Owner.load(), *Result.mutable_load());
+  } else if (Frame.has_probe()) {
+    wire::PeerProbeResult &Result = *Answer.mutable_probe_result();
+    Result.set_sequence(Frame.probe().sequence());
+    wire::toWire(Owner.load(), *Result.mutable_load());
+  } else if (Frame.has_ping()) {
+    Answer.mutable_pong()->set_sequence(Frame.ping().sequence());
+  } else {
+    Owner.metrics().count(Counter::BrokenFrames);
+    return false;
+  }
+  return Connection.send(Answer, now() + Options.ReadTimeout);
+}
+
+PeerService::Next PeerService::sendAnswer(PeerConnection &Connection,
+                                          const policy::RequestId &Id,
+                                          const CallAnswer &Answer) {
+  return queueAnswer(Connection, Id, Answer) &&
+                 Connection.flush(now() + Options.ReadTimeout)
+             ? Next::Continue
+             : Next::Close;
+}
+
+PeerService::Next PeerService::serveRequest(PeerConnection &Connection,
+                                            wire::PeerFrame &Frame) {
+  CallRequest Request;
+  const bool Readable = readRequest(Frame, Request, now());
+  const policy::RequestId Id = Request.Id;
+  const auto Body = readBody(Connection, Request, Frame);
+  if (!Body) {
+    return Next::Close;
+  }
+  if (!Readable || *Body == AssemblyStatus::TooLargeDone) {
+    CallAnswer Refusal =
+        errorAnswer(Readable ? ErrorKind::BodyTooLarge : ErrorKind::BadRequest,
+                    Readable ? "the body is over " +
+                                   std::to_string(Options.BodyBytes) + " bytes"
+                             : "the request from the entry node is malformed");
+    Refusal.Load = Owner.load();
+    return sendAnswer(Connection, Id, Refusal);
+  }
+  SidecarCall Call(Owner, std::move(Request));
+  Call.start(now());
+  if (!waitForCall(Connection, Call)) {
+    return Next::Close;
+  }
+  return sendAnswer(Connection, Id, Call.answer());
+}
+
+std::optional<AssemblyStatus> PeerService::readBody(PeerConnection &Connection,
+                                                    CallRequest &Request,
+                                                    wire::PeerFrame &Frame) {
+  BodyAssembly Assembly(Options.BodyBytes, Request.Id);
+  AssemblyStatus Status = Assembly.addPiece(
+      Request.Body, Frame.request().body(), !Frame.request().body_continues());
+  while (Status == AssemblyStatus::More ||
+         Status == AssemblyStatus::TooLargeMore) {
+    if (Connection.await(Frame, now() + Options.ReadTimeout) !=
+        ReceiveStatus::Frame) {
+      return std::nullopt;
+    }
+    if (Frame.has_ping()) {
+      if (!answerControl(Connection, Frame)) {
+        return std::nullopt;
+      }
+      continue;
+    }
+    if (!Frame.has_body()) {
+      Owner.metrics().count(Counter::BrokenFrames);
+      return std::nullopt;
+    }
+    Status = Assembly.add(Request.Body, *Frame.mutable_body());
+  }
+  return Status == AssemblyStatus::Broken ? std::nullopt
+                                          : std::optional(Status);
+}
+
+bool PeerService::waitForCall(PeerConnection &Connection, SidecarCall &Call) {
+  // Frames that came together with the request.
+  if (Connection.hasBytes() && !Call.done() &&
+      !takeFramesDuringCall(Connection, Call)) {
+    return false;
+  }
+  while (!Call.done()) {
+    std::array<pollfd, 2> Fds = {
+        {{.fd = Call.fd(), .events = POLLIN, .revents = 0},
+         {.fd = Connection.fd(), .events = POLLIN, .revents = 0}}};
+    (void)waitReady(Fds, Call.nextCheck(), Options.Spin);
+    Call.advance(now());
+    if (Fds[1].revents != 0 && !Call.done() &&
+        !takeFramesDuringCall(Connection, Call)) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool PeerService::takeFramesDuringCall(PeerConnection &Connection,
+                                       SidecarCall &Call) {
+  wire::PeerFrame Frame;
+  for (;;) {
+    switch (Connection.receive(Frame)) {
+    case ReceiveStatus::Nothing:
+      return true;
+    case ReceiveStatus::Broken:
+      // The entry node went away: nobody waits for the answer.
+      return false;
+    case ReceiveStatus::Frame:
+      break;
+    }
+    if (Frame.has_cancel()) {
+      if (wire::fromWire(Frame.cancel().id()) == Call.request().Id) {
+        Call.cancel(ErrorKind::Cancelled, now());
+        return true;
+      }
+    } else if (!answerControl(Connection, Frame)) {
+      return false;
+    }
+  }
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/sidecar/peer_service.h
@@ -0,0 +1,68 @@
+#ifndef DAEMON_SIDECAR_PEER_SERVICE_H
+#define DAEMON_SIDECAR_PEER_SERVICE_H
+
+#include "daemon/net/connection_server.h"
+#include "daemon/peer/call_frames.h"
+#include "daemon/peer/peer_connection.h"
+#include "daemon/sidecar/sidecar.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+
+namespace magnolia::daemon {
+
+class SidecarCall;
+
+struct PeerServiceOptions {
+  PeerIdentity Own;
+  std::size_t BodyBytes = 0;
+  policy::Duration HandshakeTimeout = std::chrono::seconds(2);
+  // Longest pause inside of a message.
+  policy::Duration ReadTimeout = std::chrono::seconds(10);
+  // Longer than entry nodes keep idle connections, so that they close first
+  // and no request meets a connection that is being closed.
+  policy::Duration IdleTimeout = std::chrono::seconds(60);
+  policy::Duration Spin{};
+};
+
+// Serves one peer connection: requests one at a time, and fences, probes and
+// pings at any time, also while a request runs.
+class PeerService {
+public:
+  PeerService(Sidecar &Owner, const PeerServiceOptions &Options)
+      : Owner(Owner), Options(Options) {}
+
+  // Serves the connection to its end.
+  void serve(Session &Accepted);
+
+private:
+  enum class Next : std::uint8_t { Continue, Close };
+
+  [[nodiscard]] Next serveFrame(PeerConnection &Connection,
+                                wire::PeerFrame &Frame, Session &Accepted);
+  [[nodiscard]] Next serveRequest(PeerConnection &Connection,
+                                  wire::PeerFrame &Frame);
+  // Nothing where the connection is of no more use.
+  [[nodiscard]] std::optional<AssemblyStatus>
+  readBody(PeerConnection &Connection, CallRequest &Request,
+           wire::PeerFrame &Frame);
+  // False where the entry node went away or sent what it must not.
+  [[nodiscard]] bool waitForCall(PeerConnection &Connection, SidecarCall &Call);
+  [[nodiscard]] bool takeFramesDuringCall(PeerConnection &Connection,
+                                          SidecarCall &Call);
+  // Answers a fence, probe or ping; false for any other frame or where the
+  // answer cannot be sent.
+  [[nodiscard]] bool answerControl(PeerConnection &Connection,
+                                   const wire::PeerFrame &Frame);
+  [[nodiscard]] Next sendAnswer(PeerConnection &Connection,
+                                const policy::RequestId &Id,
+                                const CallAnswer &Answer);
+
+  Sidecar &Owner;
+  const PeerServiceOptions &Options;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -0,0 +1,223 @@
+#include "daemon/sidecar/sidecar.h"
+
+#include "daemon/log/log.h"
+#include "daemon/net/clock.h"
+#include "policy/admission/admit.h"
+#include "policy/ledger/run_once.h"
+
+#include <sys/eventfd.h>
+
+#include <utility>
+
+namespace magnolia::daemon {
+
+using policy::ErrorKind;
+
+SlotWait::SlotWait(policy::Ticket Waiting)
+    : Id(Waiting), Wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+
+Sidecar::Sidecar(SidecarOptions Given, LocalBackend &Backend, Metrics &Counts)
+    : Options(Given), Backend(Backend), Counts(Counts),
+      Pool(Given.AnswerLimits),
+      Ledger(Given.Run, {.MaxRequests = Given.LedgerEntries}),
+      Cancelled([this] { complete({.NotSent = true}, now()); }) {
+  Admitted.Options.MaxWaiting = Options.MaxWaiting;
+}
+
+Sidecar::Admission Sidecar::admit(const CallRequest &Request,
+                                  policy::TimePoint Now) {
+  Counts.count(Counter::SidecarRequests);
+  const LocalBackendState Own = Backend.state();
+  if (!Own.Present || Own.Service != Request.Service) {
+    return policy::Error{ErrorKind::NoBackendServer,
+                         "no backend server of the service beside this node"};
+  }
+  if (!Request.Version.empty() && Own.Version != Request.Version) {
+    return policy::Error{ErrorKind::StaleIncarnation,
+                         "the backend server runs another version now"};
+  }
+  const std::lock_guard Lock(Mutex);
+  expireWaits(Now);
+  const policy::AdmissionDecision Decision =
+      policy::admit(Admitted, {.Deadline = Request.Deadline}, Now);
+  switch (Decision.Action) {
+  case policy::AdmissionAction::Run:
+    return std::monostate();
+  case policy::AdmissionAction::Wait: {
+    auto Wait = std::make_shared<SlotWait>(Decision.Id);
+    Waits.emplace(Decision.Id, Wait);
+    return Wait;
+  }
+  case policy::AdmissionAction::Refuse:
+    break;
+  }
+  return policy::Error{Decision.Kind, "refused by the sidecar"};
+}
+
+void Sidecar::grant(const std::vector<policy::Ticket> &Ready) {
+  for (const policy::Ticket Id : Ready) {
+    const auto Found = Waits.find(Id);
+    if (Found != Waits.end()) {
+      Found->second->Granted = true;
+      eventfd_write(Found->second->Wake.fd(), 1);
+      Waits.erase(Found);
+    }
+  }
+}
+
+void Sidecar::expireWaits(policy::TimePoint Now) {
+  for (const policy::Expiry &Over : policy::expire(Admitted, Now)) {
+    const auto Found = Waits.find(Over.Id);
+    if (Found != Waits.end()) {
+      Found->second->Refusal = Over.Kind;
+      eventfd_write(Found->second->Wake.fd(), 1);
+      Waits.erase(Found);
+    }
+  }
+}
+
+Sidecar::WaitStatus Sidecar::checkWait(SlotWait &Wait, policy::TimePoint Now,
+                                       ErrorKind &Refusal) {
+  const std::lock_guard Lock(Mutex);
+  expireWaits(Now);
+  if (Wait.Granted) {
+    return WaitStatus::Granted;
+  }
+  if (Wait.Refusal) {
+    Refusal = *Wait.Refusal;
+    return WaitStatus::Refused;
+  }
+  return WaitStatus::Waiting;
+}
+
+policy::TimePoint Sidecar::nextExpiry() const {
+  const std::lock_guard Lock(Mutex);
+  return policy::nextExpiry(Admitted);
+}
+
+void Sidecar::abandon(SlotWait &Wait, policy::TimePoint Now) {
+  const std::lock_guard Lock(Mutex);
+  if (Wait.Granted) {
+    grant(policy::complete(Admitted, {.NotSent = true}, Now));
+    return;
+  }
+  policy::abandon(Admitted, Wait.Id);
+  Waits.erase(Wait.Id);
+}
+
+void Sidecar::complete(const policy::Completion &Ended, policy::TimePoint Now) {
+  const std::lock_guard Lock(Mutex);
+  grant(policy::complete(Admitted, Ended, Now));
+}
+
+std::optional<ErrorKind> Sidecar::beginRun(const CallRequest &Request,
+                                           policy::TimePoint Now) {
+  if (Request.Idempotent) {
+    return std::nullopt;
+  }
+  const std::lock_guard Lock(Mutex);
+  const policy::LedgerDecision Run =
+      policy::begin(Ledger, Request.Id, Request.SidecarRun, Now);
+  if (Run != policy::LedgerDecision::Run) {
+    return policy::errorOf(Run);
+  }
+  if (Request.IdempotencyKey.empty()) {
+    return std::nullopt;
+  }
+  const policy::KeyDecision Key = policy::claimKey(
+      Ledger, Request.Service, Request.IdempotencyKey, Request.Id, Now);
+  if (Key == policy::KeyDecision::Claimed) {
+    return std::nullopt;
+  }
+  policy::finish(Ledger, Request.Id, false);
+  return policy::errorOf(Key);
+}
+
+void Sidecar::finishRun(const CallRequest &Request, bool Ran) {
+  if (Request.Idempotent) {
+    return;
+  }
+  const std::lock_guard Lock(Mutex);
+  policy::finish(Ledger, Request.Id, Ran);
+  if (!Request.IdempotencyKey.empty()) {
+    policy::finishKey(Ledger, Request.Service, Request.IdempotencyKey,
+                      Request.Id, Ran);
+  }
+}
+
+bool Sidecar::fence(const policy::RequestId &Id, policy::TimePoint Now) {
+  const std::lock_guard Lock(Mutex);
+  return policy::fence(Ledger, Id, Now) == policy::FenceDecision::NeverRun;
+}
+
+void Sidecar::onBackendIncarnation(policy::Incarnation Run,
+                                   policy::TimePoint Now) {
+  {
+    const std::lock_guard Lock(Mutex);
+    if (Run == 0 || Run == Admitted.Backend) {
+      return;
+    }
+    const bool Restart = Admitted.Backend != 0;
+    policy::onBackendIncarnation(Admitted, Run, Now);
+    if (!Restart) {
+      return;
+    }
+  }
+  Counts.count(Counter::BackendRestarts);
+  log(LogLevel::Warning, "the backend server restarted", {{"run", Run}});
+  Backend.setIncarnation(Run);
+}
+
+void Sidecar::onConnectFailure(policy::TimePoint Now) {
+  Counts.count(Counter::BackendConnectFailures);
+  Pool.closeAll();
+  const std::lock_guard Lock(Mutex);
+  policy::onConnectFailure(Admitted, Now);
+}
+
+void Sidecar::onBackendDraining() {
+  drain();
+  Backend.setDraining(true);
+}
+
+void Sidecar::apply(const LocalBackendState &State, policy::TimePoint Now) {
+  Pool.retarget(State.Address, State.Port);
+  const std::lock_guard Lock(Mutex);
+  Admitted.Options.Slots = State.Slots;
+  Admitted.Options.Connections = State.Connections;
+  Admitted.Draining = State.Draining;
+  policy::onBackendIncarnation(Admitted, State.Run, Now);
+}
+
+void Sidecar::drain() {
+  const std::lock_guard Lock(Mutex);
+  policy::drain(Admitted);
+}
+
+void Sidecar::linger(std::unique_ptr<BackendConnection> Connection,
+                     policy::TimePoint Until) {
+  Cancelled.add(std::move(Connection), Until);
+}
+
+policy::LoadReport Sidecar::load() const {
+  const std::lock_guard Lock(Mutex);
+  return policy::loadReport(Admitted);
+}
+
+policy::AdmissionState Sidecar::admissionState() const {
+  const std::lock_guard Lock(Mutex);
+  return Admitted;
+}
+
+LedgerCounts Sidecar::ledgerCounts() const {
+  const std::lock_guard Lock(Mutex);
+  return {.Requests = Ledger.Requests.size(),
+          .Keys = Ledger.Keys.size(),
+          .Duplicates = Ledger.Duplicates,
+          .Fenced = Ledger.FencedRequests,
+          .Refused = Ledger.RequestsRefused + Ledger.FencesRefused +
+                     Ledger.KeysRefused,
+          .Stale = Ledger.Stale};
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -0,0 +1,312 @@
+#include "daemon/sidecar/sidecar_call.h"
+
+#include "daemon/net/clock.h"
+#include "daemon/net/socket.h"
+#include "policy/admission/admit.h"
+#include "policy/chain/chain_headers.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace magnolia::daemon {
+
+using policy::ErrorKind;
+
+namespace {
+
+// Longest time for which a cancelled request keeps its slot.
+constexpr policy::Duration LingerTime = std::chrono::seconds(10);
+
+constexpr std::string_view IncarnationHeader = "Magnolia-Backend-Incarnation";
+
+// Headers with which a backend server states, with status 503, that it did not
+// run the request.
+constexpr std::string_view ShedHeader = "Backend-Shed";
+constexpr std::string_view DrainingHeader = "Backend-Draining";
+constexpr std::uint16_t RefusalStatus = 503;
+
+// Headers that the sidecar writes itself.
+constexpr std::array<std::string_view, 4> OwnHeaders = {
+    policy::DeadlineHeader, policy::HopsHeader, policy::RequestIdHeader,
+    "Magnolia-Service"};
+
+// Headers by which the system itself makes statements to callers. A backend
+// server that copies them from a call of its own must not make such a
+// statement about the request at hand.
+bool isSystemStatement(const HttpHeader &Header) {
+  return equalNames(Header.Name, "Magnolia-Error") ||
+         equalNames(Header.Name, "Magnolia-Run") ||
+         equalNames(Header.Name, IncarnationHeader);
+}
+
+policy::Incarnation incarnationOf(const HttpHeaders &Headers) {
+  const std::string *Text = findHeader(Headers, IncarnationHeader);
+  policy::Incarnation Run = 0;
+  if (Text) {
+    std::from_chars(Text->data(), Text->data() + Text->size(), Run);
+  }
+  return Run;
+}
+
+} // namespace
+
+SidecarCall::SidecarCall(Sidecar &Owner, CallRequest Given)
+    : Owner(Owner), Request(std::move(Given)) {}
+
+SidecarCall::~SidecarCall() {
+  if (Step != Stage::New && Step != Stage::Done) {
+    cancel(ErrorKind::Cancelled, now());
+  }
+}
+
+void SidecarCall::start(policy::TimePoint Now) {
+  Arrived = Now;
+  Sidecar::Admission Admission = Owner.admit(Request, Now);
+  if (const auto *Refusal = std::get_if<policy::Error>(&Admission)) {
+    finish(errorAnswer(Refusal->Kind, Refusal->Detail));
+  } else if (auto *Waiting =
+                 std::get_if<std::shared_ptr<SlotWait>>(&Admission)) {
+    Wait = std::move(*Waiting);
+    Step = Stage::Waiting;
+  } else {
+    run(Now);
+  }
+}
+
+int SidecarCall::fd() const {
+  switch (Step) {
+  case Stage::Waiting:
+    return Wait->Wake.fd();
+  case Stage::Running:
+    return Connection->Socket.fd();
+  case Stage::New:
+  case Stage::Done:
+    break;
+  }
+  return -1;
+}
+
+policy::TimePoint SidecarCall::nextCheck() const {
+  return Step == Stage::Waiting ? std::min(Request.Deadline, Owner.nextExpiry())
+                                : Request.Deadline;
+}
+
+void SidecarCall::advance(policy::TimePoint Now) {
+  if (Step == Stage::Waiting) {
+    ErrorKind Refusal = ErrorKind::Overloaded;
+    switch (Owner.checkWait(*Wait, Now, Refusal)) {
+    case Sidecar::WaitStatus::Waiting:
+      return;
+    case Sidecar::WaitStatus::Refused:
+      finish(errorAnswer(Refusal, "no slot became free in time"));
+      return;
+    case Sidecar::WaitStatus::Granted:
+      run(Now);
+      return;
+    }
+  }
+  if (Step == Stage::Running) {
+    readAnswer(Now);
+    if (Step == Stage::Running && Now >= Request.Deadline) {
+      cancel(ErrorKind::DeadlineExceededUnknown, Now);
+    }
+  }
+}
+
+void SidecarCall::cancel(ErrorKind Kind, policy::TimePoint Now) {
+  if (Step == Stage::Waiting) {
+    Owner.abandon(*Wait, Now);
+    finish(errorAnswer(Kind, "ended while it waited for a slot"));
+    return;
+  }
+  if (Step == Stage::Running) {
+    Owner.finishRun(Request, true);
+    Owner.linger(std::move(Connection), Now + LingerTime);
+    finish(errorAnswer(Kind, "ended before the backend server answered"));
+  }
+}
+
+void SidecarCall::run(policy::TimePoint Now) {
+  if (!connect(Now)) {
+    Owner.onConnectFailure(Now);
+    refuseBeforeRun(ErrorKind::BackendConnectFailed,
+                    "the backend server does not accept connections", Now);
+    return;
+  }
+  if (const auto Refusal = Owner.beginRun(Request, Now)) {
+    Owner.pool().give(std::move(Connection));
+    refuseBeforeRun(*Refusal, "refused by the record of runs", Now);
+    return;
+  }
+  Step = Stage::Running;
+  Sent = Now;
+  // A broken connection shows when the answer is read.
+  if (!send(Now)) {
+    readAnswer(Now);
+  }
+}
+
+bool SidecarCall::connect(policy::TimePoint Now) {
+  Connection = Owner.pool().takeIdle();
+  if (!Connection) {
+    Connection = Owner.pool().open(
+        std::min(Request.Deadline, Now + Owner.options().ConnectTimeout));
+    if (Connection) {
+      Owner.metrics().count(Counter::BackendConnections);
+    }
+  }
+  return Connection != nullptr;
+}
+
+bool SidecarCall::send(policy::TimePoint Now) {
+  HttpRequest Outgoing = backendRequest(Now);
+  Connection->Reader.begin(Request.Method);
+  return sendAll(Connection->Socket.fd(),
+                 requestHead(Outgoing, Request.Service), Request.Body,
+                 Request.Deadline);
+}
+
+HttpRequest SidecarCall::backendRequest(policy::TimePoint Now) {
+  HttpRequest Outgoing;
+  Outgoing.Method = Request.Method;
+  Outgoing.Target = Request.Target;
+  for (const HttpHeader &Header : Request.Headers) {
+    const bool Own = std::any_of(
+        OwnHeaders.begin(), OwnHeaders.end(),
+        [&](std::string_view Name) { return equalNames(Header.Name, Name); });
+    if (!Own) {
+      Outgoing.Headers.push_back(Header);
+    }
+  }
+  const auto Left =
+      std::chrono::ceil<std::chrono::milliseconds>(Request.Deadline - Now);
+  Outgoing.Headers.push_back({std::string(policy::RequestIdHeader),
+                              policy::formatRequestId(Request.Id)});
+  Outgoing.Headers.push_back(
+      {std::string(policy::DeadlineHeader),
+       std::to_string(std::max<std::int64_t>(Left.count(), 0))});
+  Outgoing.Headers.push_back(
+      {std::string(policy::HopsHeader), std::to_string(Request.Hops)});
+  return Outgoing;
+}
+
+void SidecarCall::readAnswer(policy::TimePoint Now) {
+  for (;;) {
+    const auto Count =
+        receiveSome(Connection->Socket.fd(), Connection->Reader.room());
+    if (Count == 0) {
+      return;
+    }
+    if (Count < 0) {
+      answerBroken(Now, "the backend server closed the connection");
+      return;
+    }
+    HeardBackend = true;
+    Connection->Reader.commit(static_cast<std::size_t>(Count));
+    switch (Connection->Reader.read()) {
+    case HttpReadStatus::NeedMore:
+      continue;
+    case HttpReadStatus::Ready:
+      takeAnswer(Now);
+      return;
+    case HttpReadStatus::BodyTooLarge:
+      answerTooLarge(Now);
+      return;
+    case HttpReadStatus::HeadTooLarge:
+    case HttpReadStatus::Malformed:
+      answerBroken(Now, "the backend server's answer is malformed or has no "
+                        "stated length");
+      return;
+    }
+  }
+}
+
+void SidecarCall::takeAnswer(policy::TimePoint Now) {
+  HttpResponse Response = Connection->Reader.takeResponse();
+  const bool Reusable = Response.KeepAlive && !Connection->Reader.hasBytes();
+  if (Reusable) {
+    Owner.pool().give(std::move(Connection));
+  }
+  Connection.reset();
+  Owner.onBackendIncarnation(incarnationOf(Response.Headers), Now);
+  const bool Drains = findHeader(Response.Headers, DrainingHeader) != nullptr;
+  const bool Sheds = findHeader(Response.Headers, ShedHeader) != nullptr;
+  if (Response.Status == RefusalStatus && (Drains || Sheds)) {
+    Owner.metrics().count(Counter::BackendSheds);
+    if (Drains) {
+      Owner.onBackendDraining();
+    }
+    Owner.finishRun(Request, false);
+    Owner.complete({.Latency = Now - Sent, .Failed = true}, Now);
+    finish(errorAnswer(Drains ? ErrorKind::Draining : ErrorKind::Overloaded,
+                       "refused by the backend server"));
+    return;
+  }
+  Owner.finishRun(Request, true);
+  constexpr std::uint16_t FirstServerError = 500;
+  Owner.complete(
+      {.Latency = Now - Sent, .Failed = Response.Status >= FirstServerError},
+      Now);
+  Owner.metrics().time(Timing::Backend, Now - Sent);
+  CallAnswer Ended;
+  Ended.Status = Response.Status;
+  const std::string *Length = findHeader(Response.Headers, "Content-Length");
+  const bool KeepLength = Length && !hasBody(Response.Status, Request.Method);
+  const std::string Kept = KeepLength ? *Length : std::string();
+  removeHopByHop(Response.Headers);
+  std::erase_if(Response.Headers, isSystemStatement);
+  if (KeepLength) {
+    Response.Headers.push_back({"Content-Length", Kept});
+  }
+  Ended.Headers = std::move(Response.Headers);
+  Ended.Body = std::move(Response.Body);
+  finish(std::move(Ended));
+}
+
+// An idle connection that the backend server closes just as a request is sent
+// gives no answer at all; an idempotent request then runs on a new one.
+void SidecarCall::answerBroken(policy::TimePoint Now, std::string Reason) {
+  const bool Repeat = Connection->Reused && !HeardBackend && Request.Idempotent;
+  Connection.reset();
+  if (Repeat) {
+    Connection = Owner.pool().open(
+        std::min(Request.Deadline, Now + Owner.options().ConnectTimeout));
+    if (Connection && send(Now)) {
+      return;
+    }
+  }
+  Connection.reset();
+  Owner.metrics().count(Counter::BackendBrokenAnswers);
+  Owner.onConnectFailure(Now);
+  Owner.finishRun(Request, true);
+  Owner.complete({.Latency = Now - Sent, .Failed = true}, Now);
+  finish(errorAnswer(ErrorKind::BackendBrokenAnswer, std::move(Reason)));
+}
+
+void SidecarCall::answerTooLarge(policy::TimePoint Now) {
+  Owner.finishRun(Request, true);
+  Owner.linger(std::move(Connection), Now + LingerTime);
+  finish(errorAnswer(
+      ErrorKind::AnswerTooLarge,
+      "the answer body is over " +
+          std::to_string(Owner.options().AnswerLimits.BodyBytes) + " bytes"));
+}
+
+void SidecarCall::refuseBeforeRun(ErrorKind Kind, std::string Detail,
+                                  policy::TimePoint Now) {
+  Owner.complete({.NotSent = true}, Now);
+  finish(errorAnswer(Kind, std::move(Detail)));
+}
+
+void SidecarCall::finish(CallAnswer Ended) {
+  Step = Stage::Done;
+  Answer = std::move(Ended);
+  Answer.Load = Owner.load();
+  if (Sent != policy::TimePoint{}) {
+    Owner.metrics().time(Timing::SidecarOwn, Sent - Arrived);
+  }
+}
+
+} // namespace magnolia::daemon
--- /dev/null
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -0,0 +1,65 @@
+#ifndef DAEMON_SIDECAR_SIDECAR_CALL_H
+#define DAEMON_SIDECAR_SIDECAR_CALL_H
+
+#include "daemon/peer/call.h"
+#include "daemon/sidecar/sidecar.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+namespace magnolia::daemon {
+
+// One request at the sidecar, from admission to the answer of the backend
+// server, without blocking in between. The entry node uses it directly where
+// it chooses its own backend server.
+class SidecarCall {
+public:
+  SidecarCall(Sidecar &Owner, CallRequest Given);
+  // Cancels the request where it is not done.
+  ~SidecarCall();
+  SidecarCall(const SidecarCall &) = delete;
+  SidecarCall &operator=(const SidecarCall &) = delete;
+
+  void start(policy::TimePoint Now);
+  void advance(policy::TimePoint Now);
+  // Ends the request at once with an error of this kind.
+  void cancel(policy::ErrorKind Kind, policy::TimePoint Now);
+
+  [[nodiscard]] bool done() const { return Step == Stage::Done; }
+  // Descriptor that becomes readable when advance has something to do.
+  [[nodiscard]] int fd() const;
+  [[nodiscard]] policy::TimePoint nextCheck() const;
+  [[nodiscard]] const CallRequest &request() const { return Request; }
+  // Valid once done.
+  [[nodiscard]] CallAnswer &answer() { return Answer; }
+
+private:
+  enum class Stage : std::uint8_t { New, Waiting, Running, Done };
+
+  void run(policy::TimePoint Now);
+  [[nodiscard]] bool connect(policy::TimePoint Now);
+  [[nodiscard]] bool send(policy::TimePoint Now);
+  void readAnswer(policy::TimePoint Now);
+  void takeAnswer(policy::TimePoint Now);
+  void answerBroken(policy::TimePoint Now, std::string Reason);
+  void answerTooLarge(policy::TimePoint Now);
+  void refuseBeforeRun(policy::ErrorKind Kind, std::string Detail,
+                       policy::TimePoint Now);
+  void finish(CallAnswer Ended);
+  [[nodiscard]] HttpRequest backendRequest(policy::TimePoint Now);
+
+  Sidecar &Owner;
+  CallRequest Request;
+  Stage Step = Stage::New;
+  std::shared_ptr<SlotWait> Wait;
+  std::unique_ptr<BackendConnection> Connection;
+  bool HeardBackend = false;
+  policy::TimePoint Arrived{};
+  policy::TimePoint Sent{};
+  CallAnswer Answer;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- a/packages/daemon/src/daemon/view/local_backend.cpp
+++ b/packages/daemon/src/daemon/view/local_backend.cpp
@@ -16,6 +16,10 @@
   change([Draining](LocalBackendState &Next) { Next.Draining = Draining; });
 }
 
+void LocalBackend::setPresent(bool Present) {
+  change([Present](LocalBackendState &Next) { Next.Present = Present; });
+}
+
 void LocalBackend::setIncarnation(policy::Incarnation Run) {
   change([Run](LocalBackendState &Next) { Next.Run = Run; });
 }
--- a/packages/daemon/src/daemon/view/local_backend.h
+++ b/packages/daemon/src/daemon/view/local_backend.h
@@ -35,6 +35,7 @@
   void setListener(Listener NewListener);
   void update(LocalBackendState NewState);
   void setDraining(bool Draining);
+  void setPresent(bool Present);
   void setIncarnation(policy::Incarnation Run);
 
   [[nodiscard]] LocalBackendState state() const;
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,155 @@
+#include "daemon/log/log.h"
+#include "daemon/node/node.h"
+#include "settings/node/read_settings.h"
+#include "wire/seal/cluster_key.h"
+
+#include <getopt.h>
+#include <pthread.h>
+
+#include <csignal>
+#include <cstdio>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace {
+
+using namespace magnolia;
+
+constexpr const char *Usage =
+    "Usage: magnoliad --config FILE [--check]\n"
+    "       magnoliad --print-settings | --version | --help\n"
+    "\n"
+    "Runs one node of magnoliatray: entry node for callers and sidecar of the\n"
+    "backend server beside it.\n"
+    "\n"
+    "  -c, --config FILE     settings file\n"
+    "      --check           check the settings file and exit\n"
+    "      --print-settings  print the reference page of all settings\n"
+    "      --version         print the version\n"
+    "  -h, --help            print this text\n";
+
+// Exit status for a wrong command line, as for other Unix tools.
+constexpr int UsageStatus = 2;
+
+struct CommandLine {
+  std::string Config;
+  bool Check = false;
+  // Exit status, where the command line alone decides it.
+  std::optional<int> Status;
+};
+
+CommandLine parseCommandLine(int Count, char **Words) {
+  enum Long { Check = 256, PrintSettings, Version };
+  static constexpr option Options[] = {
+      {"config", required_argument, nullptr, 'c'},
+      {"check", no_argument, nullptr, Check},
+      {"print-settings", no_argument, nullptr, PrintSettings},
+      {"version", no_argument, nullptr, Version},
+      {"help", no_argument, nullptr, 'h'},
+      {nullptr, 0, nullptr, 0}};
+  CommandLine Line;
+  for (int Word = 0;
+       !Line.Status &&
+       (Word = getopt_long(Count, Words, "c:h", Options, nullptr)) != -1;) {
+    switch (Word) {
+    case 'c':
+      Line.Config = optarg;
+      break;
+    case Check:
+      Line.Check = true;
+      break;
+    case PrintSettings:
+      std::fputs(settings::settingsPage().c_str(), stdout);
+      Line.Status = 0;
+      break;
+    case Version:
+      std::puts("magnoliad " MAGNOLIA_VERSION);
+      Line.Status = 0;
+      break;
+    case 'h':
+      std::fputs(Usage, stdout);
+      Line.Status = 0;
+      break;
+    default:
+      std::fputs(Usage, stderr);
+      Line.Status = UsageStatus;
+      break;
+    }
+  }
+  if (!Line.Status && (Line.Config.empty() || optind < Count)) {
+    std::fputs(Usage, stderr);
+    Line.Status = UsageStatus;
+  }
+  return Line;
+}
+
+int fail(const policy::Error &Reason) {
+  std::fprintf(stderr, "magnoliad: %s\n", Reason.Detail.c_str());
+  return 1;
+}
+
+// Signals are taken by sigwait in the main thread, so every other thread has
+// to block them.
+sigset_t blockSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return Signals;
+}
+
+int runNode(settings::NodeSettings Settings, wire::ClusterKey Key) {
+  const sigset_t Signals = blockSignals();
+  daemon::Node Node(std::move(Settings), std::move(Key));
+  policy::Error LastError;
+  if (!Node.start(LastError)) {
+    return fail(LastError);
+  }
+  daemon::log(daemon::LogLevel::Info, "started",
+              {{"node", Node.Id},
+               {"incarnation", Node.Run},
+               {"address", std::string_view(Node.Settings.Address)},
+               {"http_port", std::uint64_t{Node.Settings.HttpPort}},
+               {"peer_port", std::uint64_t{Node.Settings.PeerPort}}});
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+  daemon::log(daemon::LogLevel::Info, "stopping",
+              {{"signal", static_cast<std::uint64_t>(Signal)}});
+  Node.beginStop();
+  std::this_thread::sleep_for(Node.Settings.ShutdownAnnounce);
+  const bool Whole = Node.finishStop();
+  daemon::log(Whole ? daemon::LogLevel::Info : daemon::LogLevel::Warning,
+              "stopped", {{"all_requests_ended", Whole}});
+  return 0;
+}
+
+} // namespace
+
+int main(int Count, char **Words) {
+  const CommandLine Line = parseCommandLine(Count, Words);
+  if (Line.Status) {
+    return *Line.Status;
+  }
+  policy::Error LastError;
+  auto Settings = settings::readSettings(Line.Config, LastError);
+  if (!Settings) {
+    return fail(LastError);
+  }
+  auto Key = wire::readClusterKey(Settings->ClusterKeyFile, LastError);
+  if (!Key) {
+    return fail(LastError);
+  }
+  if (Line.Check) {
+    std::puts("the settings are valid");
+    return 0;
+  }
+  if (!daemon::startLog(daemon::logLevelOf(Settings->LogLevel),
+                        Settings->LogFile)) {
+    return fail({policy::ErrorKind::BadRequest,
+                 "the log file " + Settings->LogFile + " cannot be opened"});
+  }
+  return runNode(std::move(*Settings), std::move(*Key));
+}
--- /dev/null
+++ b/packages/wire/src/wire/convert/convert.cpp
@@ -0,0 +1,53 @@
+#include "wire/convert/convert.h"
+
+#include "wire/types.pb.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace magnolia::wire {
+
+namespace {
+
+// Longer latencies from the wire are cut, so that no arithmetic on them
+// overflows.
+constexpr std::uint64_t LatencyMaximumUs = 3'600'000'000;
+
+} // namespace
+
+policy::LoadReport fromWire(const LoadReport &Message) {
+  return {.InFlight = Message.in_flight(),
+          .Limit = Message.limit(),
+          .Waiting = Message.waiting(),
+          .Latency = std::chrono::microseconds(
+              std::min<std::uint64_t>(Message.latency_us(), LatencyMaximumUs)),
+          .Run = Message.incarnation(),
+          .Draining = Message.draining(),
+          .ColdStart = Message.cold_start()};
+}
+
+void toWire(const policy::LoadReport &Report, LoadReport &Message) {
+  Message.set_in_flight(Report.InFlight);
+  Message.set_limit(Report.Limit);
+  Message.set_waiting(Report.Waiting);
+  Message.set_latency_us(static_cast<std::uint64_t>(
+      std::chrono::duration_cast<std::chrono::microseconds>(Report.Latency)
+          .count()));
+  Message.set_incarnation(Report.Run);
+  Message.set_draining(Report.Draining);
+  Message.set_cold_start(Report.ColdStart);
+}
+
+policy::RequestId fromWire(const RequestId &Message) {
+  return {.Origin = Message.origin(),
+          .Run = Message.incarnation(),
+          .Sequence = Message.sequence()};
+}
+
+void toWire(const policy::RequestId &Id, RequestId &Message) {
+  Message.set_origin(Id.Origin);
+  Message.set_incarnation(Id.Run);
+  Message.set_sequence(Id.Sequence);
+}
+
+} // namespace magnolia::wire
--- /dev/null
+++ b/packages/wire/test/wire/convert/convert.cpp
@@ -0,0 +1,37 @@
+#include "wire/convert/convert.h"
+
+#include "wire/types.pb.h"
+
+#include <gtest/gtest.h>
+
+namespace magnolia::wire {
+namespace {
+
+// Guards against a field that is lost or swapped on the wire.
+TEST(Convert, LoadReportAndRequestIdSurviveARoundTrip) {
+  const policy::LoadReport Report{.InFlight = 1,
+                                  .Limit = 2,
+                                  .Waiting = 3,
+                                  .Latency = std::chrono::microseconds(4),
+                                  .Run = 5,
+                                  .Draining = true,
+                                  .ColdStart = false};
+  LoadReport Message;
+  toWire(Report, Message);
+  EXPECT_EQ(fromWire(Message), Report);
+
+  const policy::RequestId Id{.Origin = 6, .Run = 7, .Sequence = 8};
+  RequestId IdMessage;
+  toWire(Id, IdMessage);
+  EXPECT_EQ(fromWire(IdMessage), Id);
+}
+
+// Guards against overflow by a latency that no backend server has.
+TEST(Convert, AbsurdLatencyIsCut) {
+  LoadReport Message;
+  Message.set_latency_us(~0ULL);
+  EXPECT_EQ(fromWire(Message).Latency, std::chrono::hours(1));
+}
+
+} // namespace
+} // namespace magnolia::wire
