Run the control thread in magnoliad

Cause: magnoliad served only backend servers from its settings file. Change: the node starts the control thread unless [static] lists backend servers; the sidecar refuses work while its zone is out of service and takes over an incarnation that the fleet raised. Conclusion: nodes find each other and take configuration from the store.

--- a/packages/daemon/src/daemon/control/control_thread.h
+++ b/packages/daemon/src/daemon/control/control_thread.h
@@ -5,12 +5,13 @@
 #include "daemon/view/fwd.h"
 #include "policy/core/fwd.h"
 
-#include <functional>
 #include <memory>
 #include <string>
 
 namespace magnolia::daemon {
 
+class Sidecar;
+
 // Owner of the control state of a node: membership, configuration, zones and
 // moves. All of it is read and changed on one thread; the traffic threads see
 // the views that it publishes.
@@ -23,8 +24,9 @@
     EvidenceRecorder &Evidence;
     LocalBackend &Backend;
     VersionCuts &Cuts;
-    // State of the traffic threads as JSON, for the dump; may be empty.
-    std::function<std::string()> TrafficDump;
+    // The sidecar of this node refuses new work while its zone is out of
+    // service, whatever the entry nodes know.
+    Sidecar &Own;
   };
 
   // Opens the sockets and starts the thread.
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -4,6 +4,7 @@
 #include "daemon/control/config_keys.h"
 #include "daemon/control/view_builder.h"
 #include "daemon/log/log.h"
+#include "daemon/sidecar/sidecar.h"
 #include "daemon/view/evidence_recorder.h"
 #include "daemon/view/view_holder.h"
 #include "settings/record/format_record.h"
@@ -248,6 +249,8 @@
                            [](const auto &Move) {
                              return !policy::hasEnded(Move.second);
                            });
+  Shared.Own.setRun(Membership->self().Run);
+  Shared.Own.setZoneOut(View.ZonesOut.contains(Options.Self.Zone));
   Shared.Views.publish(std::move(View));
 }
 
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-// Cost of the way to another zone for backend servers from [static]: a round
-// trip between the zones of one region.
+// Cost of the way to another zone: a round trip between the zones of one
+// region.
 constexpr policy::Duration OtherZoneDistance = std::chrono::milliseconds(2);
 
 PeerPool::Options poolOptions(const settings::NodeSettings &Settings,
@@ -89,7 +89,11 @@
       PeerSide(Own, PeerOptions),
       Endpoints{.Backend = Backend,
                 .OwnAddress = Settings.Address,
-                .Metrics = [this] { return Counts.prometheusText(); },
+                .Metrics =
+                    [this] {
+                      return Counts.prometheusText() +
+                             (Control ? Control->metrics() : std::string());
+                    },
                 .Dump = [this] { return State.text(); },
                 .Announce = [this](const auto &Told) { announce(Told); }},
       CallerSide(Calls, Endpoints,
@@ -121,6 +125,9 @@
     Own.apply(Known, now());
     Backend.update(Known);
   }
+  if (Settings.Static.empty() && !startControl(LastError)) {
+    return false;
+  }
   if (!PeerServer.start(LastError) || !HttpServer.start(LastError)) {
     return false;
   }
@@ -135,6 +142,39 @@
   return true;
 }
 
+bool Node::startControl(policy::Error &LastError) {
+  ControlOptions Options = {.Self = {.Node = Id,
+                                     .Address = Settings.Address,
+                                     .PeerPort = Settings.PeerPort,
+                                     .ControlPort = Settings.ControlPort,
+                                     .GossipPort = Settings.GossipPort,
+                                     .HttpPort = Settings.HttpPort,
+                                     .Region = Settings.Region,
+                                     .Zone = Settings.Zone,
+                                     .Run = Run},
+                            .Key = Key,
+                            .StoreAddress = Settings.Store.Address,
+                            .StorePort = Settings.Store.Port,
+                            .ZoneDistance = OtherZoneDistance,
+                            .Seed = Id ^ Run};
+  for (const settings::HostPort &Contact : Settings.Contacts) {
+    Options.Contacts.push_back(
+        {.Address = Contact.Address, .GossipPort = Contact.Port});
+  }
+  Control = ControlThread::start(std::move(Options),
+                                 {.Views = Views,
+                                  .Evidence = Evidence,
+                                  .Backend = Backend,
+                                  .Cuts = Cuts,
+                                  .Own = Own},
+                                 LastError);
+  if (!Control) {
+    return false;
+  }
+  State.add("control", [this] { return Control->dump(); });
+  return true;
+}
+
 void Node::publishStatic() {
   std::map<std::string, ServiceView> Services;
   for (const settings::StaticEndpoint &Given : Settings.Static) {
@@ -175,6 +215,9 @@
 void Node::beginStop() {
   Own.drain();
   Backend.setDraining(true);
+  if (Control) {
+    Control->announceDraining();
+  }
   CallerSide.beginClose();
 }
 
@@ -186,7 +229,11 @@
   const bool CallersDone = HttpServer.waitEmpty(Deadline);
   PeerServer.stopAccepting();
   PeerServer.closeIdle();
-  return PeerServer.waitEmpty(Deadline) && CallersDone;
+  const bool PeersDone = PeerServer.waitEmpty(Deadline);
+  if (Control) {
+    Control->announceLeft();
+  }
+  return PeersDone && CallersDone;
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_NODE_NODE_H
 #define DAEMON_NODE_NODE_H
 
+#include "daemon/control/control_thread.h"
 #include "daemon/dump/dump.h"
 #include "daemon/entry/entry.h"
 #include "daemon/entry/http_service.h"
@@ -18,13 +19,13 @@
 #include "settings/node/node_settings.h"
 #include "wire/seal/cluster_key.h"
 
+#include <memory>
 #include <optional>
 
 namespace magnolia::daemon {
 
-// The data path of one node. The control thread works on its public parts:
-// it publishes views, drains the evidence, listens to the own backend server
-// and adds to the dump.
+// One node: the data path and the control thread, which publishes views, takes
+// the evidence and listens to the own backend server.
 class Node {
 public:
   Node(settings::NodeSettings Given, wire::ClusterKey Key);
@@ -52,8 +53,12 @@
 
 private:
   void publishStatic();
+  [[nodiscard]] bool startControl(policy::Error &LastError);
   void announce(const LocalBackendState &Announced);
 
+  // Outlives the traffic threads, which report their answers to it. Null with
+  // [static] backend servers.
+  std::unique_ptr<ControlThread> Control;
   PeerPool Peers;
   Sidecar Own;
   Entry Calls;
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -36,6 +36,10 @@
     return policy::Error{ErrorKind::StaleIncarnation,
                          "the backend server runs another version now"};
   }
+  if (ZoneOut) {
+    return policy::Error{ErrorKind::ZoneOut,
+                         "the availability zone is out of service"};
+  }
   const std::lock_guard Lock(Mutex);
   expireWaits(Now);
   const policy::AdmissionDecision Decision =
@@ -189,6 +193,13 @@
   policy::onBackendIncarnation(Admitted, State.Run, Now);
 }
 
+void Sidecar::setZoneOut(bool Out) { ZoneOut = Out; }
+
+void Sidecar::setRun(policy::Incarnation Run) {
+  const std::lock_guard Lock(Mutex);
+  Ledger.Self = Run;
+}
+
 void Sidecar::drain() {
   const std::lock_guard Lock(Mutex);
   policy::drain(Admitted);
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -11,6 +11,7 @@
 #include "policy/core/error.h"
 #include "policy/ledger/run_ledger.h"
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -96,6 +97,12 @@
   void apply(const LocalBackendState &State, policy::TimePoint Now);
   // Refuses new requests; those that wait or run go on.
   void drain();
+  // Refuses new requests while the zone of this node is out of service.
+  void setZoneOut(bool Out);
+  // Takes over the incarnation under which the fleet knows this node. It is
+  // higher than the one from the clock where an earlier run had a clock that
+  // was ahead.
+  void setRun(policy::Incarnation Run);
 
   // Holds a slot until the backend server has noticed the cancellation of the
   // request on this connection.
@@ -118,6 +125,7 @@
   LocalBackend &Backend;
   Metrics &Counts;
   BackendPool Pool;
+  std::atomic<bool> ZoneOut = false;
   mutable std::mutex Mutex;
   policy::AdmissionState Admitted;
   policy::RunLedger Ledger;
