Add the stand-in backend server

The loopback runs need a backend server with slots, a cold start, faults on demand and its own record of every run.

The stand-in sheds above its current capacity, restarts with a closed port, and composes bodies that show whether an answer is whole and matched.

--- /dev/null
+++ b/standin/backend/src/backend/backend_server.h
@@ -0,0 +1,92 @@
+#ifndef BACKEND_BACKEND_SERVER_H
+#define BACKEND_BACKEND_SERVER_H
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <httplib.h>
+#include <mutex>
+#include <random>
+#include <string>
+#include <thread>
+
+#include "backend/backend_options.h"
+#include "backend/connection.h"
+#include "backend/fault_plan.h"
+#include "backend/run_record.h"
+#include "backend/slot_state.h"
+
+namespace magnolia::standin {
+
+// Stand-in backend server: an HTTP server with slots, a cold start, faults on
+// demand and a record of what it ran.
+class BackendServer {
+public:
+  explicit BackendServer(BackendOptions Options);
+
+  // Binds the port; false where it is taken.
+  bool bind();
+
+  // Serves for the life of the process; a restart fault leaves the port
+  // closed for a while and then listens again.
+  void serve();
+
+  // Refuses new work from now on and waits, up to the limit, until nothing is
+  // in flight.
+  void drain(std::chrono::milliseconds Limit);
+
+  [[nodiscard]] std::uint64_t incarnation() const { return Incarnation; }
+
+private:
+  // One request on its way through the server.
+  struct Run {
+    std::string Path;
+    std::string Token;
+    int Socket = -1;
+    // The connection was open when the silent fault was set.
+    bool Silenced = false;
+    std::chrono::nanoseconds ServiceTime{0};
+    FaultEffect Effect;
+  };
+
+  void addRoutes();
+  void goDown(int KeptSocket);
+  void comeBack();
+  void answer(const httplib::Request &Request, httplib::Response &Response);
+  bool start(const httplib::Request &Request, Run &Started,
+             httplib::Response &Response);
+  void finish(const httplib::Request &Request, const Run &Started,
+              httplib::Response &Response);
+  void keepSilent(const Run &Silenced);
+  [[nodiscard]] bool connectionSilenced(const httplib::Request &Request);
+  [[nodiscard]] std::chrono::nanoseconds drawServiceTime();
+  void setFault(const httplib::Request &Request, httplib::Response &Response);
+  void report(httplib::Response &Response);
+  void writeRecord(const httplib::Request &Request,
+                   httplib::Response &Response);
+
+  BackendOptions Options;
+  httplib::Server Server;
+  int ListeningSocket = -1;
+  std::atomic<std::uint64_t> Incarnation;
+  std::atomic<std::uint64_t> SilentEpoch{0};
+  std::atomic<bool> Down{false};
+  std::thread Breaker;
+
+  std::mutex Mutex;
+  std::condition_variable Idle;
+  SlotState Slots;
+  RunRecord Record;
+  FaultPlan Plan;
+  std::uint64_t RequestsSinceFault = 0;
+  std::uint64_t Cancelled = 0;
+  bool Draining = false;
+  std::mt19937_64 Engine;
+  std::string LaggedReport;
+  TimePoint ReportedAt{0};
+};
+
+} // namespace magnolia::standin
+
+#endif
