--- /dev/null
+++ b/bench/loopback/relay.h
@@ -0,0 +1,16 @@
+#ifndef LOOPBACK_RELAY_H
+#define LOOPBACK_RELAY_H
+
+#include "caller_client.h"
+
+namespace magnolia::bench {
+
+// Copies bytes between connections to Listen and new ones to Target until the
+// process is ended. Two such relays in a row are the floor of the added
+// latency: a path with two more hops that does nothing else. Returns an exit
+// status where it can't listen.
+int relay(const Endpoint &Listen, const Endpoint &Target);
+
+} // namespace magnolia::bench
+
+#endif
--- /dev/null
+++ b/bench/loopback/settings_files.h
@@ -0,0 +1,28 @@
+#ifndef LOOPBACK_SETTINGS_FILES_H
+#define LOOPBACK_SETTINGS_FILES_H
+
+#include "deployment.h"
+
+#include <filesystem>
+#include <string>
+
+namespace magnolia::bench {
+
+// Files that the processes of a run read, in its temporary folder.
+
+// Text of a node's settings. The contacts are the first instance of each
+// zone. With static routes the node needs no control traffic.
+[[nodiscard]] std::string nodeSettings(const Deployment &Planned,
+                                       const InstancePlan &Instance,
+                                       const std::filesystem::path &Folder,
+                                       bool StaticRoutes);
+
+// Text of a service file; the probe floor distinguishes its editions.
+[[nodiscard]] std::string serviceFile(const std::string &Service,
+                                      int ProbeFloor);
+
+void writeFile(const std::filesystem::path &File, const std::string &Text);
+
+} // namespace magnolia::bench
+
+#endif
--- /dev/null
+++ b/bench/loopback/verdicts.cpp
@@ -0,0 +1,188 @@
+#include "verdicts.h"
+
+#include <algorithm>
+#include <cstddef>
+
+namespace magnolia::bench {
+
+namespace {
+
+std::uint32_t runsOf(const RunCounts &Runs, const std::string &Token) {
+  const auto Found = Runs.find(Token);
+  return Found == Runs.end() ? 0 : Found->second;
+}
+
+std::vector<double> samples(std::span<const CallResult> Results, Leg Way,
+                            double CallResult::*Value) {
+  std::vector<double> Samples;
+  for (const auto &Result : Results) {
+    if (Result.Planned.Way == Way && Result.End == CallEnd::Answered) {
+      Samples.push_back(Result.*Value);
+    }
+  }
+  return Samples;
+}
+
+// Wall clock of the first faulty response of the version that a caller saw, or
+// of its first faulty run where no caller saw one.
+std::int64_t firstFault(std::span<const CallResult> Results,
+                        std::span<const BackendRecord> Records,
+                        const std::string &Service,
+                        const std::string &Version) {
+  std::int64_t First = 0;
+  const auto Earlier = [&First](std::int64_t Time) {
+    if (Time != 0 && (First == 0 || Time < First)) {
+      First = Time;
+    }
+  };
+  for (const auto &Result : Results) {
+    if (Result.Planned.Service == Service && Result.Version == Version &&
+        Result.Status >= 500) {
+      Earlier(Result.EndWallMs);
+    }
+  }
+  if (First == 0) {
+    for (const auto &Record : Records) {
+      if (Record.Service == Service && Record.Version == Version) {
+        Earlier(Record.FirstFaultMs);
+      }
+    }
+  }
+  return First;
+}
+
+} // namespace
+
+RunCounts mergeRuns(std::span<const BackendRecord> Records) {
+  RunCounts Merged;
+  for (const auto &Record : Records) {
+    for (const auto &[Token, Count] : Record.Runs) {
+      Merged[Token] += Count;
+    }
+  }
+  return Merged;
+}
+
+std::vector<Measure> judgeCalls(std::span<const CallResult> Results,
+                                const RunCounts &Runs) {
+  double Calls = 0;
+  double Unmatched = 0;
+  double MostRuns = 0;
+  double FalseNotRun = 0;
+  double AnsweredNotRun = 0;
+  double NotRun = 0;
+  double Rejected = 0;
+  double Broken = 0;
+  for (const auto &Result : Results) {
+    if (Result.Planned.Way != Leg::System) {
+      continue;
+    }
+    ++Calls;
+    const auto Count = runsOf(Runs, Result.Planned.Token);
+    const bool SaysNotRun = Result.Run == "no";
+    Unmatched += Result.End == CallEnd::Answered && !Result.Matched ? 1 : 0;
+    NotRun += SaysNotRun ? 1 : 0;
+    FalseNotRun += SaysNotRun && Count > 0 ? 1 : 0;
+    AnsweredNotRun += Result.End == CallEnd::Answered && Count == 0 ? 1 : 0;
+    Rejected += Result.End == CallEnd::Rejected ? 1 : 0;
+    Broken += Result.End == CallEnd::Broken ? 1 : 0;
+    if (!Result.Planned.Idempotent) {
+      MostRuns = std::max(MostRuns, static_cast<double>(Count));
+    }
+  }
+  return {
+      figure("calls", Calls),
+      figure("rejected", Rejected),
+      figure("broken", Broken),
+      figure("not_run_answers_checked", NotRun),
+      atMost("responses_not_whole_or_not_matched", Unmatched, 0),
+      atMost("responses_without_a_run", AnsweredNotRun, 0),
+      atMost("non_idempotent_runs_max", MostRuns, 1),
+      atMost("not_run_answers_that_ran", FalseNotRun, 0),
+  };
+}
+
+std::vector<Measure> judgeRecords(std::span<const BackendRecord> Records) {
+  double Overloads = 0;
+  double Repeated = 0;
+  double Unrecorded = 0;
+  for (const auto &Record : Records) {
+    Overloads += static_cast<double>(Record.Overloads);
+    Repeated += static_cast<double>(Record.RepeatedIds);
+    Unrecorded += static_cast<double>(Record.Unrecorded);
+  }
+  return {atMost("overloads", Overloads, 0),
+          figure("request_ids_with_several_runs", Repeated),
+          atMost("runs_without_record", Unrecorded, 0)};
+}
+
+std::vector<Measure> judgeLatency(std::span<const CallResult> Results) {
+  const auto Own = samples(Results, Leg::System, &CallResult::OverheadMs);
+  const auto Direct = samples(Results, Leg::Direct, &CallResult::OverheadMs);
+  const auto Floor = samples(Results, Leg::Relays, &CallResult::OverheadMs);
+  const auto Added = [&Direct](const std::vector<double> &Samples,
+                               double Share) {
+    return percentile(Samples, Share) - percentile(Direct, Share);
+  };
+  return {
+      figure("latency_samples", static_cast<double>(Own.size())),
+      figure("direct_samples", static_cast<double>(Direct.size())),
+      figure("direct_p50_ms", percentile(Direct, 0.5)),
+      figure("direct_p99_ms", percentile(Direct, 0.99)),
+      figure("added_latency_floor_p50_ms", Added(Floor, 0.5)),
+      figure("added_latency_floor_p99_ms", Added(Floor, 0.99)),
+      figure("added_latency_p50_ms", Added(Own, 0.5)),
+      figure("added_latency_p99_over_direct_p50_ms",
+             percentile(Own, 0.99) - percentile(Direct, 0.5)),
+      atMost("added_latency_p99_ms", Added(Own, 0.99), 0.65),
+  };
+}
+
+std::vector<Measure> judgeTail(std::span<const CallResult> Results,
+                               const std::string &Service) {
+  std::vector<double> Own;
+  std::vector<double> RoundRobin;
+  for (const auto &Result : Results) {
+    if (Result.Planned.Service != Service || Result.End != CallEnd::Answered) {
+      continue;
+    }
+    if (Result.Planned.Way == Leg::System) {
+      Own.push_back(Result.LatencyMs);
+    } else if (Result.Planned.Way == Leg::RoundRobin) {
+      RoundRobin.push_back(Result.LatencyMs);
+    }
+  }
+  const double OwnTail = percentile(Own, 0.99);
+  const double OtherTail = percentile(RoundRobin, 0.99);
+  return {figure("slow_p99_ms", OwnTail),
+          figure("slow_round_robin_p99_ms", OtherTail),
+          atMost("slow_p99_over_round_robin_p99", OwnTail / OtherTail, 0.5)};
+}
+
+std::vector<Measure> judgeBadVersion(std::span<const CallResult> Results,
+                                     std::span<const BackendRecord> Records,
+                                     const std::string &Service,
+                                     const std::string &Version) {
+  double Total = 0;
+  double Bad = 0;
+  std::int64_t Last = 0;
+  for (const auto &Record : Records) {
+    if (Record.Service != Service) {
+      continue;
+    }
+    Total += static_cast<double>(Record.Requests);
+    if (Record.Version == Version) {
+      Bad += static_cast<double>(Record.Requests);
+      Last = std::max(Last, Record.LastRequestMs);
+    }
+  }
+  const auto First = firstFault(Results, Records, Service, Version);
+  const double Seconds =
+      First == 0 ? 0 : static_cast<double>(Last - First) / 1000.0;
+  return {figure("bad_version_requests", Bad),
+          figure("bad_version_fault_seen", First == 0 ? 0 : 1),
+          atMost("bad_version_share", Total > 0 ? Bad / Total : 0, 0.05),
+          atMost("bad_version_last_work_after_fault_s", Seconds, 2)};
+}
+
+} // namespace magnolia::bench
--- a/standin/backend/src/backend/backend_server.cpp
+++ b/standin/backend/src/backend/backend_server.cpp
@@ -59,9 +59,9 @@
     return new httplib::ThreadPool(Threads);
   };
   Server.set_tcp_nodelay(true);
+  // Connections stay open; these values only go into the Keep-Alive header.
   Server.set_keep_alive_max_count(1'000'000'000);
   Server.set_keep_alive_timeout(3600);
-  Server.set_read_timeout(60);
   // The library's own options would let two servers share a port.
   Server.set_socket_options([this](socket_t Socket) {
     const int On = 1;
@@ -155,11 +155,11 @@
 
 void BackendServer::answer(const httplib::Request &Request,
                            httplib::Response &Response) {
+  const auto Arrived = now();
   Run Started{.Path = Request.path,
               .Token = Request.get_header_value("X-Caller-Token"),
-              .Socket =
-                  connectionSocket(Request.local_port, Request.remote_port),
-              .Silenced = connectionSilenced(Request),
+              .Socket = PromptServer::currentSocket(),
+              .Silenced = PromptServer::currentConnection() <= LastSilenced,
               .ServiceTime = {},
               .Effect = {}};
   // Half of the requests on a silent connection run before it goes silent, so
@@ -173,6 +173,11 @@
     return;
   }
   finish(Request, Started, Response);
+  Response.set_header(
+      "Backend-Time-Us",
+      std::to_string(
+          std::chrono::duration_cast<std::chrono::microseconds>(now() - Arrived)
+              .count()));
   if (Started.Silenced) {
     keepSilent(Started);
   }
@@ -217,6 +222,10 @@
   {
     const std::lock_guard Lock(Mutex);
     leave(Slots, now());
+    if (FirstFaultMs == 0 &&
+        (Started.Effect.Fails || Started.Effect.Factor > 1.0)) {
+      FirstFaultMs = wallUs() / 1000;
+    }
     Cancelled += End == WaitEnd::Closed ? 1 : 0;
     if (Slots.InFlight == 0) {
       Idle.notify_all();
@@ -241,19 +250,6 @@
   breakConnection(Silenced.Socket);
 }
 
-bool BackendServer::connectionSilenced(const httplib::Request &Request) {
-  // A connection stays on one thread, so a change of the caller's port means
-  // a new connection.
-  thread_local int Port = 0;
-  thread_local std::uint64_t OpenedIn = 0;
-  const auto Epoch = SilentEpoch.load();
-  if (Port != Request.remote_port) {
-    Port = Request.remote_port;
-    OpenedIn = Epoch;
-  }
-  return OpenedIn != Epoch;
-}
-
 std::chrono::nanoseconds BackendServer::drawServiceTime() {
   std::exponential_distribution<double> Tail(1.0);
   const double Times = std::min(0.25 + 0.75 * Tail(Engine), MostServiceTimes);
@@ -276,10 +272,10 @@
   Plan = *Parsed;
   RequestsSinceFault = 0;
   if (Plan.Mode == FaultMode::Silent) {
-    ++SilentEpoch;
+    LastSilenced = PromptServer::connectionsAccepted();
   }
   if (Plan.Mode == FaultMode::Restart) {
-    goDown(connectionSocket(Request.local_port, Request.remote_port));
+    goDown(PromptServer::currentSocket());
   }
 }
 
@@ -311,6 +307,7 @@
                       {"cancelled", Cancelled},
                       {"unrecorded", Record.unrecorded()},
                       {"repeated_ids", Record.repeatedIds()},
+                      {"first_fault_ms", FirstFaultMs},
                       {"last_request_ms", Record.lastRequestMs()}};
   if (!Request.has_param("brief")) {
     Json["runs"] = Record.runs();
--- a/standin/backend/src/backend/backend_server.h
+++ b/standin/backend/src/backend/backend_server.h
@@ -14,6 +14,7 @@
 #include "backend/backend_options.h"
 #include "backend/connection.h"
 #include "backend/fault_plan.h"
+#include "backend/prompt_server.h"
 #include "backend/run_record.h"
 #include "backend/slot_state.h"
 
@@ -59,7 +60,6 @@
   void finish(const httplib::Request &Request, const Run &Started,
               httplib::Response &Response);
   void keepSilent(const Run &Silenced);
-  [[nodiscard]] bool connectionSilenced(const httplib::Request &Request);
   [[nodiscard]] std::chrono::nanoseconds drawServiceTime();
   void setFault(const httplib::Request &Request, httplib::Response &Response);
   void report(httplib::Response &Response);
@@ -67,10 +67,11 @@
                    httplib::Response &Response);
 
   BackendOptions Options;
-  httplib::Server Server;
+  PromptServer Server;
   int ListeningSocket = -1;
   std::atomic<std::uint64_t> Incarnation;
-  std::atomic<std::uint64_t> SilentEpoch{0};
+  // Connections up to this number answer no more.
+  std::atomic<std::uint64_t> LastSilenced{0};
   std::atomic<bool> Down{false};
   std::thread Breaker;
 
@@ -81,6 +82,8 @@
   FaultPlan Plan;
   std::uint64_t RequestsSinceFault = 0;
   std::uint64_t Cancelled = 0;
+  // Wall clock of the end of the first run that the fault changed.
+  std::int64_t FirstFaultMs = 0;
   bool Draining = false;
   std::mt19937_64 Engine;
   std::string LaggedReport;
--- a/standin/backend/src/backend/connection.cpp
+++ b/standin/backend/src/backend/connection.cpp
@@ -9,41 +9,12 @@
 
 namespace {
 
-// The library uses select(), so no socket is above this number.
+// Range that holds the sockets of all connections that the options allow.
 constexpr int FirstSocket = 3;
 constexpr int HighestSocket = 1023;
 
-bool isConnection(int Socket, int LocalPort, int RemotePort) {
-  sockaddr_in Local{};
-  sockaddr_in Remote{};
-  socklen_t Length = sizeof Remote;
-  if (getpeername(Socket, reinterpret_cast<sockaddr *>(&Remote), &Length) !=
-          0 ||
-      ntohs(Remote.sin_port) != RemotePort) {
-    return false;
-  }
-  Length = sizeof Local;
-  return getsockname(Socket, reinterpret_cast<sockaddr *>(&Local), &Length) ==
-             0 &&
-         ntohs(Local.sin_port) == LocalPort;
-}
-
 } // namespace
 
-int connectionSocket(int LocalPort, int RemotePort) {
-  thread_local int Last = -1;
-  if (Last >= 0 && isConnection(Last, LocalPort, RemotePort)) {
-    return Last;
-  }
-  for (int Socket = FirstSocket; Socket <= HighestSocket; ++Socket) {
-    if (isConnection(Socket, LocalPort, RemotePort)) {
-      Last = Socket;
-      return Socket;
-    }
-  }
-  return -1;
-}
-
 WaitEnd waitOrClosed(int Socket, std::chrono::nanoseconds Time) {
   if (Time.count() <= 0) {
     return WaitEnd::Elapsed;
--- a/standin/backend/src/backend/connection.h
+++ b/standin/backend/src/backend/connection.h
@@ -7,11 +7,6 @@
 
 enum class WaitEnd { Elapsed, Closed };
 
-// Socket of the connection that the calling thread serves, found by the
-// caller's port; -1 where there is none. cpp-httplib keeps a connection on one
-// thread and doesn't hand out its socket.
-[[nodiscard]] int connectionSocket(int LocalPort, int RemotePort);
-
 // Waits for the time or until the other end closes the connection.
 [[nodiscard]] WaitEnd waitOrClosed(int Socket, std::chrono::nanoseconds Time);
 
