Compute the tag of control messages in one place

Cause: wire/seal.h and wire/seal/seal.h computed different tags, so messages sealed by one could not be opened by the other. Change: wire/seal.h uses the tag of wire/seal/seal.h for control messages. Conclusion: one tag format for control messages.

--- a/packages/wire/src/wire/seal.h
+++ b/packages/wire/src/wire/seal.h
@@ -15,14 +15,12 @@
 // its tag is computed.
 inline constexpr std::size_t MaxSealedBody = 4U * 1024 * 1024;
 
-// Shortest accepted cluster key in bytes.
-inline constexpr std::size_t MinKeySize = 16;
-
-// Serialises the body and authenticates it with HMAC-SHA256 under the key.
+// Serialises the body and authenticates it with the tag of wire/seal/seal.h
+// for control messages, under the cluster key.
 [[nodiscard]] SealedMessage seal(std::string_view Key, const ControlBody &Body);
 
-// Body of an authentic message. Empty when the tag is wrong, or the body is
-// too long or not a ControlBody.
+// Body of an authentic message. Empty when the key is too short, the tag is
+// wrong, or the body is too long or not a ControlBody.
 [[nodiscard]] std::optional<ControlBody> open(std::string_view Key,
                                               const SealedMessage &Message,
                                               policy::Error &LastError);
