--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -1,6 +1,7 @@
 #include "simulation.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace magnolia::policy::bench {
 
@@ -42,7 +43,7 @@
 }
 
 Simulation::Simulation(const Scenario &From)
-    : Plan(From), Load(From.Seed), Service(From.Seed + 1000),
+    : Plan(From), Load(From.Seed), Noise(From.Seed + 1000),
       Policy(From.Seed + 2000) {
   const bool Cold = Plan.Kind == Fault::AllCold;
   Servers.resize(Plan.Size.Zones.size());
@@ -147,9 +148,9 @@
   case EventKind::Noise: {
     std::uniform_real_distribution<> Unit(0, 1);
     Servers[Next.Subject].Noise =
-        Unit(Service) < NoisyShare ? NoisyFactor : CalmFactor;
+        Unit(Noise) < NoisyShare ? NoisyFactor : CalmFactor;
     return post(EventKind::Noise,
-                fromSeconds(-std::log(1 - Unit(Service)) * seconds(NoiseEvery)),
+                fromSeconds(-std::log(1 - Unit(Noise)) * seconds(NoiseEvery)),
                 Next.Subject);
   }
   case EventKind::FaultOn:
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -77,6 +77,8 @@
 struct RequestModel {
   std::uint32_t Entry = 0;
   TimePoint Start{};
+  // Service time over the mean of the server.
+  double Work = 1;
   AttemptState State{};
   std::vector<NodeId> Tried{};
   bool Done = false;
@@ -139,8 +141,10 @@
 
   Scenario Plan;
   Measures Result;
+  // Arrivals with their work, noisy neighbours and the policy draw from
+  // engines of their own, so that every algorithm meets the same load.
   RandomEngine Load;
-  RandomEngine Service;
+  RandomEngine Noise;
   RandomEngine Policy;
   TimePoint Begin{std::chrono::seconds(1)};
   TimePoint Now = Begin;
--- a/bench/policy/simulation_entry.cpp
+++ b/bench/policy/simulation_entry.cpp
@@ -8,6 +8,8 @@
 
 // Probes per request of the baseline with pooled probes.
 constexpr int PooledProbesPerRequest = 2;
+// Shape of the lognormal service time.
+constexpr double Sigma = 0.5;
 constexpr auto Milli = static_cast<double>(
     std::chrono::duration_cast<Duration>(std::chrono::milliseconds(1)).count());
 
@@ -26,9 +28,12 @@
   const auto At = static_cast<std::uint32_t>(Load() % Entries.size());
   const bool Idempotent =
       std::bernoulli_distribution(Plan.IdempotentShare)(Load);
+  // Lognormal with mean one.
+  std::lognormal_distribution<> Work(-Sigma * Sigma / 2, Sigma);
   EntryModel &Entry = Entries[At];
   const auto Id = static_cast<std::uint32_t>(Requests.size());
   Requests.push_back({.Entry = At, .Start = Now});
+  Requests[Id].Work = Work(Load);
   Requests[Id].State.Idempotent = Idempotent;
   Requests[Id].State.Deadline = Now + Plan.Deadline;
   Result.Requests += counts(Now) ? 1 : 0;
--- a/bench/policy/simulation_server.cpp
+++ b/bench/policy/simulation_server.cpp
@@ -1,17 +1,9 @@
 #include "simulation.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace magnolia::policy::bench {
 
-namespace {
-
-// Shape of the lognormal service time.
-constexpr double Sigma = 0.5;
-
-} // namespace
-
 std::uint32_t Simulation::capacity(const ServerModel &Server) const {
   Duration Worked = Server.Worked;
   if (Server.InFlight > 0) {
@@ -99,8 +91,9 @@
   Attempt.RunAt = Now;
   const double Mean = static_cast<double>(Plan.Size.Service.count()) *
                       Server.Noise * Server.Slowness;
-  std::lognormal_distribution<> Time(std::log(Mean) - Sigma * Sigma / 2, Sigma);
-  post(EventKind::Finish, Duration{static_cast<std::int64_t>(Time(Service))},
+  post(EventKind::Finish,
+       Duration{
+           static_cast<std::int64_t>(Mean * Requests[Attempt.Request].Work)},
        Id);
 }
 
