--- a/packages/policy/src/policy/membership/membership_options.h
+++ b/packages/policy/src/policy/membership/membership_options.h
@@ -39,7 +39,8 @@
   Duration JoinPeriod = std::chrono::milliseconds{500};
   // Anti-entropy with one member whose digest differs.
   Duration SyncPeriod = std::chrono::minutes{5};
-  // Shorter while the table has not been filled by a first exchange.
+  // Time to the exchanges after start; each is four times as long as the one
+  // before, up to SyncPeriod.
   Duration FirstSyncPeriod = std::chrono::seconds{1};
   // Unreachable and Left members are kept this long.
   Duration Retention = std::chrono::hours{24};
--- a/packages/policy/src/policy/membership/membership_state.h
+++ b/packages/policy/src/policy/membership/membership_state.h
@@ -70,6 +70,8 @@
   TimePoint NextUnreachable;
   TimePoint NextContact;
   TimePoint NextSync;
+  // Time to the next exchange; grows up to SyncPeriod.
+  Duration SyncDelay{0};
   // Member last heard whose digest differs from the own one.
   NodeId DifferingMember = 0;
   bool Synchronized = false;
--- a/packages/policy/src/policy/membership/sync.cpp
+++ b/packages/policy/src/policy/membership/sync.cpp
@@ -17,8 +17,13 @@
   if (Now < State.NextSync || State.Table.Live <= 1) {
     return std::nullopt;
   }
-  const Duration Period = State.Synchronized ? State.Options.SyncPeriod
-                                             : State.Options.FirstSyncPeriod;
+  // Frequent at first: a node that starts with many others misses some of their
+  // updates.
+  const Duration Period =
+      std::max(State.SyncDelay, State.Options.FirstSyncPeriod);
+  if (State.Synchronized) {
+    State.SyncDelay = std::min(Period * 4, State.Options.SyncPeriod);
+  }
   // Spread over half a period, so that a fleet that started at once doesn't
   // exchange at once.
   const Duration Spread{std::uniform_int_distribution<Duration::rep>(
--- a/packages/policy/src/policy/membership/tick.cpp
+++ b/packages/policy/src/policy/membership/tick.cpp
@@ -49,8 +49,10 @@
   }
   ++State.Counters.Pauses;
   State.CurrentProbe.reset();
+  // Suspicions learned after the pause, but before this tick, are not extended.
+  const TimePoint Latest = Now + internal::suspicionTime(State);
   for (auto &[Node, Deadline] : State.Suspicions) {
-    Deadline += Gap;
+    Deadline = std::min(Deadline + Gap, Latest);
   }
 }
 
--- /dev/null
+++ b/packages/policy/test/policy/zone/zone.cpp
@@ -0,0 +1,86 @@
+#include "policy/zone/zone.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace magnolia::policy {
+namespace {
+
+using std::chrono::seconds;
+
+struct ZoneEvent {
+  int Second;
+  bool Out;
+  std::uint64_t Revision;
+};
+
+struct ZoneCase {
+  const char *GuardsAgainst;
+  std::vector<ZoneEvent> Events;
+  int Second;
+  double Low;
+  double High;
+};
+
+const ZoneCase Cases[] = {
+    {"a zone without a record receiving nothing", {}, 0, 1.0, 1.0},
+    {"new work for a zone out of service", {{0, true, 1}}, 0, 0.0, 0.0},
+    {"an older record bringing a zone back",
+     {{0, true, 2}, {1, false, 1}},
+     60,
+     0.0,
+     0.0},
+    {"a cold zone receiving its whole share at once",
+     {{0, true, 1}, {10, false, 2}},
+     10,
+     0.01,
+     0.1},
+    {"a ramp that doesn't grow", {{0, true, 1}, {10, false, 2}}, 25, 0.4, 0.6},
+    {"a zone that never gets back its whole share",
+     {{0, true, 1}, {10, false, 2}},
+     40,
+     1.0,
+     1.0},
+    {"a second return that skips the ramp",
+     {{0, true, 1}, {10, false, 2}, {50, true, 3}, {60, false, 4}},
+     60,
+     0.01,
+     0.1},
+    {"a change of the reason restarting the ramp",
+     {{0, true, 1}, {10, false, 2}, {50, false, 3}},
+     50,
+     1.0,
+     1.0},
+    {"a node that starts after the return ramping a warm zone",
+     {{0, false, 2}},
+     0,
+     1.0,
+     1.0},
+    {"a clock that stands behind the return yielding a negative weight",
+     {{0, true, 1}, {10, false, 2}},
+     5,
+     0.01,
+     0.1},
+};
+
+TEST(Zone, FaultCases) {
+  for (const ZoneCase &Case : Cases) {
+    SCOPED_TRACE(Case.GuardsAgainst);
+    ZoneView View;
+    for (const ZoneEvent &Event : Case.Events) {
+      applyZone(View,
+                {.Zone = "a",
+                 .Out = Event.Out,
+                 .Reason = "",
+                 .Revision = Event.Revision},
+                TimePoint{seconds{Event.Second}});
+    }
+    const double Weight = zoneWeight(View, TimePoint{seconds{Case.Second}});
+    EXPECT_GE(Weight, Case.Low);
+    EXPECT_LE(Weight, Case.High);
+  }
+}
+
+} // namespace
+} // namespace magnolia::policy
