Wait for other members before watching the store

Cause: a starting node knows only itself, takes itself for a watcher of its zone and reads the whole store; the restart of a zone of 650 nodes would be 650 full reads and contact writes at once. Change: a node watches one second after it knows another member, or after 3 to 5 s alone; it asks the store for contacts after 1 to 3 s.

--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -33,6 +33,12 @@
 constexpr policy::Duration ViewPeriod = std::chrono::milliseconds(500);
 // A node that knows no other member asks the store for contacts this often.
 constexpr policy::Duration JoinPeriod = std::chrono::seconds(3);
+// A node that starts knows only itself and would take itself for a watcher of
+// its zone. It waits for other members first, and longer where there are none,
+// so that the restart of a whole zone does not reach the store as one burst.
+constexpr policy::Duration SettleTime = std::chrono::seconds(1);
+constexpr policy::Duration AloneTime = std::chrono::seconds(3);
+constexpr policy::Duration StartSpread = std::chrono::seconds(2);
 constexpr policy::Duration ContactPeriod = std::chrono::seconds(30);
 
 std::vector<policy::Contact> contactsIn(const store::RangeResult &Range) {
@@ -104,6 +110,11 @@
     return false;
   }
   connectTraffic();
+  std::uniform_int_distribution<policy::Duration::rep> Spread(
+      0, StartSpread.count());
+  const policy::Duration Delay(Spread(Random));
+  NextJoin = steadyNow() + SettleTime + Delay;
+  AloneUntil = steadyNow() + AloneTime + Delay;
   Thread = std::thread([this] { run(); });
   return true;
 }
@@ -184,14 +195,20 @@
 }
 
 void ControlCore::watchStore() {
-  const bool Watch = Membership->isWatcher();
+  const policy::TimePoint Now = steadyNow();
+  if (!JoinedAt && Membership->members().size() > 1) {
+    JoinedAt = Now;
+  }
+  const bool Settled =
+      (JoinedAt && Now >= *JoinedAt + SettleTime) || Now >= AloneUntil;
+  const bool Watch = Settled && Membership->isWatcher();
   if (Watch != Store->isWatching()) {
     log(LogLevel::Info, Watch ? "store watch started" : "store watch ended");
     Store->setWatching(Watch);
-    NextContact = steadyNow();
+    NextContact = Now;
   }
-  if (Watch && steadyNow() >= NextContact) {
-    NextContact = steadyNow() + ContactPeriod;
+  if (Watch && Now >= NextContact) {
+    NextContact = Now + ContactPeriod;
     writeContact();
   }
 }
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -16,6 +16,7 @@
 #include "daemon/view/local_backend.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -75,6 +76,9 @@
   bool ViewVaries = false;
   policy::TimePoint LastView;
   policy::TimePoint NextJoin;
+  // When the first other member was known; until when a node waits for one.
+  std::optional<policy::TimePoint> JoinedAt;
+  policy::TimePoint AloneUntil;
   policy::TimePoint NextContact;
   std::thread Thread;
 };
