Let a service name the version that serves before any move

Cause: without a record of a move every version served, so a new version that was started beside the old one got traffic at once. Change: optional key version in [service] and in the service record; the view leaves other versions out until a move names them. Conclusion: a new version gets its first request from its move.

--- a/packages/daemon/src/daemon/control/view_builder.cpp
+++ b/packages/daemon/src/daemon/control/view_builder.cpp
@@ -54,10 +54,11 @@
           .Timeout = std::chrono::milliseconds(Route.TimeoutMs)};
 }
 
-// True where the version may serve under the move record of the service.
-bool mayServe(std::string_view Version, const policy::MoveRecord *Move) {
+// True where the version may serve under the records of the service.
+bool mayServe(std::string_view Version, const settings::ServiceRecord &Record,
+              const policy::MoveRecord *Move) {
   if (Move == nullptr) {
-    return true;
+    return Record.Version.empty() || Version == Record.Version;
   }
   switch (Move->Phase) {
   case policy::MovePhase::Planned:
@@ -102,7 +103,7 @@
   }
   if (const auto Found = Members.find(Record.Service); Found != Members.end()) {
     for (const policy::Member *const Other : Found->second) {
-      if (mayServe(Other->Version, Current)) {
+      if (mayServe(Other->Version, Record, Current)) {
         View.Backends.push_back(endpointOf(*Other, Input));
       }
     }
--- a/packages/daemon/test/daemon/control/view_builder.cpp
+++ b/packages/daemon/test/daemon/control/view_builder.cpp
@@ -105,6 +105,18 @@
   EXPECT_EQ(View.Services.at("catalogue")->Backends[1].Node, 2U);
 }
 
+// Guards against traffic for a new version that was started beside the old one
+// before any move was recorded.
+TEST(ViewBuilder, ServesTheVersionOfTheServiceWithoutAMove) {
+  FleetRecords Records;
+  Records.Services["catalogue"] = {.Service = "catalogue", .Version = "1"};
+  const std::vector<policy::Member> Members = {member(1, "1"), member(2, "2")};
+  const ClusterView View = buildView(
+      {.Self = Members[0], .Members = Members, .Records = Records});
+  ASSERT_EQ(View.Services.at("catalogue")->Backends.size(), 1U);
+  EXPECT_EQ(View.Services.at("catalogue")->Backends[0].Version, "1");
+}
+
 // Guards against new work for a zone that is out of service.
 TEST(ViewBuilder, ListsZonesOutOfService) {
   FleetRecords Records;
--- a/packages/settings/src/settings/record/check_service.cpp
+++ b/packages/settings/src/settings/record/check_service.cpp
@@ -84,6 +84,12 @@
                         "expected 1 to 64 letters, digits, '.', '_' and '-', "
                         "starting with a letter or digit"};
   }
+  if (!Service.Version.empty() && !isName(Service.Version)) {
+    return ServiceFault{{},
+                        "version",
+                        "expected a version of 1 to 64 letters, digits, '.', "
+                        "'_' and '-'"};
+  }
   if (!isWithin(Service.RetryRatio, MaxRetryRatio)) {
     return ServiceFault{{}, "retry_ratio", "expected a number from 0 to 1"};
   }
--- a/packages/settings/src/settings/record/format_record.cpp
+++ b/packages/settings/src/settings/record/format_record.cpp
@@ -46,6 +46,7 @@
   }
   return dump({{"service", Service.Service},
                {"operation_id", Service.OperationId},
+               {"version", Service.Version},
                {"routes", Routes},
                {"retry_ratio", Service.RetryRatio},
                {"probe_ratio", Service.ProbeRatio},
--- a/packages/settings/src/settings/record/parse_record.cpp
+++ b/packages/settings/src/settings/record/parse_record.cpp
@@ -75,6 +75,7 @@
   ServiceRecord Service;
   Service.Service = Fields.name("service");
   Service.OperationId = Fields.text("operation_id", MaxNameSize);
+  Service.Version = Fields.optionalText("version", MaxNameSize);
   Service.RetryRatio =
       Fields.real("retry_ratio", MaxRetryRatio, Service.RetryRatio);
   Service.ProbeRatio =
--- a/packages/settings/src/settings/service/parse_service_file.cpp
+++ b/packages/settings/src/settings/service/parse_service_file.cpp
@@ -138,8 +138,12 @@
            "every line at its first column";
   }
   if (Section == "service") {
-    State.File.Service.Service = Value;
-    return Key == "name" ? "" : "unknown key; use name";
+    if (Key != "name" && Key != "version") {
+      return "unknown key; use name or version";
+    }
+    (Key == "name" ? State.File.Service.Service : State.File.Service.Version) =
+        Value;
+    return {};
   }
   if (Section == "limits") {
     return readLimit(State.File.Service, Key, Value);
