--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -225,11 +225,9 @@
   const policy::TimePoint Deadline = now() + Settings.ShutdownTimeout;
   // Callers first: their requests may need the peer connections.
   HttpServer.stopAccepting();
-  HttpServer.closeIdle();
-  const bool CallersDone = HttpServer.waitEmpty(Deadline);
+  const bool CallersDone = HttpServer.drain(Deadline);
   PeerServer.stopAccepting();
-  PeerServer.closeIdle();
-  const bool PeersDone = PeerServer.waitEmpty(Deadline);
+  const bool PeersDone = PeerServer.drain(Deadline);
   if (Control) {
     Control->announceLeft();
   }
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -19,6 +19,7 @@
 #include "settings/node/node_settings.h"
 #include "wire/seal/cluster_key.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -39,6 +40,9 @@
   // not end in time.
   [[nodiscard]] bool finishStop();
 
+  // Port for callers, also where the settings leave the choice to the system.
+  [[nodiscard]] std::uint16_t httpPort() const { return HttpServer.port(); }
+
   const settings::NodeSettings Settings;
   const wire::ClusterKey Key;
   const policy::NodeId Id;
--- a/packages/daemon/test/daemon/control/view_builder.cpp
+++ b/packages/daemon/test/daemon/control/view_builder.cpp
@@ -111,8 +111,8 @@
   FleetRecords Records;
   Records.Services["catalogue"] = {.Service = "catalogue", .Version = "1"};
   const std::vector<policy::Member> Members = {member(1, "1"), member(2, "2")};
-  const ClusterView View = buildView(
-      {.Self = Members[0], .Members = Members, .Records = Records});
+  const ClusterView View =
+      buildView({.Self = Members[0], .Members = Members, .Records = Records});
   ASSERT_EQ(View.Services.at("catalogue")->Backends.size(), 1U);
   EXPECT_EQ(View.Services.at("catalogue")->Backends[0].Version, "1");
 }
