--- a/packages/policy/src/policy/config/spread.cpp
+++ b/packages/policy/src/policy/config/spread.cpp
@@ -4,6 +4,7 @@
 #include <random>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 
 namespace magnolia::policy {
 
@@ -67,6 +68,30 @@
   return Targets;
 }
 
+std::vector<Member> watchersOf(std::span<const Member> Members,
+                               std::size_t Count) {
+  using Ranked = std::pair<std::uint64_t, const Member *>;
+  std::unordered_map<std::string_view, std::vector<Ranked>> Zones;
+  for (const Member &Record : Members) {
+    if (!isLive(Record) || Record.Draining) {
+      continue;
+    }
+    std::vector<Ranked> &First = Zones[Record.Zone];
+    const Ranked Own{watcherRank(Record.Node), &Record};
+    First.insert(std::upper_bound(First.begin(), First.end(), Own), Own);
+    if (First.size() > Count) {
+      First.pop_back();
+    }
+  }
+  std::vector<Member> Watchers;
+  for (const auto &[Zone, First] : Zones) {
+    for (const auto &[Rank, Record] : First) {
+      Watchers.push_back(*Record);
+    }
+  }
+  return Watchers;
+}
+
 bool isWatcher(const Member &Self, std::span<const Member> Members,
                std::size_t Count) {
   const std::uint64_t Own = watcherRank(Self.Node);
--- a/packages/policy/src/policy/config/spread.h
+++ b/packages/policy/src/policy/config/spread.h
@@ -29,6 +29,12 @@
                              std::span<const Member> Members,
                              std::size_t Count = WatchersPerZone);
 
+// The watchers of all zones, in one pass over the members; each of them is one
+// for isWatcher() too.
+[[nodiscard]] std::vector<Member>
+watchersOf(std::span<const Member> Members,
+           std::size_t Count = WatchersPerZone);
+
 } // namespace magnolia::policy
 
 #endif
--- a/packages/policy/src/policy/membership/sync.cpp
+++ b/packages/policy/src/policy/membership/sync.cpp
@@ -56,7 +56,8 @@
     Newer +=
         internal::merge(State, Record, internal::Source::Sync, Now) ? 1 : 0;
   }
-  State.Synchronized = State.Synchronized || !Page.empty();
+  // A single record is what a node sends that asks for this node's page.
+  State.Synchronized = State.Synchronized || Page.size() > 1;
   return Newer;
 }
 
--- a/packages/policy/src/policy/move/brake.cpp
+++ b/packages/policy/src/policy/move/brake.cpp
@@ -1,68 +1,22 @@
 #include "policy/move/brake.h"
+#include "policy/move/internal/judge_routes.h"
+#include "policy/move/internal/ring.h"
 #include "policy/move/judge.h"
 
 #include <algorithm>
-#include <limits>
+#include <array>
 #include <span>
 
 namespace magnolia::policy {
 
 namespace {
 
-using Window = LocalBrake::Window;
-using RouteWindows = LocalBrake::RouteWindows;
+using RouteAnswers = LocalBrake::RouteAnswers;
 
-// Below this the old version is judged by all windows of the ring, because at
-// a high share of the new version it gets few requests.
-constexpr std::uint64_t FewOldRequests = 30;
-
-std::uint64_t windowNumber(TimePoint Now) {
-  // 0 marks a window that was never used.
-  return static_cast<std::uint64_t>(Now.time_since_epoch() / BrakeWindow) + 1;
-}
-
-void addToWindow(std::span<Window> Ring, std::uint64_t Number, bool Failed,
-                 Duration Latency) {
-  constexpr auto Full = std::numeric_limits<std::uint16_t>::max();
-  Window &Current = Ring[Number % Ring.size()];
-  if (Current.Number > Number) {
-    return;
-  }
-  if (Current.Number != Number) {
-    Current = Window{.Number = Number};
-  }
-  if (Current.Requests == Full) {
-    return;
-  }
-  ++Current.Requests;
-  if (Failed) {
-    ++Current.Failures;
-  } else {
-    ++Current.Latency[latencyBucket(Latency)];
-  }
-}
-
-VersionCounts sum(std::span<const Window> Ring, std::uint64_t Number,
-                  std::size_t Windows) {
-  VersionCounts Total;
-  for (const Window &One : Ring) {
-    if (One.Number == 0 || One.Number > Number ||
-        Number - One.Number >= Windows) {
-      continue;
-    }
-    Total.Requests += One.Requests;
-    Total.Failures += One.Failures;
-    for (std::size_t I = 0; I < VersionCounts::BucketCount; ++I) {
-      Total.Latency[I] += One.Latency[I];
-    }
-  }
-  return Total;
-}
-
-RouteWindows *routeOf(LocalBrake &Brake, std::string_view Route) {
+RouteAnswers *routeOf(LocalBrake &Brake, std::string_view Route) {
   const auto Found = std::find_if(
       Brake.Routes.begin(), Brake.Routes.end(),
-      [Route](const RouteWindows &Item) { return Item.Route == Route; });
+      [Route](const RouteAnswers &Item) { return Item.Route == Route; });
   if (Found != Brake.Routes.end()) {
     return &*Found;
   }
@@ -74,44 +28,82 @@
   return &Brake.Routes.back();
 }
 
-// What the counts of a route say now. Slowness counts after it has lasted.
-Verdict judge(RouteWindows &Item, TimePoint Now) {
-  const std::uint64_t Number = windowNumber(Now);
-  const VersionCounts New = sum(Item.New, Number, BrakeJudgedWindows);
-  VersionCounts Old = sum(Item.Old, Number, BrakeJudgedWindows);
-  if (Old.Requests < FewOldRequests) {
-    Old = sum(Item.Old, Number, LocalBrake::WindowCount);
-  }
-  const Comparison Result = compare(New, Old);
-  if (Result != Comparison::Slows) {
-    Item.SlowSince.reset();
-    return verdictOf(Result, Item.Route, New, Old);
-  }
-  if (!Item.SlowSince) {
-    Item.SlowSince = Now;
-  }
-  if (Now - *Item.SlowSince < BrakeSlowTime) {
-    return {};
-  }
-  return verdictOf(Result, Item.Route, New, Old);
+void count(RouteAnswers &Item, MoveSide Side, bool Failed, Duration Latency,
+           TimePoint Now) {
+  const bool IsNew = Side == MoveSide::New;
+  // Counted when the request was sent. By the time of the answer, the slow
+  // answers of a spell of noise would stand beside fast ones from after it.
+  AnswerRing::Window *Window =
+      internal::windowAt(Item.Ring, internal::windowNumber(Now - Latency));
+  if (Window != nullptr) {
+    addAnswer(IsNew ? Window->New : Window->Old, Failed, Latency);
+  }
+  addAnswer(IsNew ? Item.Step.New : Item.Step.Old, Failed, Latency);
+  addAnswer(IsNew ? Item.Report.New : Item.Report.Old, Failed, Latency);
+}
+
+Verdict judge(const LocalBrake &Brake, const RouteAnswers &Item,
+              TimePoint Now) {
+  Verdict Result = internal::judgeRoute(Item.Ring, Item.Route, Now);
+  // Only failures are judged by the whole step: a slow spell of the past says
+  // nothing of now.
+  if (Result.Kind == VerdictKind::None &&
+      failsMore(Item.Step.New, Item.Step.Old)) {
+    Result =
+        verdictOf(Comparison::Fails, Item.Route, Item.Step.New, Item.Step.Old);
+  }
+  if (Result.Kind == VerdictKind::None &&
+      internal::hasFewAnswers(Item.Ring, Now)) {
+    std::array<const AnswerRing *, LocalBrake::MaxRoutes> Rings{};
+    std::transform(Brake.Routes.begin(), Brake.Routes.end(), Rings.begin(),
+                   [](const RouteAnswers &Each) { return &Each.Ring; });
+    Result = internal::judgeTogether(
+        std::span(Rings).first(Brake.Routes.size()), Now);
+  }
+  return Result;
 }
 
 // A failure that no verdict follows from yet stops the new version for a
 // moment, unless the old one has failed lately as well.
-void pauseAfterFailure(LocalBrake &Brake, const RouteWindows &Item,
+void pauseAfterFailure(LocalBrake &Brake, const RouteAnswers &Item,
                        TimePoint Now) {
-  const std::uint64_t Number = windowNumber(Now);
-  const VersionCounts New = sum(Item.New, Number, BrakeJudgedWindows);
-  const VersionCounts Old = sum(Item.Old, Number, LocalBrake::WindowCount);
-  const bool OldFails = Old.Failures * New.Requests > 0;
+  const AnswerPair Recent = internal::pairedSum(
+      Item.Ring, internal::windowNumber(Now), AnswerRing::RecentCount);
   // One failure among many answers is no sign of a bad version.
   constexpr std::uint64_t ManyAnswers = 50;
-  if (!OldFails && New.Requests < ManyAnswers && Now >= Brake.PausedUntil) {
-    Brake.PausedUntil = Now + BrakePause;
-    ++Brake.Pauses;
+  if (Recent.Old.Failures > 0 || Recent.New.Requests >= ManyAnswers ||
+      Now < Brake.TrialUntil) {
+    return;
+  }
+  Brake.PausedUntil = Now + BrakePause;
+  Brake.TrialUntil = Brake.PausedUntil + BrakeTrial;
+  Brake.TrialRoute = static_cast<std::size_t>(&Item - Brake.Routes.data());
+  Brake.TrialAnswers = 0;
+  ++Brake.Pauses;
+}
+
+void followTrial(LocalBrake &Brake, const RouteAnswers &Item, TimePoint Now) {
+  const auto Index = static_cast<std::size_t>(&Item - Brake.Routes.data());
+  if (Now < Brake.PausedUntil || Now >= Brake.TrialUntil ||
+      Index != Brake.TrialRoute) {
+    return;
+  }
+  if (++Brake.TrialAnswers >= BrakeTrialAnswers) {
+    Brake.TrialUntil = Now;
   }
 }
 
+// Share that brings the trial about within a fraction of a second.
+double trialShare(const LocalBrake &Brake, TimePoint Now) {
+  const std::uint64_t Requests = internal::recentRequests(
+      Brake.Routes[Brake.TrialRoute].Ring, internal::windowNumber(Now));
+  const double Seconds = std::chrono::duration<double>(AnswerRing::WindowTime *
+                                                       AnswerRing::RecentCount)
+                             .count();
+  const double Rate = static_cast<double>(Requests) / Seconds;
+  return std::min(BrakeTrialRate / std::max(Rate, 1.0), BrakeTrialShare);
+}
+
 } // namespace
 
 void beginMove(LocalBrake &Brake, const MoveRecord &Record) {
@@ -119,27 +111,32 @@
     Brake = LocalBrake{};
     Brake.MoveId = Record.Id;
   }
+  if (Brake.Step != Record.Step) {
+    Brake.Step = Record.Step;
+    for (RouteAnswers &Item : Brake.Routes) {
+      Item.Step = {};
+    }
+  }
 }
 
 bool countAnswer(LocalBrake &Brake, std::string_view Route, MoveSide Side,
                  bool Failed, Duration Latency, TimePoint Now) {
-  RouteWindows *Item = routeOf(Brake, Route);
+  RouteAnswers *Item = routeOf(Brake, Route);
   if (Item == nullptr) {
     return false;
   }
-  const bool IsNew = Side == MoveSide::New;
-  addToWindow(IsNew ? Item->New : Item->Old, windowNumber(Now), Failed,
-              Latency);
-  addAnswer(IsNew ? Item->ReportNew : Item->ReportOld, Failed, Latency);
-  if (!IsNew || Brake.Held.Kind == VerdictKind::Bad) {
+  count(*Item, Side, Failed, Latency, Now);
+  if (Side == MoveSide::Old || Brake.Held.Kind == VerdictKind::Bad) {
     return false;
   }
-  Brake.Held = judge(*Item, Now);
+  Brake.Held = judge(Brake, *Item, Now);
   if (Brake.Held.Kind == VerdictKind::Bad) {
     return true;
   }
   if (Failed) {
     pauseAfterFailure(Brake, *Item, Now);
+  } else {
+    followTrial(Brake, *Item, Now);
   }
   return false;
 }
@@ -164,13 +161,18 @@
   case MovePhase::Shifting:
     break;
   }
-  const bool Braked =
-      Brake.MoveId == Record.Id &&
-      (Brake.Held.Kind == VerdictKind::Bad || Now < Brake.PausedUntil);
-  if (Braked || Now >= Record.Deadline) {
+  if (Now >= Record.Deadline) {
+    return 0.0;
+  }
+  const double Share = std::clamp(Record.Share, 0.0, 1.0);
+  if (Brake.MoveId != Record.Id) {
+    return Share;
+  }
+  if (Brake.Held.Kind == VerdictKind::Bad || Now < Brake.PausedUntil) {
     return 0.0;
   }
-  return std::clamp(Record.Share, 0.0, 1.0);
+  return Now < Brake.TrialUntil ? std::max(Share, trialShare(Brake, Now))
+                                : Share;
 }
 
 EvidenceReport takeReport(LocalBrake &Brake, const MoveRecord &Record,
@@ -181,12 +183,12 @@
                            .Window = Brake.NextReport++,
                            .Step = Record.Step,
                            .Routes = {}};
-  for (RouteWindows &Item : Brake.Routes) {
-    if (Item.ReportNew.Requests + Item.ReportOld.Requests > 0) {
-      Report.Routes.push_back(
-          {.Route = Item.Route, .New = Item.ReportNew, .Old = Item.ReportOld});
-      Item.ReportNew = {};
-      Item.ReportOld = {};
+  for (RouteAnswers &Item : Brake.Routes) {
+    if (Item.Report.New.Requests + Item.Report.Old.Requests > 0) {
+      Report.Routes.push_back({.Route = Item.Route,
+                               .New = Item.Report.New,
+                               .Old = Item.Report.Old});
+      Item.Report = {};
     }
   }
   return Report;
--- a/packages/policy/src/policy/move/brake.h
+++ b/packages/policy/src/policy/move/brake.h
@@ -11,22 +11,22 @@
 
 namespace magnolia::policy {
 
-// Length of one window of a LocalBrake.
-inline constexpr Duration BrakeWindow = std::chrono::milliseconds{250};
-
-// Windows that the new version is judged by.
-inline constexpr std::size_t BrakeJudgedWindows = 8;
-
-// A slow version is braked when it has been slow for this long, so that a
-// burst of noise on one instance doesn't end a move.
-inline constexpr Duration BrakeSlowTime = std::chrono::milliseconds{750};
-
-// Length of the pause after a first failure. The trial that follows comes
-// within the two seconds in which a bad version has to be cut off.
-inline constexpr Duration BrakePause = std::chrono::seconds{1};
-
-// Starts the brake of a move; the brake of an earlier move is forgotten, the
-// one of the same move kept.
+// Length of the pause after a first failure. The trial that follows ends within
+// the two seconds in which a bad version has to be cut off.
+inline constexpr Duration BrakePause = std::chrono::milliseconds{500};
+inline constexpr Duration BrakeTrial = std::chrono::milliseconds{900};
+
+// Answers of the new version without a failure, on the route that failed, that
+// end the trial.
+inline constexpr std::uint32_t BrakeTrialAnswers = 3;
+
+// Requests to the new version a second that a trial aims at on that route, and
+// the highest share that a node with little traffic takes for it.
+inline constexpr double BrakeTrialRate = 5.0;
+inline constexpr double BrakeTrialShare = 0.25;
+
+// Takes a record of the move over: a new move starts a new brake, a new step
+// new totals. What the brake holds of the same move stays.
 void beginMove(LocalBrake &Brake, const MoveRecord &Record);
 
 // Counts one answer and judges the route at once. Returns whether the verdict
--- a/packages/policy/src/policy/move/fwd.h
+++ b/packages/policy/src/policy/move/fwd.h
@@ -8,6 +8,8 @@
 enum class MovePhase : std::uint8_t;
 enum class MoveSide : std::uint8_t;
 enum class VerdictKind : std::uint8_t;
+struct AnswerPair;
+struct AnswerRing;
 struct EvidenceReport;
 struct LocalBrake;
 struct MoveEvidence;
--- a/packages/policy/src/policy/move/local_brake.h
+++ b/packages/policy/src/policy/move/local_brake.h
@@ -2,13 +2,12 @@
 #define POLICY_MOVE_LOCAL_BRAKE_H
 
 #include "policy/core/types.h"
+#include "policy/move/answer_pair.h"
+#include "policy/move/answer_ring.h"
 #include "policy/move/verdict.h"
-#include "policy/move/version_counts.h"
 
-#include <array>
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -21,32 +20,27 @@
 // with the functions of brake.h only.
 struct LocalBrake {
   static constexpr std::size_t MaxRoutes = 64;
-  static constexpr std::size_t WindowCount = 32;
-
-  // Counts of one window; smaller than VersionCounts, as there are many.
-  struct Window {
-    std::uint64_t Number = 0;
-    std::uint16_t Requests = 0;
-    std::uint16_t Failures = 0;
-    std::array<std::uint16_t, VersionCounts::BucketCount> Latency{};
-  };
-
-  struct RouteWindows {
+  struct RouteAnswers {
     std::string Route;
-    std::array<Window, WindowCount> New;
-    std::array<Window, WindowCount> Old;
+    AnswerRing Ring;
+    // Totals since the step began. With little traffic the failures of a bad
+    // version are further apart than the ring reaches.
+    AnswerPair Step;
     // Totals since the last report to the driver.
-    VersionCounts ReportNew;
-    VersionCounts ReportOld;
-    // Since when the new version is seen to be slow without interruption.
-    std::optional<TimePoint> SlowSince;
+    AnswerPair Report;
   };
 
   std::string MoveId;
-  std::vector<RouteWindows> Routes;
+  std::uint32_t Step = 0;
+  std::vector<RouteAnswers> Routes;
   Verdict Held;
   // The new version gets no work until then, while a first failure is checked.
   TimePoint PausedUntil;
+  // End of the trial that follows the pause, the route that it is about, and
+  // the answers of the new version there that end it earlier.
+  TimePoint TrialUntil;
+  std::size_t TrialRoute = 0;
+  std::uint32_t TrialAnswers = 0;
   std::uint64_t NextReport = 1;
   std::uint64_t Pauses = 0;
   // Answers not counted because there are too many routes.
--- a/packages/policy/src/policy/move/move_evidence.cpp
+++ b/packages/policy/src/policy/move/move_evidence.cpp
@@ -1,63 +1,44 @@
 #include "policy/move/move_evidence.h"
+#include "policy/move/internal/judge_routes.h"
+#include "policy/move/internal/ring.h"
 #include "policy/move/judge.h"
 
 #include <algorithm>
-#include <chrono>
+#include <optional>
 
 namespace magnolia::policy {
 
 namespace {
 
-// Length of the recent window; judged with the one before it.
-constexpr Duration RecentTime = std::chrono::seconds{1};
-// Reports of fewer answers of the old version are compared with its whole step.
-constexpr std::uint64_t FewOldRequests = 30;
-
 void beginStep(MoveEvidence &Evidence, const MoveRecord &Record) {
   if (Evidence.MoveId != Record.Id) {
     Evidence = MoveEvidence{};
     Evidence.MoveId = Record.Id;
-  } else if (Evidence.Step == Record.Step) {
-    return;
   }
-  Evidence.Step = Record.Step;
-  Evidence.Routes.clear();
-}
-
-void rollRecent(MoveEvidence &Evidence, TimePoint Now) {
-  if (Now - Evidence.RecentSince < RecentTime) {
-    return;
+  if (Evidence.Step != Record.Step) {
+    Evidence.Step = Record.Step;
+    for (RouteEvidence &Route : Evidence.Routes) {
+      Route.New = {};
+      Route.Old = {};
+    }
   }
-  const bool Adjacent = Now - Evidence.RecentSince < 2 * RecentTime;
-  Evidence.Previous =
-      Adjacent ? std::move(Evidence.Recent) : std::vector<RouteEvidence>{};
-  Evidence.Recent.clear();
-  Evidence.RecentSince = Now;
 }
 
-const RouteEvidence *find(const std::vector<RouteEvidence> &Routes,
-                          std::string_view Route) {
+std::optional<std::size_t> routeIndex(MoveEvidence &Evidence,
+                                      std::string_view Route) {
   const auto Found = std::find_if(
-      Routes.begin(), Routes.end(),
+      Evidence.Routes.begin(), Evidence.Routes.end(),
       [Route](const RouteEvidence &Item) { return Item.Route == Route; });
-  return Found == Routes.end() ? nullptr : &*Found;
-}
-
-bool add(std::vector<RouteEvidence> &Routes, const RouteEvidence &Added) {
-  const auto Found = std::find_if(Routes.begin(), Routes.end(),
-                                  [&Added](const RouteEvidence &Item) {
-                                    return Item.Route == Added.Route;
-                                  });
-  if (Found != Routes.end()) {
-    addCounts(Found->New, Added.New);
-    addCounts(Found->Old, Added.Old);
-    return true;
+  if (Found != Evidence.Routes.end()) {
+    return static_cast<std::size_t>(Found - Evidence.Routes.begin());
   }
-  if (Routes.size() >= MoveEvidence::MaxRoutes) {
-    return false;
+  if (Evidence.Routes.size() >= MoveEvidence::MaxRoutes) {
+    ++Evidence.OverLimit;
+    return std::nullopt;
   }
-  Routes.push_back(Added);
-  return true;
+  Evidence.Routes.emplace_back().Route = Route;
+  Evidence.Rings.emplace_back();
+  return Evidence.Routes.size() - 1;
 }
 
 // True for the first report with this number from the entry node.
@@ -77,22 +58,6 @@
   return true;
 }
 
-Verdict judgeRecent(const MoveEvidence &Evidence, std::string_view Route) {
-  RouteEvidence Sum;
-  for (const auto *Windows : {&Evidence.Recent, &Evidence.Previous}) {
-    if (const RouteEvidence *Found = find(*Windows, Route)) {
-      addCounts(Sum.New, Found->New);
-      addCounts(Sum.Old, Found->Old);
-    }
-  }
-  if (Sum.Old.Requests < FewOldRequests) {
-    if (const RouteEvidence *Whole = find(Evidence.Routes, Route)) {
-      Sum.Old = Whole->Old;
-    }
-  }
-  return verdictOf(compare(Sum.New, Sum.Old), Route, Sum.New, Sum.Old);
-}
-
 // Joins a verdict and returns whether it turned the held one bad.
 bool join(MoveEvidence &Evidence, const Verdict &Added) {
   const bool WasBad = Evidence.Held.Kind == VerdictKind::Bad;
@@ -100,6 +65,38 @@
   return !WasBad && Evidence.Held.Kind == VerdictKind::Bad;
 }
 
+void addRoute(MoveEvidence &Evidence, std::size_t Index,
+              const RouteEvidence &Added, bool OfThisStep, TimePoint Now) {
+  AnswerRing::Window *Window =
+      internal::windowAt(Evidence.Rings[Index], internal::windowNumber(Now));
+  if (Window != nullptr) {
+    addCounts(Window->New, Added.New);
+    addCounts(Window->Old, Added.Old);
+  }
+  // Answers of an earlier step say nothing of the load of this one.
+  if (OfThisStep) {
+    addCounts(Evidence.Routes[Index].New, Added.New);
+    addCounts(Evidence.Routes[Index].Old, Added.Old);
+  }
+}
+
+Verdict judge(const MoveEvidence &Evidence, std::size_t Index, TimePoint Now) {
+  const RouteEvidence &Step = Evidence.Routes[Index];
+  Verdict Result = internal::judgeRoute(Evidence.Rings[Index], Step.Route, Now);
+  if (Result.Kind == VerdictKind::None && failsMore(Step.New, Step.Old)) {
+    Result = verdictOf(Comparison::Fails, Step.Route, Step.New, Step.Old);
+  }
+  return Result;
+}
+
+Verdict judgeAll(const MoveEvidence &Evidence, TimePoint Now) {
+  std::vector<const AnswerRing *> Rings;
+  for (const AnswerRing &Ring : Evidence.Rings) {
+    Rings.push_back(&Ring);
+  }
+  return internal::judgeTogether(Rings, Now);
+}
+
 } // namespace
 
 bool addReport(MoveEvidence &Evidence, const MoveRecord &Record,
@@ -111,24 +108,14 @@
   if (!isFresh(Evidence, Report)) {
     return false;
   }
-  rollRecent(Evidence, Now);
   bool BecameBad = false;
   for (const RouteEvidence &Route : Report.Routes) {
-    if (!add(Evidence.Recent, Route)) {
-      ++Evidence.OverLimit;
-      continue;
-    }
-    // Answers of an earlier step say nothing of the load of this one.
-    if (Report.Step == Record.Step && !add(Evidence.Routes, Route)) {
-      ++Evidence.OverLimit;
-    }
-    BecameBad |= join(Evidence, judgeRecent(Evidence, Route.Route));
-    if (const RouteEvidence *Whole = find(Evidence.Routes, Route.Route)) {
-      BecameBad |=
-          join(Evidence, verdictOf(compare(Whole->New, Whole->Old),
-                                   Whole->Route, Whole->New, Whole->Old));
+    if (const auto Index = routeIndex(Evidence, Route.Route)) {
+      addRoute(Evidence, *Index, Route, Report.Step == Record.Step, Now);
+      BecameBad |= join(Evidence, judge(Evidence, *Index, Now));
     }
   }
+  BecameBad |= join(Evidence, judgeAll(Evidence, Now));
   return BecameBad;
 }
 
--- a/packages/policy/src/policy/move/move_evidence.h
+++ b/packages/policy/src/policy/move/move_evidence.h
@@ -2,6 +2,7 @@
 #define POLICY_MOVE_MOVE_EVIDENCE_H
 
 #include "policy/core/types.h"
+#include "policy/move/answer_ring.h"
 #include "policy/move/evidence_report.h"
 #include "policy/move/move_record.h"
 #include "policy/move/route_evidence.h"
@@ -10,6 +11,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
@@ -25,13 +27,11 @@
 
   std::string MoveId;
   std::uint32_t Step = 0;
-  // Sums over the whole step.
+  // Sums over the whole step; Rings[I] belongs to Routes[I].
   std::vector<RouteEvidence> Routes;
-  // Sums over the present and the previous recent window. A fault that shows
-  // late would drown in the sums of a long step.
-  std::vector<RouteEvidence> Recent;
-  std::vector<RouteEvidence> Previous;
-  TimePoint RecentSince;
+  // The last seconds of the same routes. A fault that shows late would drown in
+  // the sums of a long step.
+  std::vector<AnswerRing> Rings;
   Verdict Held;
   // Incarnation and number of the last report of each entry node.
   std::unordered_map<NodeId, std::pair<Incarnation, std::uint64_t>> Reporters;
--- a/packages/policy/src/policy/move/move_options.h
+++ b/packages/policy/src/policy/move/move_options.h
@@ -15,7 +15,7 @@
   // The last step leaves a few requests to the old version, so that the two
   // can be compared at the same time up to the end.
   static constexpr std::array<double, 6> Shares = {0.02, 0.05, 0.10,
-                                                   0.25, 0.50, 0.95};
+                                                   0.25, 0.50, 0.90};
   // Answers of the new version that a step needs before the next one. The
   // second value guards the way above 5% of the traffic.
   static constexpr std::array<std::uint64_t, 6> MinRequests = {5,  20, 30,
--- /dev/null
+++ b/packages/policy/test/policy/move/advance.cpp
@@ -0,0 +1,267 @@
+#include "policy/move/advance.h"
+#include "policy/move/brake.h"
+
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace magnolia::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint at(double Second) {
+  return TimePoint{std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double>(Second))};
+}
+
+// A move from second 1000 to second 1120 in the given phase.
+MoveRecord moveIn(MovePhase Phase, std::uint32_t Step = 0,
+                  double StepSince = 1'000) {
+  MoveRecord Record;
+  Record.Service = "stock";
+  Record.Id = "move-1";
+  Record.Start = at(1'000);
+  Record.Deadline = at(1'120);
+  Record.Phase = Phase;
+  Record.Step = Step;
+  Record.StepSince = at(StepSince);
+  Record.Share = Phase == MovePhase::Done       ? 1.0
+                 : Phase == MovePhase::Shifting ? MoveOptions::Shares[Step]
+                                                : 0.0;
+  return Record;
+}
+
+MoveEvidence evidence(std::uint32_t Step, std::uint64_t New,
+                      VerdictKind Kind = VerdictKind::None) {
+  MoveEvidence Result;
+  Result.MoveId = "move-1";
+  Result.Step = Step;
+  Result.Held.Kind = Kind;
+  RouteEvidence &Route = Result.Routes.emplace_back();
+  Route.Route = "/a";
+  Route.New.Requests = New;
+  Route.Old.Requests = 1'000;
+  return Result;
+}
+
+struct AdvanceCase {
+  const char *GuardsAgainst;
+  MoveRecord Record;
+  MoveEvidence Evidence;
+  double Second;
+  // Phase and share expected; no value where the record must stay.
+  std::optional<MovePhase> Phase;
+  double Share = 0.0;
+};
+
+MoveEvidence withUntriedRoute(MoveEvidence Evidence) {
+  Evidence.Routes.emplace_back().Route = "/b";
+  Evidence.Routes.back().Old.Requests = 500;
+  return Evidence;
+}
+
+const MoveRecord Late = moveIn(MovePhase::Shifting, 5, 1'090);
+
+const AdvanceCase Cases[] = {
+    {"a move that starts before its time", moveIn(MovePhase::Planned),
+     evidence(0, 0), 999, std::nullopt},
+    {"a first share above 2%", moveIn(MovePhase::Planned), evidence(0, 0),
+     1'000, MovePhase::Shifting, 0.02},
+    {"a move that starts with too little time left", moveIn(MovePhase::Planned),
+     evidence(0, 0), 1'095, MovePhase::TakenBack},
+    {"a step without its soak time", moveIn(MovePhase::Shifting),
+     evidence(0, 100), 1'002, std::nullopt},
+    {"a second share above 5%", moveIn(MovePhase::Shifting), evidence(0, 100),
+     1'020, MovePhase::Shifting, 0.05},
+    {"more than 5% without evidence", moveIn(MovePhase::Shifting, 1),
+     evidence(1, 19), 1'050, std::nullopt},
+    {"more than 5% on the evidence of an earlier step",
+     moveIn(MovePhase::Shifting, 1), evidence(0, 100), 1'050, std::nullopt},
+    {"more than 5% with a much used route untried",
+     moveIn(MovePhase::Shifting, 1), withUntriedRoute(evidence(1, 100)), 1'050,
+     std::nullopt},
+    {"a bad version that goes on", moveIn(MovePhase::Shifting, 3),
+     evidence(3, 100, VerdictKind::Bad), 1'001, MovePhase::TakenBack},
+    {"a bad verdict that is too late for the schedule", Late,
+     evidence(5, 100, VerdictKind::Bad), 1'110, MovePhase::TakenBack},
+    {"a good move that doesn't complete", Late, evidence(5, 100), 1'102,
+     MovePhase::Done, 1.0},
+    {"Done written later than 15 s before the deadline", Late, evidence(5, 100),
+     1'104, MovePhase::TakenBack},
+    {"a move without an end after its deadline", moveIn(MovePhase::Shifting, 2),
+     evidence(2, 0), 1'121, MovePhase::TakenBack},
+    {"a planned move without an end after its deadline",
+     moveIn(MovePhase::Planned), evidence(0, 0), 1'121, MovePhase::TakenBack},
+    {"a second end", moveIn(MovePhase::Done),
+     evidence(5, 100, VerdictKind::Bad), 1'121, std::nullopt},
+    {"a move that starts again after it was taken back",
+     moveIn(MovePhase::TakenBack), evidence(0, 100), 1'001, std::nullopt},
+};
+
+TEST(MoveAdvance, FaultCases) {
+  for (const AdvanceCase &Case : Cases) {
+    SCOPED_TRACE(Case.GuardsAgainst);
+    const auto Next = advance(Case.Record, Case.Evidence, at(Case.Second));
+    ASSERT_EQ(Next.has_value(), Case.Phase.has_value());
+    if (Next) {
+      EXPECT_EQ(Next->Phase, *Case.Phase);
+      EXPECT_EQ(Next->Share, Case.Share);
+    }
+  }
+}
+
+struct BrakeCase {
+  const char *GuardsAgainst;
+  MoveRecord Record;
+  std::function<void(LocalBrake &)> Events;
+  double Second;
+  double Share;
+};
+
+void answer(LocalBrake &Brake, MoveSide Side, bool Failed, double Second,
+            int Times = 1, milliseconds Latency = milliseconds{10}) {
+  for (int I = 0; I < Times; ++I) {
+    countAnswer(Brake, "/a", Side, Failed, Latency, at(Second));
+  }
+}
+
+const BrakeCase BrakeCases[] = {
+    {"work for a version before its move starts", moveIn(MovePhase::Planned),
+     [](LocalBrake &) {}, 1'000, 0.0},
+    {"work for a new version past the deadline without Done",
+     moveIn(MovePhase::Shifting, 5), [](LocalBrake &) {}, 1'120, 0.0},
+    {"a completed move undone by the deadline", moveIn(MovePhase::Done),
+     [](LocalBrake &) {}, 1'200, 1.0},
+    {"a first failure that nobody reacts to", moveIn(MovePhase::Shifting, 4),
+     [](LocalBrake &Brake) { answer(Brake, MoveSide::New, true, 1'000); },
+     1'000.4, 0.0},
+    {"a chance failure that stops a good version for good",
+     moveIn(MovePhase::Shifting, 4),
+     [](LocalBrake &Brake) {
+       answer(Brake, MoveSide::Old, false, 1'000, 100);
+       answer(Brake, MoveSide::New, true, 1'000);
+       answer(Brake, MoveSide::New, false, 1'001.1);
+     },
+     1'002, 0.5},
+    {"a trial that waits for a small share of little traffic",
+     moveIn(MovePhase::Shifting),
+     [](LocalBrake &Brake) {
+       answer(Brake, MoveSide::Old, false, 1'000, 20);
+       answer(Brake, MoveSide::New, true, 1'000);
+     },
+     1'001.1, 0.25},
+    {"a version that fails in the trial again", moveIn(MovePhase::Shifting, 4),
+     [](LocalBrake &Brake) {
+       answer(Brake, MoveSide::Old, false, 1'000, 40);
+       answer(Brake, MoveSide::New, true, 1'000);
+       answer(Brake, MoveSide::New, true, 1'000.6);
+       answer(Brake, MoveSide::New, true, 1'000.8);
+     },
+     1'100, 0.0},
+    {"failures that are too far apart for the windows",
+     moveIn(MovePhase::Shifting),
+     [](LocalBrake &Brake) {
+       for (int I = 0; I < 3; ++I) {
+         answer(Brake, MoveSide::Old, false, 1'000 + 15 * I, 40);
+         answer(Brake, MoveSide::New, true, 1'000 + 15 * I);
+       }
+     },
+     1'100, 0.0},
+    {"a slow version that goes on for two seconds",
+     moveIn(MovePhase::Shifting, 4),
+     [](LocalBrake &Brake) {
+       for (int I = 0; I < 10; ++I) {
+         answer(Brake, MoveSide::Old, false, 1'000 + 0.1 * I, 4);
+         answer(Brake, MoveSide::New, false, 1'000 + 0.1 * I, 1,
+                milliseconds{100});
+       }
+     },
+     1'002, 0.0},
+    {"a short burst of noise ending a good move",
+     moveIn(MovePhase::Shifting, 4),
+     [](LocalBrake &Brake) {
+       answer(Brake, MoveSide::Old, false, 1'000, 50);
+       answer(Brake, MoveSide::New, false, 1'000, 10, milliseconds{100});
+       answer(Brake, MoveSide::New, false, 1'000.3, 20);
+     },
+     1'002, 0.5},
+    {"a verdict of another node that is not followed",
+     moveIn(MovePhase::Shifting, 4),
+     [](LocalBrake &Brake) {
+       joinVerdict(Brake, "move-1", {VerdictKind::Bad, "elsewhere"});
+       joinVerdict(Brake, "move-1", {VerdictKind::None, ""});
+     },
+     1'001, 0.0},
+    {"the verdict of an earlier move stopping this one",
+     moveIn(MovePhase::Shifting, 4),
+     [](LocalBrake &Brake) {
+       joinVerdict(Brake, "move-0", {VerdictKind::Bad, "earlier"});
+     },
+     1'001, 0.5},
+};
+
+TEST(MoveBrake, FaultCases) {
+  for (const BrakeCase &Case : BrakeCases) {
+    SCOPED_TRACE(Case.GuardsAgainst);
+    LocalBrake Brake;
+    beginMove(Brake, Case.Record);
+    Case.Events(Brake);
+    EXPECT_EQ(effectiveShare(Case.Record, Brake, at(Case.Second)), Case.Share);
+  }
+}
+
+// Guards against evidence that counts twice when a report is sent again, and
+// against reports of an earlier run or move.
+TEST(MoveEvidence, RepeatedReportsCountOnce) {
+  const MoveRecord Record = moveIn(MovePhase::Shifting);
+  EvidenceReport Report = {.Node = 7,
+                           .Run = 2,
+                           .MoveId = "move-1",
+                           .Window = 1,
+                           .Step = 0,
+                           .Routes = {}};
+  Report.Routes = evidence(0, 10).Routes;
+  MoveEvidence Evidence;
+  addReport(Evidence, Record, Report, at(1'000));
+  addReport(Evidence, Record, Report, at(1'000));
+  Report.Run = 1;
+  Report.Window = 9;
+  addReport(Evidence, Record, Report, at(1'000));
+  Report.Run = 2;
+  Report.MoveId = "move-0";
+  addReport(Evidence, Record, Report, at(1'000));
+  ASSERT_EQ(Evidence.Routes.size(), 1U);
+  EXPECT_EQ(Evidence.Routes[0].New.Requests, 10U);
+}
+
+// Guards against two drivers at once, none after the first has failed, and
+// disagreement that depends on the order of the members.
+TEST(MoveDriver, RanksAreDistinctAndTakeOver) {
+  std::vector<Member> Watchers(6);
+  for (std::size_t I = 0; I < Watchers.size(); ++I) {
+    Watchers[I].Node = hashOf(std::to_string(I));
+  }
+  const std::vector<Member> Reversed(Watchers.rbegin(), Watchers.rend());
+  std::vector<bool> Seen(Watchers.size());
+  std::size_t AtOnce = 0;
+  std::size_t Later = 0;
+  for (const Member &One : Watchers) {
+    const auto Rank = driverRank(One.Node, Watchers, "move-1");
+    ASSERT_TRUE(Rank);
+    EXPECT_EQ(Rank, driverRank(One.Node, Reversed, "move-1"));
+    EXPECT_FALSE(Seen[*Rank]);
+    Seen[*Rank] = true;
+    AtOnce += shouldDrive(One.Node, Watchers, "move-1", at(0), at(0)) ? 1 : 0;
+    Later += shouldDrive(One.Node, Watchers, "move-1", at(0), at(20)) ? 1 : 0;
+  }
+  EXPECT_EQ(AtOnce, 1U);
+  EXPECT_EQ(Later, 6U);
+  EXPECT_FALSE(driverRank(1, Watchers, "move-1"));
+}
+
+} // namespace
+} // namespace magnolia::policy
--- /dev/null
+++ b/packages/policy/test/policy/move/move_run.cpp
@@ -0,0 +1,322 @@
+#include "policy/move/move_run.h"
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace magnolia::policy::test {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr Duration Step = milliseconds{10};
+constexpr Duration ReportPeriod = milliseconds{500};
+constexpr Duration PollPeriod = milliseconds{200};
+constexpr std::array<const char *, 3> Routes = {"/browse", "/hold", "/track"};
+
+double chance(MoveRun &Run) {
+  return std::uniform_real_distribution<double>(0.0, 1.0)(Run.Random);
+}
+
+milliseconds upTo(MoveRun &Run, int Most) {
+  return milliseconds{1 +
+                      std::uniform_int_distribution<int>(0, Most)(Run.Random)};
+}
+
+void later(MoveRun &Run, Duration Delay, std::function<void(MoveRun &)> Event) {
+  Run.Events.emplace(Run.Now + Delay, std::move(Event));
+}
+
+struct Answer {
+  bool Failed = false;
+  bool Faulty = false;
+  Duration Latency{0};
+};
+
+// True where the new version shows its fault now.
+bool showsFault(MoveRun &Run, std::size_t Route) {
+  const bool Late = Run.Now - Run.Start > Run.Options.Length / 3;
+  const bool Loaded = Run.Store.Record.Share >= 0.25;
+  switch (Run.Options.Behaviour) {
+  case NewVersion::Good:
+  case NewVersion::GoodUnderNoise:
+    return false;
+  case NewVersion::Fails:
+  case NewVersion::Slows:
+    return true;
+  case NewVersion::FailsOnOneRoute:
+    return Route == 1;
+  case NewVersion::FailsHalf:
+    return chance(Run) < 0.5;
+  case NewVersion::FailsLate:
+  case NewVersion::SlowsLate:
+    return Late;
+  case NewVersion::FailsUnderLoad:
+  case NewVersion::SlowsUnderLoad:
+    return Loaded;
+  }
+  return false;
+}
+
+Answer answerOf(MoveRun &Run, MoveSide Side, std::size_t Route) {
+  Answer Result;
+  double Milliseconds =
+      10.0 * std::lognormal_distribution<double>(0.0, 0.5)(Run.Random);
+  // One second in ten is noisy for both versions.
+  const bool Noisy = Run.Options.Behaviour == NewVersion::GoodUnderNoise &&
+                     (Run.Now.time_since_epoch() / seconds{1}) % 10 == 3;
+  if (Noisy) {
+    Milliseconds *= 10;
+    Result.Failed = chance(Run) < 0.1;
+  }
+  if (Side == MoveSide::New && showsFault(Run, Route)) {
+    Result.Faulty = true;
+    const NewVersion Kind = Run.Options.Behaviour;
+    if (Kind == NewVersion::Slows || Kind == NewVersion::SlowsLate ||
+        Kind == NewVersion::SlowsUnderLoad) {
+      Milliseconds *= 10;
+    } else {
+      Result.Failed = true;
+    }
+  }
+  Result.Latency = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::milli>(Milliseconds));
+  return Result;
+}
+
+void spreadVerdict(MoveRun &Run, const Verdict &Held);
+
+void joinAt(MoveRun &Run, std::size_t Index, const Verdict &Held) {
+  if (joinVerdict(Run.Entries[Index].Brake, Run.Store.Record.Id, Held)) {
+    spreadVerdict(Run, Held);
+  }
+}
+
+// Pushes a verdict as the configuration is pushed: three random entry nodes,
+// and the drivers.
+void spreadVerdict(MoveRun &Run, const Verdict &Held) {
+  for (int I = 0; I < 3; ++I) {
+    const std::size_t To = Run.Random() % Run.Entries.size();
+    if (chance(Run) >= Run.Options.Loss) {
+      later(Run, upTo(Run, 100),
+            [To, Held](MoveRun &Now) { joinAt(Now, To, Held); });
+    }
+  }
+  for (std::size_t I = 0; I < Run.Drivers.size(); ++I) {
+    if (chance(Run) >= Run.Options.Loss) {
+      later(Run, upTo(Run, 100), [I, Held](MoveRun &Now) {
+        MoveRun::Driver &To = Now.Drivers[I];
+        addVerdict(To.Evidence, To.Record, To.Record.Id, Held);
+      });
+    }
+  }
+}
+
+// Gives the record in the store to all nodes after a delay.
+void spreadRecord(MoveRun &Run) {
+  const MoveRecord Record = Run.Store.Record;
+  const auto Take = [&Run, Record](MoveRecord &Held) {
+    Run.Reverts +=
+        hasEnded(Held) && !hasEnded(Record) && Record.Revision > Held.Revision
+            ? 1
+            : 0;
+    if (Record.Revision > Held.Revision) {
+      Held = Record;
+    }
+  };
+  for (std::size_t I = 0; I < Run.Entries.size(); ++I) {
+    later(Run, upTo(Run, 800), [I, Take](MoveRun &Now) {
+      Take(Now.Entries[I].Record);
+      beginMove(Now.Entries[I].Brake, Now.Entries[I].Record);
+    });
+  }
+  for (std::size_t I = 0; I < Run.Drivers.size(); ++I) {
+    later(Run, upTo(Run, 200),
+          [I, Take](MoveRun &Now) { Take(Now.Drivers[I].Record); });
+  }
+}
+
+// Compare-and-swap; the writer learns the outcome by reading the record.
+void write(MoveRun &Run, const MoveRecord &Next) {
+  if (Run.Store.Down || Next.Revision != Run.Store.Record.Revision) {
+    return;
+  }
+  if (hasEnded(Next)) {
+    ++Run.Store.Ends;
+    Run.Store.EndedAt = Run.Now;
+  }
+  Run.Store.Record = Next;
+  ++Run.Store.Record.Revision;
+  if (!Run.Store.LosesAnswers) {
+    spreadRecord(Run);
+  }
+}
+
+void request(MoveRun &Run, std::size_t Index) {
+  MoveRun::EntryNode &Entry = Run.Entries[Index];
+  const double Share = effectiveShare(Entry.Record, Entry.Brake, Run.Now);
+  const MoveSide Side = chance(Run) < Share ? MoveSide::New : MoveSide::Old;
+  const bool IsNew = Side == MoveSide::New;
+  ++(IsNew ? Run.Total.New : Run.Total.Old);
+  if (Run.Store.Record.Share <= 0.05) {
+    ++(IsNew ? Run.Early.New : Run.Early.Old);
+  }
+  if (IsNew && Run.FaultSeenAt && Run.Now > *Run.FaultSeenAt + seconds{2}) {
+    ++Run.NewAfterFault;
+  }
+  if (IsNew && Run.Now >= Entry.Record.Deadline &&
+      Entry.Record.Phase != MovePhase::Done) {
+    ++Run.NewAfterDeadline;
+  }
+  const std::size_t Route = Run.Random() % Routes.size();
+  const Answer Result = answerOf(Run, Side, Route);
+  later(Run, Result.Latency, [=](MoveRun &Now) {
+    if (Result.Faulty && !Now.FaultSeenAt) {
+      Now.FaultSeenAt = Now.Now;
+    }
+    LocalBrake &Brake = Now.Entries[Index].Brake;
+    if (countAnswer(Brake, Routes[Route], Side, Result.Failed, Result.Latency,
+                    Now.Now)) {
+      spreadVerdict(Now, Brake.Held);
+    }
+  });
+}
+
+// Sends the evidence of an entry node to the first two drivers.
+void report(MoveRun &Run, std::size_t Index) {
+  MoveRun::EntryNode &Entry = Run.Entries[Index];
+  const EvidenceReport Report =
+      takeReport(Entry.Brake, Entry.Record, Index + 1, 1);
+  for (std::size_t I = 0; I < Run.Drivers.size(); ++I) {
+    const auto Rank =
+        driverRank(Run.Watchers[I].Node, Run.Watchers, Entry.Record.Id);
+    if (*Rank > 1 || chance(Run) < Run.Options.Loss) {
+      continue;
+    }
+    later(Run, upTo(Run, 50), [I, Report](MoveRun &Now) {
+      MoveRun::Driver &To = Now.Drivers[I];
+      if (Now.Now >= To.PausedUntil &&
+          addReport(To.Evidence, To.Record, Report, Now.Now)) {
+        spreadVerdict(Now, To.Evidence.Held);
+      }
+    });
+  }
+}
+
+void drive(MoveRun &Run, std::size_t Index) {
+  MoveRun::Driver &Own = Run.Drivers[Index];
+  if (Run.Now < Own.PausedUntil || Run.Now < Own.NextPoll) {
+    return;
+  }
+  Own.NextPoll = Run.Now + PollPeriod;
+  if (!Run.Store.Down && Run.Store.Record.Revision > Own.Record.Revision) {
+    Own.Record = Run.Store.Record;
+    spreadRecord(Run);
+  }
+  const auto Next = advance(Own.Record, Own.Evidence, Run.Now);
+  if (!Next) {
+    Own.DueRevision = 0;
+    return;
+  }
+  if (Own.DueRevision != Own.Record.Revision) {
+    Own.DueRevision = Own.Record.Revision;
+    Own.DueAt = Run.Now;
+  }
+  if (shouldDrive(Run.Watchers[Index].Node, Run.Watchers, Own.Record.Id,
+                  Own.DueAt, Run.Now)) {
+    later(Run, upTo(Run, 300), [Next](MoveRun &Now) { write(Now, *Next); });
+  }
+}
+
+void randomFault(MoveRun &Run) {
+  if (Run.Options.StoreFaults) {
+    Run.Store.Down = chance(Run) < 0.3;
+    Run.Store.LosesAnswers = chance(Run) < 0.3;
+  }
+  if (Run.Options.DriverFaults) {
+    MoveRun::Driver &Any = Run.Drivers[Run.Random() % Run.Drivers.size()];
+    if (chance(Run) < 0.5) {
+      Any.PausedUntil = Run.Now + upTo(Run, 8'000);
+    } else {
+      Any = MoveRun::Driver{};
+      Any.Record = Run.Store.Record;
+    }
+  }
+  if (Run.Options.Operator && chance(Run) < 0.1) {
+    // Writes what it has read some time ago, as people do.
+    if (const auto Next = takeBack(Run.Store.Record, "operator", Run.Now)) {
+      later(Run, upTo(Run, 2'000), [Next](MoveRun &Now) { write(Now, *Next); });
+    }
+  }
+}
+
+MoveRun makeRun(const MoveRunOptions &Options) {
+  MoveRun Run;
+  Run.Options = Options;
+  Run.Random.seed(Options.Seed);
+  MoveRecord &Record = Run.Store.Record;
+  Record.Service = "stock";
+  Record.Id = "move-" + std::to_string(Options.Seed);
+  Record.Start = Run.Now + seconds{1};
+  Record.Deadline = Run.Now + Options.Length;
+  Record.Revision = 1;
+  Run.Entries.resize(Options.EntryNodes);
+  for (MoveRun::EntryNode &Entry : Run.Entries) {
+    Entry.Record = Record;
+    beginMove(Entry.Brake, Record);
+  }
+  Run.Drivers.resize(4);
+  for (std::size_t I = 0; I < Run.Drivers.size(); ++I) {
+    Run.Drivers[I].Record = Record;
+    Member Watcher;
+    Watcher.Node = hashOf(Record.Id, I);
+    Run.Watchers.push_back(Watcher);
+  }
+  return Run;
+}
+
+} // namespace
+
+MoveRun runMove(const MoveRunOptions &Options) {
+  MoveRun Run = makeRun(Options);
+  const TimePoint End = Run.Start + Options.Length + seconds{20};
+  TimePoint NextReport = Run.Now;
+  TimePoint NextFault = Run.Now;
+  for (; Run.Now < End; Run.Now += Step) {
+    while (!Run.Events.empty() && Run.Events.begin()->first <= Run.Now) {
+      const auto Event = Run.Events.extract(Run.Events.begin());
+      Event.mapped()(Run);
+    }
+    const double Due =
+        Options.Rate * std::chrono::duration<double>(Step).count();
+    for (std::size_t I = 0; I < Run.Entries.size(); ++I) {
+      const int Count = std::poisson_distribution<int>(Due)(Run.Random);
+      for (int J = 0; J < Count; ++J) {
+        request(Run, I);
+      }
+    }
+    if (Run.Now >= NextReport) {
+      NextReport = Run.Now + ReportPeriod;
+      for (std::size_t I = 0; I < Run.Entries.size(); ++I) {
+        report(Run, I);
+      }
+    }
+    if (Run.Now >= NextFault) {
+      NextFault = Run.Now + seconds{3};
+      randomFault(Run);
+    }
+    // The store is back for the last seconds, so that the move can end.
+    if (Run.Now > Run.Start + Options.Length) {
+      Run.Store.Down = Run.Store.LosesAnswers = false;
+    }
+    for (std::size_t I = 0; I < Run.Drivers.size(); ++I) {
+      drive(Run, I);
+    }
+  }
+  return Run;
+}
+
+} // namespace magnolia::policy::test
--- /dev/null
+++ b/packages/policy/test/policy/move/move_run.h
@@ -0,0 +1,103 @@
+#ifndef POLICY_TEST_MOVE_MOVE_RUN_H
+#define POLICY_TEST_MOVE_MOVE_RUN_H
+
+#include "policy/membership/member.h"
+#include "policy/move/advance.h"
+#include "policy/move/brake.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace magnolia::policy::test {
+
+// Behaviour of the new version, and of both where noted.
+enum class NewVersion : std::uint8_t {
+  Good,
+  // Bursts of noise slow down or fail both versions alike.
+  GoodUnderNoise,
+  Fails,
+  FailsOnOneRoute,
+  FailsHalf,
+  Slows,
+  FailsLate,
+  SlowsLate,
+  FailsUnderLoad,
+  SlowsUnderLoad,
+};
+
+struct MoveRunOptions {
+  std::uint64_t Seed = 1;
+  NewVersion Behaviour = NewVersion::Good;
+  Duration Length = std::chrono::seconds{120};
+  std::size_t EntryNodes = 4;
+  // Requests a second of each entry node.
+  double Rate = 50.0;
+  double Loss = 0.05;
+  bool StoreFaults = false;
+  bool Operator = false;
+  // Pauses and restarts of drivers.
+  bool DriverFaults = false;
+};
+
+// Store with compare-and-swap on one key; the answer of a write may be lost
+// after it took effect.
+struct FakeStore {
+  MoveRecord Record;
+  bool Down = false;
+  bool LosesAnswers = false;
+  // Ends that were written; more than one is a fault.
+  std::size_t Ends = 0;
+  std::optional<TimePoint> EndedAt;
+};
+
+// Entry nodes with traffic, drivers and a store in virtual time.
+struct MoveRun {
+  struct EntryNode {
+    LocalBrake Brake;
+    MoveRecord Record;
+  };
+
+  struct Driver {
+    MoveEvidence Evidence;
+    MoveRecord Record;
+    TimePoint PausedUntil;
+    TimePoint DueAt;
+    std::uint64_t DueRevision = 0;
+    TimePoint NextPoll;
+  };
+
+  struct Traffic {
+    std::uint64_t Old = 0;
+    std::uint64_t New = 0;
+  };
+
+  MoveRunOptions Options;
+  RandomEngine Random;
+  TimePoint Start{std::chrono::hours{1}};
+  TimePoint Now{std::chrono::hours{1}};
+  FakeStore Store;
+  std::vector<EntryNode> Entries;
+  std::vector<Member> Watchers;
+  std::vector<Driver> Drivers;
+  std::multimap<TimePoint, std::function<void(MoveRun &)>> Events;
+  // When callers saw the first faulty answer.
+  std::optional<TimePoint> FaultSeenAt;
+  Traffic Total;
+  // Requests up to the first share above 5%.
+  Traffic Early;
+  std::uint64_t NewAfterFault = 0;
+  std::uint64_t NewAfterDeadline = 0;
+  std::uint64_t Reverts = 0;
+};
+
+// Runs the move to the end and some seconds beyond.
+[[nodiscard]] MoveRun runMove(const MoveRunOptions &Options);
+
+} // namespace magnolia::policy::test
+
+#endif
--- /dev/null
+++ b/packages/policy/test/policy/move/run.cpp
@@ -0,0 +1,82 @@
+#include "policy/move/move_run.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+
+namespace magnolia::policy::test {
+namespace {
+
+struct RunCase {
+  const char *GuardsAgainst;
+  NewVersion Behaviour;
+  MovePhase End;
+};
+
+constexpr RunCase Cases[] = {
+    {"a good move that isn't complete in time", NewVersion::Good,
+     MovePhase::Done},
+    {"noise on both versions ending a good move", NewVersion::GoodUnderNoise,
+     MovePhase::Done},
+    {"a version that fails at once", NewVersion::Fails, MovePhase::TakenBack},
+    {"a version that fails on one route", NewVersion::FailsOnOneRoute,
+     MovePhase::TakenBack},
+    {"a version that fails half of its requests", NewVersion::FailsHalf,
+     MovePhase::TakenBack},
+    {"a version that is slow at once", NewVersion::Slows, MovePhase::TakenBack},
+    {"a version that fails later", NewVersion::FailsLate, MovePhase::TakenBack},
+    {"a version that slows down later", NewVersion::SlowsLate,
+     MovePhase::TakenBack},
+    {"a version that fails under load", NewVersion::FailsUnderLoad,
+     MovePhase::TakenBack},
+    {"a version that slows down under load", NewVersion::SlowsUnderLoad,
+     MovePhase::TakenBack},
+};
+
+constexpr std::uint64_t Seeds = 6;
+
+TEST(MoveRun, EndsAsItShould) {
+  for (const RunCase &Case : Cases) {
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      SCOPED_TRACE(std::string(Case.GuardsAgainst) + ", seed " +
+                   std::to_string(Seed));
+      const MoveRun Run = runMove({.Seed = Seed, .Behaviour = Case.Behaviour});
+      EXPECT_EQ(Run.Store.Record.Phase, Case.End) << Run.Store.Record.EndReason;
+      EXPECT_EQ(Run.Store.Ends, 1U);
+      EXPECT_EQ(Run.NewAfterFault, 0U);
+      EXPECT_LE(Run.Early.New * 20, Run.Early.New + Run.Early.Old);
+      if (Case.End == MovePhase::Done) {
+        EXPECT_LE(*Run.Store.EndedAt,
+                  Run.Store.Record.Deadline - MoveOptions{}.DoneMargin);
+      }
+    }
+  }
+}
+
+// Guards against two ends, an end that changes, work for the new version past
+// the deadline, and a move without an end: with store outages, lost answers,
+// paused and restarted drivers and operators that race with them.
+TEST(MoveRun, OneEndUnderFaults) {
+  for (const RunCase &Case : Cases) {
+    for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+      SCOPED_TRACE(std::string(Case.GuardsAgainst) + ", seed " +
+                   std::to_string(Seed));
+      const MoveRun Run = runMove({.Seed = Seed,
+                                   .Behaviour = Case.Behaviour,
+                                   .Loss = 0.2,
+                                   .StoreFaults = true,
+                                   .Operator = Seed % 2 == 0,
+                                   .DriverFaults = true});
+      EXPECT_TRUE(hasEnded(Run.Store.Record));
+      EXPECT_EQ(Run.Store.Ends, 1U);
+      EXPECT_EQ(Run.Reverts, 0U);
+      EXPECT_EQ(Run.NewAfterDeadline, 0U);
+      if (Case.End == MovePhase::TakenBack) {
+        EXPECT_EQ(Run.Store.Record.Phase, MovePhase::TakenBack);
+      }
+    }
+  }
+}
+
+} // namespace
+} // namespace magnolia::policy::test
