Add magnoliactl

Cause: operators had no tool to publish services, take zones out of service and start or roll back moves. Change: magnoliactl with validate, publish, zone, move, status, dump and wait. Each write is a compare-and-swap with an operation id; a conflict prints the fields that changed. Accepted entries are handed to nodes by PushConfig, and a change is in force once every live member reports its revision. Conclusion: a change spreads without the store once it is accepted.

--- /dev/null
+++ b/packages/ctl/src/ctl/command/internal/plan_move.h
@@ -0,0 +1,33 @@
+#ifndef CTL_COMMAND_INTERNAL_PLAN_MOVE_H
+#define CTL_COMMAND_INTERNAL_PLAN_MOVE_H
+
+#include "ctl/change/change.h"
+#include "ctl/core/context.h"
+#include "ctl/core/exit_code.h"
+#include "settings/service/move_plan.h"
+
+#include <optional>
+#include <string>
+
+namespace magnolia::ctl::internal {
+
+// What to do about a move that is asked for.
+struct MoveDecision {
+  // Done with a change to write, or without one where the same move exists.
+  ExitCode Code = ExitCode::Failed;
+  std::optional<Change> Start;
+  // Why there is no change to write.
+  std::string Reason;
+};
+
+// Compares the plan with the service's record in the store. A published plan
+// does not restart a move that has ended between the same versions; an
+// explicit start does.
+[[nodiscard]] MoveDecision planMove(Context &Run, const std::string &Service,
+                                    const settings::MovePlan &Plan,
+                                    const std::optional<store::Entry> &Existing,
+                                    bool Published);
+
+} // namespace magnolia::ctl::internal
+
+#endif
--- /dev/null
+++ b/packages/ctl/src/ctl/command/move.cpp
@@ -0,0 +1,157 @@
+#include "ctl/change/accept.h"
+#include "ctl/command/internal/commands.h"
+#include "ctl/command/internal/plan_move.h"
+#include "policy/move/advance.h"
+#include "settings/record/format_record.h"
+#include "settings/record/parse_record.h"
+#include "settings/record/record_key.h"
+
+#include <sstream>
+
+namespace magnolia::ctl::internal {
+namespace {
+
+// A driver writes a step every few seconds, so that a second attempt nearly
+// always succeeds.
+constexpr int MaxTakeBackAttempts = 10;
+
+ExitCode fail(Context &Run, const std::string &Key, const std::string &Reason,
+              ExitCode Code = ExitCode::Failed) {
+  Run.Out.line(Key + ": " + Reason);
+  Run.Out.Document["error"] = Reason;
+  return Code;
+}
+
+std::optional<settings::StoredMove> readMove(Context &Run,
+                                             const std::string &Key,
+                                             std::optional<store::Entry> &Entry,
+                                             ExitCode &Code) {
+  Code = ExitCode::Failed;
+  if (!readKey(Run, Key, Entry)) {
+    return std::nullopt;
+  }
+  if (!Entry) {
+    fail(Run, Key, "the service has no move");
+    return std::nullopt;
+  }
+  policy::Error Error;
+  auto Stored = settings::parseMove(Entry->Value, Error);
+  if (!Stored) {
+    fail(Run, Key, Error.Detail);
+  }
+  return Stored;
+}
+
+std::string describe(const policy::MoveRecord &Move, policy::TimePoint Now) {
+  std::ostringstream Text;
+  Text << Move.FromVersion << " -> " << Move.ToVersion << ", "
+       << settings::toString(Move.Phase) << ", share " << Move.Share;
+  if (policy::hasEnded(Move)) {
+    Text << ", " << Move.EndReason;
+  } else {
+    Text
+        << ", deadline in "
+        << std::chrono::floor<std::chrono::seconds>(Move.Deadline - Now).count()
+        << " s";
+  }
+  return Text.str();
+}
+
+// One attempt; Conflict where the driver was faster.
+ChangeResult tryTakeBack(Context &Run, const std::string &Key,
+                         const store::Entry &Entry,
+                         settings::StoredMove Stored) {
+  const std::string Reason = Run.Options.Reason.empty()
+                                 ? "taken back by " + Run.Options.Operator
+                                 : Run.Options.Reason;
+  Stored.Move = *policy::takeBack(Stored.Move, Reason, Run.Now());
+  Stored.OperationId = Run.NewOperationId();
+  Stored.Driver = Run.Options.Operator;
+  return accept(Run, {Key, Entry, settings::formatMove(Stored),
+                      Stored.OperationId, false});
+}
+
+} // namespace
+
+ExitCode startMove(Context &Run) {
+  const std::string &Service = Run.Options.Arguments[0];
+  const std::string Key = settings::moveKey(Service);
+  policy::Error Error;
+  const auto Deadline =
+      settings::parseMoveDeadline(Run.Options.Deadline, Error);
+  if (!Deadline) {
+    return fail(Run, Key, Error.Detail, ExitCode::Usage);
+  }
+  if (!settings::isName(Run.Options.From) ||
+      !settings::isName(Run.Options.To) || Run.Options.From == Run.Options.To) {
+    return fail(Run, Key, "--from and --to name two different versions",
+                ExitCode::Usage);
+  }
+  std::optional<store::Entry> Existing;
+  if (!readKey(Run, Key, Existing)) {
+    return ExitCode::Failed;
+  }
+  const MoveDecision Decision =
+      planMove(Run, Service, {Run.Options.From, Run.Options.To, *Deadline},
+               Existing, false);
+  if (Decision.Code != ExitCode::Done) {
+    return fail(Run, Key, Decision.Reason, Decision.Code);
+  }
+  if (!Decision.Start) {
+    Run.Out.line(Key + ": unchanged: " + Decision.Reason);
+    return spread(Run, {*Existing});
+  }
+  const ChangeResult Result = accept(Run, *Decision.Start);
+  return Result.Accepted ? spread(Run, {*Result.Accepted}) : Result.Code;
+}
+
+ExitCode showMove(Context &Run) {
+  const std::string Key = settings::moveKey(Run.Options.Arguments[0]);
+  std::optional<store::Entry> Entry;
+  ExitCode Code = ExitCode::Failed;
+  const auto Stored = readMove(Run, Key, Entry, Code);
+  if (!Stored) {
+    return Code;
+  }
+  Run.Out.line(Key + ": revision " + std::to_string(Entry->ModRevision) + ": " +
+               describe(Stored->Move, Run.Now()));
+  Run.Out.Document["revision"] = Entry->ModRevision;
+  Run.Out.Document["move"] = nlohmann::ordered_json::parse(Entry->Value);
+  return ExitCode::Done;
+}
+
+ExitCode takeBackMove(Context &Run) {
+  const std::string Key = settings::moveKey(Run.Options.Arguments[0]);
+  for (int Attempt = 0; Attempt < MaxTakeBackAttempts; ++Attempt) {
+    std::optional<store::Entry> Entry;
+    ExitCode Code = ExitCode::Failed;
+    auto Stored = readMove(Run, Key, Entry, Code);
+    if (!Stored) {
+      return Code;
+    }
+    if (Stored->Move.Phase == policy::MovePhase::Done) {
+      return fail(Run, Key,
+                  "the move is completed and cannot be taken back; start a "
+                  "move in the other direction",
+                  ExitCode::Conflict);
+    }
+    if (Stored->Move.Phase == policy::MovePhase::TakenBack) {
+      Run.Out.line(Key + ": unchanged: " + describe(Stored->Move, Run.Now()));
+      return spread(Run, {*Entry});
+    }
+    const ChangeResult Result =
+        tryTakeBack(Run, Key, *Entry, std::move(*Stored));
+    if (Result.Accepted) {
+      return spread(Run, {*Result.Accepted});
+    }
+    if (Result.Code != ExitCode::Conflict) {
+      return Result.Code;
+    }
+    Run.Out.line(Key +
+                 ": the driver wrote a step at the same time; trying again");
+  }
+  return fail(Run, Key, "the record changed at every attempt",
+              ExitCode::Conflict);
+}
+
+} // namespace magnolia::ctl::internal
--- /dev/null
+++ b/packages/ctl/src/ctl/node/push.cpp
@@ -0,0 +1,58 @@
+#include "ctl/node/push.h"
+
+#include "policy/config/push_options.h"
+#include "wire/seal.h"
+
+#include <algorithm>
+
+namespace magnolia::ctl {
+namespace {
+
+// Values per message stay well under the limit of a sealed body.
+constexpr std::size_t MaxBatchBytes = wire::MaxSealedBody / 2;
+
+std::vector<wire::ControlBody>
+batchesOf(const std::vector<store::Entry> &Entries) {
+  std::vector<wire::ControlBody> Batches;
+  std::size_t Bytes = MaxBatchBytes;
+  for (const store::Entry &Entry : Entries) {
+    const std::size_t Size = Entry.Key.size() + Entry.Value.size();
+    if (Bytes + Size > MaxBatchBytes) {
+      Batches.emplace_back().set_method("push_config");
+      Batches.back().mutable_push_config()->set_rounds(policy::PushRounds);
+      Bytes = 0;
+    }
+    Bytes += Size;
+    auto *Added = Batches.back().mutable_push_config()->add_entries();
+    Added->set_key(Entry.Key);
+    Added->set_revision(Entry.ModRevision);
+    Added->set_value(Entry.Value);
+  }
+  return Batches;
+}
+
+} // namespace
+
+std::size_t pushEntries(Context &Run,
+                        const std::vector<store::Entry> &Entries) {
+  const auto Batches = batchesOf(Entries);
+  std::size_t Taken = 0;
+  for (const settings::HostPort &Node : Run.Options.Nodes) {
+    policy::Error LastError;
+    const bool All = std::all_of(
+        Batches.begin(), Batches.end(), [&](const wire::ControlBody &Batch) {
+          const auto Answer =
+              Run.CallNode(Node, Batch, Run.Options.Timeout, LastError);
+          return Answer && Answer->has_push_config_answer();
+        });
+    if (All) {
+      ++Taken;
+    } else {
+      Run.Out.line("warning: node " + toString(Node) +
+                   " did not take the change: " + LastError.Detail);
+    }
+  }
+  return Taken;
+}
+
+} // namespace magnolia::ctl
