Poll before sleeping only where waits are short

Cause: polling for 50 us before each sleep takes processor time from the threads that are waited for, and does not help where the backend server needs longer. Change: a thread polls only while its average wait is within the spin time. Conclusion: kept; p99 is to be measured on a quiet machine.

--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
+#include "daemon/net/spin_gate.h"
 #include "policy/overload/admit_service.h"
 #include "policy/probe/next_probe.h"
 #include "policy/retry/plan_next.h"
@@ -179,7 +180,10 @@
   if (HedgeAt) {
     Until = std::min(Until, *HedgeAt);
   }
-  (void)waitReady(Fds, Until, Owner.Options.Spin);
+  thread_local SpinGate Gate;
+  const policy::TimePoint Start = now();
+  (void)waitReady(Fds, Until, Gate.spin(Owner.Options.Spin));
+  Gate.record(now() - Start);
   CallerReady = Fds.back().revents != 0;
 }
 
--- a/packages/daemon/src/daemon/net/fwd.h
+++ b/packages/daemon/src/daemon/net/fwd.h
@@ -5,6 +5,7 @@
 
 class ConnectionServer;
 class Session;
+class SpinGate;
 class UniqueFd;
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/sidecar/peer_service.cpp
+++ b/packages/daemon/src/daemon/sidecar/peer_service.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
+#include "daemon/net/spin_gate.h"
 #include "daemon/sidecar/sidecar_call.h"
 #include "wire/convert/convert.h"
 #include "wire/peer.pb.h"
@@ -148,7 +149,10 @@
     std::array<pollfd, 2> Fds = {
         {{.fd = Call.fd(), .events = POLLIN, .revents = 0},
          {.fd = Connection.fd(), .events = POLLIN, .revents = 0}}};
-    (void)waitReady(Fds, Call.nextCheck(), Options.Spin);
+    thread_local SpinGate Gate;
+    const policy::TimePoint Start = now();
+    (void)waitReady(Fds, Call.nextCheck(), Gate.spin(Options.Spin));
+    Gate.record(now() - Start);
     Call.advance(now());
     if (Fds[1].revents != 0 && !Call.done() &&
         !takeFramesDuringCall(Connection, Call)) {
