--- a/packages/daemon/src/daemon/entry/http_service.h
+++ b/packages/daemon/src/daemon/entry/http_service.h
@@ -38,7 +38,7 @@
                                                        Session &Accepted);
   [[nodiscard]] HttpResponse answer(HttpRequest Request, int Fd);
   void rejectMalformed(int Fd, HttpReadStatus Status);
-  [[nodiscard]] bool write(int Fd, HttpResponse Response,
+  [[nodiscard]] bool write(int Fd, const HttpResponse &Response,
                            std::string_view Method);
 
   Entry &Owner;
