--- a/packages/daemon/src/daemon/net/connection_server.cpp
+++ b/packages/daemon/src/daemon/net/connection_server.cpp
@@ -93,27 +93,21 @@
 
 void ConnectionServer::accepted(UniqueFd Fd) {
   setUpSocket(Fd.fd());
-  std::list<Session>::iterator Place;
-  {
-    const std::lock_guard Lock(Mutex);
-    if (Sessions.size() < Given.Maximum) {
-      Sessions.emplace_front(std::move(Fd));
-      Place = Sessions.begin();
-    }
-  }
-  if (Fd.valid()) {
+  std::unique_lock Lock(Mutex);
+  if (Sessions.size() >= Given.Maximum) {
+    Lock.unlock();
     ++Refused;
     if (Given.Refuse) {
       Given.Refuse(Fd.fd());
     }
     return;
   }
+  const auto Place = Sessions.emplace(Sessions.begin(), std::move(Fd));
   try {
     std::thread([this, Place] { serve(Place); }).detach();
   } catch (const std::system_error &) {
     // No thread to be had: the connection is closed.
     ++Refused;
-    const std::lock_guard Lock(Mutex);
     Sessions.erase(Place);
   }
 }
