--- a/bench/loopback/settings_files.cpp
+++ b/bench/loopback/settings_files.cpp
@@ -61,12 +61,12 @@
   std::ostringstream Text;
   Text
       << "[service]\nversion = 1\nname = " << Service
-      << "\n\n[route /browse]\nmethods = GET\nidempotent = true\n"
+      << "\n\n[route /browse]\nidempotent = true\n"
          "timeout_ms = "
       << 3000 + Edition
-      << "\n\n[route /stock]\nmethods = GET\nidempotent = true\n"
+      << "\n\n[route /stock]\nidempotent = true\n"
          "timeout_ms = 3000\n"
-         "\n[route /hold]\nmethods = POST\nidempotent = false\n"
+         "\n[route /hold]\nidempotent = false\n"
          "timeout_ms = 3000\n"
          "\n[limits]\nretry_ratio = 0.1\nprobe_ratio = 0.01\nprobe_floor = 5\n";
   return Text.str();
--- a/scripts/capacity_run.py
+++ b/scripts/capacity_run.py
@@ -150,7 +150,7 @@
         folder.mkdir(exist_ok=True)
         service = self.services[edition % len(self.services)]
         (folder / f"{service}.service.ini").write_text(
-            f"[service]\nname = {service}\n\n[route /]\nmethods = GET\n"
+            f"[service]\nname = {service}\n\n[route /]\n"
             f"idempotent = true\ntimeout_ms = {1000 + edition}\n")
         return self.control("publish", str(folder)).returncode == 0
 
