--- a/bench/policy/scenario.h
+++ b/bench/policy/scenario.h
@@ -82,10 +82,13 @@
   // Largest excess of probes over the budget at any time; at most 0 is held.
   double ProbeExcess = -1e9;
   // Time from the fault until the share of the attempts that go to the faulty
-  // server stays below DetectShare, in milliseconds.
+  // server, trials apart, stays below DetectShare, in milliseconds.
   double DetectMs = 0;
-  // Attempts, and those of them that go to the faulty server later than
-  // LateAfter after the fault.
+  // Most attempts, trials apart, that one entry node sends to the faulty server
+  // before it first ejects it.
+  std::uint32_t Exposed = 0;
+  // Attempts, and those of them, trials included, that go to the faulty server
+  // later than LateAfter after the fault.
   std::uint64_t Attempts = 0;
   std::uint64_t LateAttempts = 0;
   // Ejections by all entry nodes, and those of servers without a fault.
@@ -93,8 +96,8 @@
   std::uint64_t FalseEjections = 0;
   // Smallest share of eligible candidates on any entry node.
   double MinEligible = 1;
-  // Slots of the restarted server at the end.
-  std::uint32_t LimitAtEnd = 0;
+  // Limit of the cold-start ramp of the first server at the end.
+  std::uint32_t RampAtEnd = 0;
 };
 
 // Time after a fault by which it should have been noticed.
--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -72,6 +72,9 @@
   ProbeBudget Probes;
   // Servers that were ejected at the last look.
   std::vector<bool> Out{};
+  // Attempts at the faulty server before its first ejection.
+  std::uint32_t Exposed = 0;
+  bool Noticed = false;
 };
 
 struct RequestModel {
@@ -137,7 +140,7 @@
                                   std::uint32_t Server) const;
   [[nodiscard]] bool counts(TimePoint At) const;
 
-  void countAttempt(std::uint32_t Server);
+  void countAttempt(std::uint32_t Server, bool Trial);
 
   Scenario Plan;
   Measures Result;
--- a/bench/policy/simulation_entry.cpp
+++ b/bench/policy/simulation_entry.cpp
@@ -62,6 +62,7 @@
   } else if (!Plan.Algorithm) {
     if (const auto Node = nextProbe(Entry.Probes, Entry.Route, Now, Policy)) {
       const auto Server = static_cast<std::uint32_t>(*Node - 1);
+      onProbe(Entry.Route, *Node, Now);
       post(EventKind::Probe, distance(At, Server), At, Server);
     }
     Result.ProbeExcess =
@@ -93,11 +94,12 @@
         findCandidate(Entry.Route, I + 1)->Health.Phase != HealthPhase::Healthy;
     const bool Faulty = I == 0 && Plan.Kind != Fault::None && counts(Now);
     Result.FalseEjections += Out && !Entry.Out[I] && !Faulty ? 1 : 0;
+    Entry.Noticed |= Out && Faulty;
     Entry.Out[I] = Out;
   }
 }
 
-void Simulation::countAttempt(std::uint32_t Server) {
+void Simulation::countAttempt(std::uint32_t Server, bool Trial) {
   if (!counts(Now)) {
     return;
   }
@@ -113,7 +115,7 @@
     BucketFaulty = 0;
   }
   ++BucketAttempts;
-  BucketFaulty += Server == 0 ? 1 : 0;
+  BucketFaulty += Server == 0 && !Trial ? 1 : 0;
 }
 
 void Simulation::send(std::uint32_t Id) {
@@ -129,7 +131,11 @@
   const auto Server = static_cast<std::uint32_t>(*Node - 1);
   onAttempt(Request.State);
   Request.Tried.push_back(*Node);
-  countAttempt(Server);
+  countAttempt(Server, findCandidate(Entry.Route, *Node)->Health.Phase !=
+                           HealthPhase::Healthy);
+  if (Server == 0 && counts(Now) && !Entry.Noticed) {
+    Result.Exposed = std::max(Result.Exposed, ++Entry.Exposed);
+  }
   Attempts.push_back({.Request = Id,
                       .Server = Server,
                       .Sent = onDispatch(Entry.Route, *Node, Now)});
--- a/packages/policy/src/policy/admission/internal/ramp.cpp
+++ b/packages/policy/src/policy/admission/internal/ramp.cpp
@@ -91,8 +91,12 @@
     ++State.Responses;
     State.Latency = movingAverage(State.Latency, Ended.Latency, State.Responses,
                                   FastWeight);
-    State.Baseline = movingAverage(State.Baseline, Ended.Latency,
-                                   State.Responses, SlowWeight);
+    // The baseline must not follow a jump before the jump is noticed.
+    const Duration Usual = State.Responses <= State.Options.JumpResponses
+                               ? Ended.Latency
+                               : std::min(Ended.Latency, 2 * State.Baseline);
+    State.Baseline =
+        movingAverage(State.Baseline, Usual, State.Responses, SlowWeight);
     if (State.Responses >= State.Options.JumpResponses &&
         State.Latency >= State.Options.MinJump &&
         exceeds(State, State.Options.JumpFactor)) {
--- a/packages/policy/src/policy/ledger/run_once.cpp
+++ b/packages/policy/src/policy/ledger/run_once.cpp
@@ -150,6 +150,15 @@
   return FenceDecision::NeverRun;
 }
 
+ErrorKind rejectionKind(RunLedger &Ledger, const RequestId &Id, ErrorKind Kind,
+                        TimePoint Now) {
+  if (fence(Ledger, Id, Now) == FenceDecision::NeverRun) {
+    return Kind;
+  }
+  return Ledger.Requests.find(Id) == nullptr ? ErrorKind::OutcomeUnknown
+                                             : ErrorKind::DuplicateRequest;
+}
+
 void finish(RunLedger &Ledger, const RequestId &Id, bool Ran) {
   RunState *Known = Ledger.Requests.find(Id);
   if (Known != nullptr && *Known == RunState::Running) {
--- a/packages/policy/src/policy/ledger/run_once.h
+++ b/packages/policy/src/policy/ledger/run_once.h
@@ -46,6 +46,13 @@
 // where nothing was sent to the backend server; the id then stays fenced.
 void finish(RunLedger &Ledger, const RequestId &Id, bool Ran);
 
+// Kind with which a non-idempotent request that was not begun may be rejected.
+// It fences the id, so that a later copy cannot make the rejection false; use
+// it for every refusal and expiry by admission and for Full. DuplicateRequest
+// where a copy runs or ran, OutcomeUnknown where nothing can be proved.
+[[nodiscard]] ErrorKind rejectionKind(RunLedger &Ledger, const RequestId &Id,
+                                      ErrorKind Kind, TimePoint Now);
+
 // Claims an idempotency key of a service for a request. Duplicate where
 // another request holds it and runs or has run.
 [[nodiscard]] KeyDecision claimKey(RunLedger &Ledger, std::string_view Service,
--- a/packages/policy/src/policy/outlier/eject.cpp
+++ b/packages/policy/src/policy/outlier/eject.cpp
@@ -14,16 +14,34 @@
   return static_cast<double>(Part.count()) / static_cast<double>(Whole.count());
 }
 
+// Spreads trials over half a back-off, so that the entry nodes which ejected a
+// candidate together don't try it again together.
+Duration withJitter(Duration BackOff, TimePoint Now) {
+  constexpr std::uint64_t Multiplier = 0x9E3779B97F4A7C15ULL;
+  constexpr int Shift = 54;
+  constexpr std::int64_t Steps = 1024;
+  const auto Ticks = static_cast<std::uint64_t>(Now.time_since_epoch().count());
+  const auto Step = static_cast<std::int64_t>((Ticks * Multiplier) >> Shift);
+  return BackOff * 3 / 4 + BackOff * Step / (2 * Steps);
+}
+
 } // namespace
 
 bool isSlow(const LatencyEvidence &Evidence, const OutlierOptions &Options) {
-  return Evidence.Median.count() > 0 &&
-         Evidence.Samples >= Options.MinSamples &&
-         Evidence.Latency >= Options.MinSlow &&
-         ratio(Evidence.Latency, Evidence.Median) > Options.SlowFactor;
+  if (Evidence.Median.count() <= 0 || Evidence.Samples < Options.MinSamples ||
+      Evidence.Latency < Options.MinSlow) {
+    return false;
+  }
+  const double Measured = ratio(Evidence.Latency, Evidence.Median);
+  const double Reported = ratio(Evidence.Reported, Evidence.Median);
+  return Measured > Options.SlowFactor ||
+         (Reported > Options.SlowFactor && Measured > Options.AgreeFactor);
 }
 
 bool isOverdue(const LatencyEvidence &Evidence, const OutlierOptions &Options) {
+  if (Evidence.ProbeAge > Options.ProbeTimeout) {
+    return true;
+  }
   if (Evidence.Open == 0 || Evidence.Median.count() <= 0 ||
       Evidence.OpenAges < Options.MinSlow * Evidence.Open) {
     return false;
@@ -60,7 +78,7 @@
                        : std::min(Health.BackOff * 2, Options.MaxBackOff);
   Health.Phase = HealthPhase::Ejected;
   Health.GoodTrials = 0;
-  Health.Until = Now + Health.BackOff;
+  Health.Until = Now + withJitter(Health.BackOff, Now);
 }
 
 void beginTrial(HealthState &Health) { Health.Phase = HealthPhase::Trial; }
--- a/packages/policy/src/policy/outlier/eject.h
+++ b/packages/policy/src/policy/outlier/eject.h
@@ -11,18 +11,24 @@
   // Moving average of the candidate and the responses in it.
   Duration Latency{0};
   std::uint32_t Samples = 0;
+  // Service time in the last load report; 0 means unknown.
+  Duration Reported{0};
   // Requests without a response yet and the sum of their ages.
   std::uint32_t Open = 0;
   Duration OpenAges{0};
+  // Age of a probe without an answer; 0: none.
+  Duration ProbeAge{0};
   // Median latency of the service; 0 means unknown.
   Duration Median{0};
 };
 
-// True where the responses of the candidate are much slower than its peers'.
+// True where the responses of the candidate are much slower than its peers',
+// or its own report says so and the measured latency agrees in part: a report
+// alone may be wrong.
 [[nodiscard]] bool isSlow(const LatencyEvidence &, const OutlierOptions &);
 
-// True where the open requests alone show that the candidate is slow or
-// silent.
+// True where open requests or an unanswered probe alone show that the candidate
+// is slow or silent.
 [[nodiscard]] bool isOverdue(const LatencyEvidence &, const OutlierOptions &);
 
 // True where the failures of the candidate stand out from the average failure
--- a/packages/policy/src/policy/outlier/outlier_options.h
+++ b/packages/policy/src/policy/outlier/outlier_options.h
@@ -11,6 +11,9 @@
   // latency counts as slow. A noisy neighbour together with a short queue
   // reaches five; a tenfold slowdown passes seven.
   double SlowFactor = 7.0;
+  // Factor that the measured latency must exceed where the load report of the
+  // candidate exceeds SlowFactor.
+  double AgreeFactor = 1.5;
   // Responses before a moving average of latency is evidence.
   std::uint32_t MinSamples = 3;
   // Requests that are still open are slow when the sum of their ages, in
@@ -18,6 +21,8 @@
   // two numbers follow the 0.01% tail of a sum of exponential ages.
   double OpenBase = 9.0;
   double OpenPerRequest = 1.75;
+  // A sidecar answers a probe at once; one this old shows a silent node.
+  Duration ProbeTimeout = std::chrono::milliseconds(30);
   // Shorter ages and averages are never evidence: they may be scheduling
   // noise.
   Duration MinSlow = std::chrono::milliseconds(4);
--- a/packages/policy/src/policy/probe/probe_budget.h
+++ b/packages/policy/src/policy/probe/probe_budget.h
@@ -14,7 +14,7 @@
   // Probes that may be saved up for later; also the start value.
   double Cap = 4.0;
   // Age up to which a load report needs no probe.
-  Duration FreshFor = std::chrono::milliseconds(500);
+  Duration FreshFor = std::chrono::milliseconds(50);
 };
 
 // Token bucket for probes. In any interval the number of probes is at most
--- a/packages/policy/src/policy/route/candidate.h
+++ b/packages/policy/src/policy/route/candidate.h
@@ -17,6 +17,8 @@
   LoadReport Report;
   TimePoint ReportAt{};
   std::uint32_t InFlightAtReport = 0;
+  // Time of the oldest probe since the last load report; zero: none.
+  TimePoint ProbeAt{};
   // Moving average of the requests that other entry nodes have there.
   float Others = 0;
   // Own moving average of the time from dispatch to response, without the
--- a/packages/policy/src/policy/route/feedback.cpp
+++ b/packages/policy/src/policy/route/feedback.cpp
@@ -64,6 +64,7 @@
   }
   Next.Report = Load;
   Next.ReportAt = Now;
+  Next.ProbeAt = TimePoint{};
   Next.InFlightAtReport = Next.InFlight;
   const float Others =
       std::max(0.0F, static_cast<float>(Load.InFlight + Load.Waiting) -
@@ -200,6 +201,15 @@
   internal::examine(State, *Next, Now);
 }
 
+void onProbe(RouteState &State, NodeId Node, TimePoint Now) {
+  const auto Found = State.Index.find(Node);
+  if (Found == State.Index.end()) {
+    return;
+  }
+  TimePoint &ProbeAt = State.Candidates[Found->second].ProbeAt;
+  ProbeAt = ProbeAt == TimePoint{} ? Now : ProbeAt;
+}
+
 void onReport(RouteState &State, NodeId Node, const LoadReport &Load,
               TimePoint Now) {
   const auto Found = State.Index.find(Node);
--- a/packages/policy/src/policy/route/feedback.h
+++ b/packages/policy/src/policy/route/feedback.h
@@ -19,7 +19,7 @@
 
 // Response of the backend server.
 struct Answer {
-  std::optional<LoadReport> Load;
+  std::optional<LoadReport> Load{};
   // Server error (status 5xx) or broken response.
   bool Faulty = false;
 };
@@ -41,6 +41,10 @@
 void onFailure(RouteState &State, const Dispatch &Sent, ErrorKind Kind,
                TimePoint Now);
 
+// Notes that a probe was sent to the candidate. Optional: without it a silent
+// node is noticed by requests only.
+void onProbe(RouteState &State, NodeId Node, TimePoint Now);
+
 // Takes a load report outside of a request into account, as from a probe.
 void onReport(RouteState &State, NodeId Node, const LoadReport &Load,
               TimePoint Now);
--- a/packages/policy/src/policy/route/internal/health.cpp
+++ b/packages/policy/src/policy/route/internal/health.cpp
@@ -17,8 +17,12 @@
       Next.StartSum;
   return {.Latency = Next.Latency,
           .Samples = Next.Samples,
+          .Reported = Next.Report.Latency,
           .Open = Next.InFlight,
           .OpenAges = Duration{Ages},
+          .ProbeAge = Next.ProbeAt == TimePoint{}
+                          ? Duration{0}
+                          : Now - Next.ProbeAt - Distance,
           .Median = State.Median};
 }
 
@@ -75,6 +79,7 @@
   // led to its ejection.
   Next.RampFrom = Now;
   Next.Samples = 0;
+  Next.ProbeAt = TimePoint{};
   if (isActive(Next)) {
     State.Ejected -= State.Ejected > 0 ? 1 : 0;
     State.FailureSum += Next.Health.FailureRate - Before;
--- a/packages/policy/src/policy/route/internal/score.cpp
+++ b/packages/policy/src/policy/route/internal/score.cpp
@@ -70,7 +70,10 @@
   const double Latency = latencyOf(State, Next, Now);
   const double Queue = std::max(0.0, InFlight + 1 - Limit) / Limit;
   const double Distance = static_cast<double>(Next.Spec.Distance.count());
-  return {.Cost = Latency * (1 + InFlight / Limit + Queue) + Distance,
+  // Noisy neighbours hurt most where many slots are taken, so the load counts
+  // by its square: half a load is cheap, the last slots are not.
+  const double Load = InFlight / Limit;
+  return {.Cost = Latency * (1 + Load * Load + Queue) + Distance,
           .Full = InFlight + 1 > Limit + 0.5};
 }
 
--- a/packages/policy/src/policy/route/route_options.h
+++ b/packages/policy/src/policy/route/route_options.h
@@ -22,7 +22,7 @@
   // Age at which a load report has lost two thirds of its weight.
   Duration ReportDecay = std::chrono::milliseconds(100);
   // Age at which a measured latency has lost two thirds of its weight.
-  Duration LatencyDecay = std::chrono::seconds(2);
+  Duration LatencyDecay = std::chrono::milliseconds(500);
   // Time for which the share of a new or returned candidate grows.
   Duration Ramp = std::chrono::seconds(2);
   OutlierOptions Outlier;
