--- a/bench/policy/simulation.h
+++ b/bench/policy/simulation.h
@@ -72,11 +72,16 @@
   ProbeBudget Probes;
   // Servers that were ejected at the last look.
   std::vector<bool> Out{};
+  // Attempts at the faulty server before its first ejection.
+  std::uint32_t Exposed = 0;
+  bool Noticed = false;
 };
 
 struct RequestModel {
   std::uint32_t Entry = 0;
   TimePoint Start{};
+  // Service time over the mean of the server.
+  double Work = 1;
   AttemptState State{};
   std::vector<NodeId> Tried{};
   bool Done = false;
@@ -135,12 +140,14 @@
                                   std::uint32_t Server) const;
   [[nodiscard]] bool counts(TimePoint At) const;
 
-  void countAttempt(std::uint32_t Server);
+  void countAttempt(std::uint32_t Server, bool Trial);
 
   Scenario Plan;
   Measures Result;
+  // Arrivals with their work, noisy neighbours and the policy draw from
+  // engines of their own, so that every algorithm meets the same load.
   RandomEngine Load;
-  RandomEngine Service;
+  RandomEngine Noise;
   RandomEngine Policy;
   TimePoint Begin{std::chrono::seconds(1)};
   TimePoint Now = Begin;
--- a/bench/policy/simulation_entry.cpp
+++ b/bench/policy/simulation_entry.cpp
@@ -8,6 +8,8 @@
 
 // Probes per request of the baseline with pooled probes.
 constexpr int PooledProbesPerRequest = 2;
+// Shape of the lognormal service time.
+constexpr double Sigma = 0.5;
 constexpr auto Milli = static_cast<double>(
     std::chrono::duration_cast<Duration>(std::chrono::milliseconds(1)).count());
 
@@ -26,9 +28,12 @@
   const auto At = static_cast<std::uint32_t>(Load() % Entries.size());
   const bool Idempotent =
       std::bernoulli_distribution(Plan.IdempotentShare)(Load);
+  // Lognormal with mean one.
+  std::lognormal_distribution<> Work(-Sigma * Sigma / 2, Sigma);
   EntryModel &Entry = Entries[At];
   const auto Id = static_cast<std::uint32_t>(Requests.size());
   Requests.push_back({.Entry = At, .Start = Now});
+  Requests[Id].Work = Work(Load);
   Requests[Id].State.Idempotent = Idempotent;
   Requests[Id].State.Deadline = Now + Plan.Deadline;
   Result.Requests += counts(Now) ? 1 : 0;
@@ -57,6 +62,7 @@
   } else if (!Plan.Algorithm) {
     if (const auto Node = nextProbe(Entry.Probes, Entry.Route, Now, Policy)) {
       const auto Server = static_cast<std::uint32_t>(*Node - 1);
+      onProbe(Entry.Route, *Node, Now);
       post(EventKind::Probe, distance(At, Server), At, Server);
     }
     Result.ProbeExcess =
@@ -88,11 +94,12 @@
         findCandidate(Entry.Route, I + 1)->Health.Phase != HealthPhase::Healthy;
     const bool Faulty = I == 0 && Plan.Kind != Fault::None && counts(Now);
     Result.FalseEjections += Out && !Entry.Out[I] && !Faulty ? 1 : 0;
+    Entry.Noticed |= Out && Faulty;
     Entry.Out[I] = Out;
   }
 }
 
-void Simulation::countAttempt(std::uint32_t Server) {
+void Simulation::countAttempt(std::uint32_t Server, bool Trial) {
   if (!counts(Now)) {
     return;
   }
@@ -108,7 +115,7 @@
     BucketFaulty = 0;
   }
   ++BucketAttempts;
-  BucketFaulty += Server == 0 ? 1 : 0;
+  BucketFaulty += Server == 0 && !Trial ? 1 : 0;
 }
 
 void Simulation::send(std::uint32_t Id) {
@@ -124,7 +131,11 @@
   const auto Server = static_cast<std::uint32_t>(*Node - 1);
   onAttempt(Request.State);
   Request.Tried.push_back(*Node);
-  countAttempt(Server);
+  countAttempt(Server, findCandidate(Entry.Route, *Node)->Health.Phase !=
+                           HealthPhase::Healthy);
+  if (Server == 0 && counts(Now) && !Entry.Noticed) {
+    Result.Exposed = std::max(Result.Exposed, ++Entry.Exposed);
+  }
   Attempts.push_back({.Request = Id,
                       .Server = Server,
                       .Sent = onDispatch(Entry.Route, *Node, Now)});
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -4,6 +4,7 @@
 #include "daemon/control/config_keys.h"
 #include "daemon/control/view_builder.h"
 #include "daemon/log/log.h"
+#include "daemon/sidecar/sidecar.h"
 #include "daemon/view/evidence_recorder.h"
 #include "daemon/view/view_holder.h"
 #include "settings/record/format_record.h"
@@ -32,6 +33,12 @@
 constexpr policy::Duration ViewPeriod = std::chrono::milliseconds(500);
 // A node that knows no other member asks the store for contacts this often.
 constexpr policy::Duration JoinPeriod = std::chrono::seconds(3);
+// A node that starts knows only itself and would take itself for a watcher of
+// its zone. It waits for other members first, and longer where there are none,
+// so that the restart of a whole zone does not reach the store as one burst.
+constexpr policy::Duration SettleTime = std::chrono::seconds(1);
+constexpr policy::Duration AloneTime = std::chrono::seconds(3);
+constexpr policy::Duration StartSpread = std::chrono::seconds(2);
 constexpr policy::Duration ContactPeriod = std::chrono::seconds(30);
 
 std::vector<policy::Contact> contactsIn(const store::RangeResult &Range) {
@@ -49,7 +56,7 @@
 } // namespace
 
 ControlCore::ControlCore(ControlOptions Given, ControlThread::Links Links)
-    : Options(std::move(Given)), Shared(std::move(Links)), Random(Options.Seed),
+    : Options(std::move(Given)), Shared(Links), Random(Options.Seed),
       Queue(MaximumQueuedTasks),
       Brakes(Shared.Cuts,
              [this](std::string Service, std::string MoveId,
@@ -103,6 +110,11 @@
     return false;
   }
   connectTraffic();
+  std::uniform_int_distribution<policy::Duration::rep> Spread(
+      0, StartSpread.count());
+  const policy::Duration Delay(Spread(Random));
+  NextJoin = steadyNow() + SettleTime + Delay;
+  AloneUntil = steadyNow() + AloneTime + Delay;
   Thread = std::thread([this] { run(); });
   return true;
 }
@@ -183,14 +195,20 @@
 }
 
 void ControlCore::watchStore() {
-  const bool Watch = Membership->isWatcher();
+  const policy::TimePoint Now = steadyNow();
+  if (!JoinedAt && Membership->members().size() > 1) {
+    JoinedAt = Now;
+  }
+  const bool Settled =
+      (JoinedAt && Now >= *JoinedAt + SettleTime) || Now >= AloneUntil;
+  const bool Watch = Settled && Membership->isWatcher();
   if (Watch != Store->isWatching()) {
     log(LogLevel::Info, Watch ? "store watch started" : "store watch ended");
     Store->setWatching(Watch);
-    NextContact = steadyNow();
+    NextContact = Now;
   }
-  if (Watch && steadyNow() >= NextContact) {
-    NextContact = steadyNow() + ContactPeriod;
+  if (Watch && Now >= NextContact) {
+    NextContact = Now + ContactPeriod;
     writeContact();
   }
 }
@@ -248,6 +266,8 @@
                            [](const auto &Move) {
                              return !policy::hasEnded(Move.second);
                            });
+  Shared.Own.setRun(Membership->self().Run);
+  Shared.Own.setZoneOut(View.ZonesOut.contains(Options.Self.Zone));
   Shared.Views.publish(std::move(View));
 }
 
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
+#include "daemon/net/spin_gate.h"
 #include "policy/overload/admit_service.h"
 #include "policy/probe/next_probe.h"
 #include "policy/retry/plan_next.h"
@@ -100,7 +101,9 @@
       .Node = *Node, .Address = Target.Address, .Port = Target.PeerPort};
   Made.Version = Target.Version;
   if (!HedgeAt && State.Idempotent && Runtime.Route.Median.count() > 0) {
-    HedgeAt = Now + policy::hedgeDelay(Runtime.Route.Median);
+    // The median is without the way to the zone of the candidate.
+    HedgeAt =
+        Now + Target.ZoneDistance + policy::hedgeDelay(Runtime.Route.Median);
   }
   return Made;
 }
@@ -179,7 +182,10 @@
   if (HedgeAt) {
     Until = std::min(Until, *HedgeAt);
   }
-  (void)waitReady(Fds, Until, Owner.Options.Spin);
+  thread_local SpinGate Gate;
+  const policy::TimePoint Start = now();
+  (void)waitReady(Fds, Until, Gate.spin(Owner.Options.Spin));
+  Gate.record(now() - Start);
   CallerReady = Fds.back().revents != 0;
 }
 
@@ -347,6 +353,9 @@
   switch (Fenced) {
   case FenceResult::NeverRun:
     Counts.count(Counter::FencesNeverRun);
+    LastError = errorAnswer(ErrorKind::Fenced,
+                            "the sidecar gave no answer and was told never to "
+                            "run the request");
     return {.Event = OutcomeEvent::FenceNeverRun, .Kind = ErrorKind::Fenced};
   case FenceResult::Started:
     Counts.count(Counter::FencesStarted);
--- a/packages/daemon/src/daemon/entry/http_service.cpp
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -49,7 +49,7 @@
     HttpResponse Response = answer(std::move(*Request), Accepted.fd());
     Response.KeepAlive = KeepAlive && !Closing;
     const bool GoOn = Response.KeepAlive;
-    const bool Written = write(Accepted.fd(), std::move(Response), Method);
+    const bool Written = write(Accepted.fd(), Response, Method);
     Owner.Use.Counts.time(Timing::Request, now() - Start);
     Accepted.Busy = false;
     if (!Written || !GoOn) {
@@ -63,7 +63,7 @@
   HttpResponse Response = errorResponse(
       ErrorKind::Overloaded, "too many connections to this node", false);
   Response.KeepAlive = false;
-  (void)write(Fd, std::move(Response), {});
+  (void)write(Fd, Response, {});
 }
 
 std::optional<HttpRequest> HttpService::readRequest(HttpReader &Reader,
@@ -121,7 +121,7 @@
     Owner.Use.Counts.countError(ErrorKind::BadRequest);
   }
   Response.KeepAlive = false;
-  if (write(Fd, std::move(Response), {})) {
+  if (write(Fd, Response, {})) {
     drainInput(Fd);
   }
 }
@@ -153,7 +153,7 @@
   return Response;
 }
 
-bool HttpService::write(int Fd, HttpResponse Response,
+bool HttpService::write(int Fd, const HttpResponse &Response,
                         std::string_view Method) {
   const std::string Head = responseHead(Response, Method);
   const std::string_view Body = hasBody(Response.Status, Method)
