--- a/packages/settings/test/settings/record/records.cpp
+++ b/packages/settings/test/settings/record/records.cpp
@@ -17,6 +17,7 @@
 ServiceRecord sampleService() {
   return {.Service = "catalogue",
           .OperationId = "op-1",
+          .Version = "v1",
           .Routes = {{.Prefix = "/bulbs",
                       .IdempotentMethods = {"GET", "PUT"},
                       .Idempotent = {},
@@ -121,6 +122,8 @@
       formatService(sampleService()), parseService,
       {{"a key built from a path", "service",
         [](Json &D) { D["service"] = "../zones/z1"; }},
+       {"a version that no backend server can have", "version",
+        [](Json &D) { D["version"] = "v 1"; }},
        {"a write that cannot be resolved", "operation_id",
         [](Json &D) { D.erase("operation_id"); }},
        {"retries without a bound", "retry_ratio",
--- a/packages/settings/test/settings/service/service_files.cpp
+++ b/packages/settings/test/settings/service/service_files.cpp
@@ -15,7 +15,7 @@
 
 TEST(ServiceFile, ReadsEverySection) {
   policy::Error Error;
-  const auto File = parseServiceFile(Head + R"(
+  const auto File = parseServiceFile(Head + R"(version = v1
 ; Holds must not run twice.
 [route /holds]
 idempotent = false
@@ -36,6 +36,7 @@
   const ServiceRecord Expected{
       .Service = "catalogue",
       .OperationId = {},
+      .Version = "v1",
       .Routes = {{"/holds", {}, false, 800},
                  {"/bulbs", {"GET", "HEAD", "PUT"}, {}, 0}},
       .RetryRatio = 0.2,
