--- a/packages/settings/src/settings/service/parse_service_file.cpp
+++ b/packages/settings/src/settings/service/parse_service_file.cpp
@@ -216,18 +216,22 @@
   return {};
 }
 
+// Section of the file that has the field.
+std::string sectionOf(const ServiceFault &Fault) {
+  if (!Fault.Route.empty() || Fault.Field == "routes") {
+    return "route " + Fault.Route;
+  }
+  return Fault.Field == "name" || Fault.Field == "version" ? "service"
+                                                           : "limits";
+}
+
 std::string finish(Parser &State) {
   const ServiceRecord &Service = State.File.Service;
   if (Service.Service.empty()) {
     return "section [service]: key name is missing; add name = NAME";
   }
   if (const auto Fault = findFault(Service)) {
-    const bool IsName = Fault->Field == "name";
-    return place(!Fault->Route.empty() ? "route " + Fault->Route
-                 : IsName              ? std::string("service")
-                                       : std::string("limits"),
-                 Fault->Field) +
-           Fault->Detail;
+    return place(sectionOf(*Fault), Fault->Field) + Fault->Detail;
   }
   const std::string FileName =
       std::filesystem::path(State.File.Path).filename().string();
