Start the ramp again where the backend server closes a connection early

Cause: a backend server that restarts between two requests is noticed only by its first answer; until then the sidecar could send it full load. Change: a connection that was closed within 500 ms after an answer counts as a possible restart; the prober looks for idle connections once a second.

--- a/packages/daemon/src/daemon/entry/prober.cpp
+++ b/packages/daemon/src/daemon/entry/prober.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr auto Interval = std::chrono::milliseconds(20);
+constexpr policy::Duration CloseInterval = std::chrono::seconds(1);
 constexpr policy::Duration ProbeTimeout = std::chrono::milliseconds(100);
 
 } // namespace
@@ -28,11 +29,16 @@
 }
 
 void Prober::run() {
+  policy::TimePoint NextClose{};
   std::unique_lock Lock(Mutex);
   while (!Wake.wait_for(Lock, Interval, [this] { return Stopping; })) {
     Lock.unlock();
     probeServices();
-    Owner.Use.Peers.closeIdle(now());
+    const policy::TimePoint Now = now();
+    if (Now >= NextClose) {
+      Owner.Use.Peers.closeIdle(Now);
+      NextClose = Now + CloseInterval;
+    }
     Lock.lock();
   }
 }
--- a/packages/daemon/src/daemon/sidecar/backend_pool.cpp
+++ b/packages/daemon/src/daemon/sidecar/backend_pool.cpp
@@ -26,7 +26,8 @@
   Closed.swap(Idle);
 }
 
-std::unique_ptr<BackendConnection> BackendPool::takeIdle() {
+std::unique_ptr<BackendConnection> BackendPool::takeIdle(policy::TimePoint Now,
+                                                         bool &Suspicious) {
   const std::lock_guard Lock(Mutex);
   while (!Idle.empty()) {
     std::unique_ptr<BackendConnection> Free = std::move(Idle.back());
@@ -35,6 +36,7 @@
       Free->Reused = true;
       return Free;
     }
+    Suspicious |= Now - Free->IdleSince < SuspiciousIdleTime;
   }
   return nullptr;
 }
@@ -61,8 +63,10 @@
       .Reused = false});
 }
 
-void BackendPool::give(std::unique_ptr<BackendConnection> Free) {
+void BackendPool::give(std::unique_ptr<BackendConnection> Free,
+                       policy::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
+  Free->IdleSince = Now;
   if (Free->Target == Target) {
     Idle.push_back(std::move(Free));
   }
--- a/packages/daemon/src/daemon/sidecar/backend_pool.h
+++ b/packages/daemon/src/daemon/sidecar/backend_pool.h
@@ -5,6 +5,7 @@
 #include "daemon/net/unique_fd.h"
 #include "policy/core/types.h"
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <mutex>
@@ -20,8 +21,14 @@
   // Number of the target it was opened for.
   std::uint64_t Target = 0;
   bool Reused = false;
+  policy::TimePoint IdleSince{};
 };
 
+// A backend server that closes a connection sooner than this after an answer
+// may have restarted: time limits on idle connections are longer.
+inline constexpr policy::Duration SuspiciousIdleTime =
+    std::chrono::milliseconds(500);
+
 // Idle connections to the own backend server. The last one used is the first
 // one to be used again, so that surplus ones become idle and are closed.
 class BackendPool {
@@ -33,12 +40,14 @@
   // Closes all idle connections, because the backend server restarted.
   void closeAll();
 
-  // Idle connection, or null.
-  [[nodiscard]] std::unique_ptr<BackendConnection> takeIdle();
+  // Idle connection, or null. Suspicious is set where the backend server has
+  // closed one so early that it may have restarted.
+  [[nodiscard]] std::unique_ptr<BackendConnection>
+  takeIdle(policy::TimePoint Now, bool &Suspicious);
   // New connection, or null where the backend server does not accept it.
   [[nodiscard]] std::unique_ptr<BackendConnection>
   open(policy::TimePoint Deadline);
-  void give(std::unique_ptr<BackendConnection> Free);
+  void give(std::unique_ptr<BackendConnection> Free, policy::TimePoint Now);
 
 private:
   const HttpLimits Limits;
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -136,7 +136,7 @@
     return;
   }
   if (const auto Refusal = Owner.beginRun(Request, Now)) {
-    Owner.pool().give(std::move(Connection));
+    Owner.pool().give(std::move(Connection), Now);
     refuseBeforeRun(*Refusal, "refused by the record of runs", Now);
     return;
   }
@@ -149,7 +149,11 @@
 }
 
 bool SidecarCall::connect(policy::TimePoint Now) {
-  Connection = Owner.pool().takeIdle();
+  bool Suspicious = false;
+  Connection = Owner.pool().takeIdle(Now, Suspicious);
+  if (Suspicious) {
+    Owner.onConnectFailure(Now);
+  }
   if (!Connection) {
     Connection = Owner.pool().open(
         std::min(Request.Deadline, Now + Owner.options().ConnectTimeout));
@@ -227,7 +231,7 @@
   HttpResponse Response = Connection->Reader.takeResponse();
   const bool Reusable = Response.KeepAlive && !Connection->Reader.hasBytes();
   if (Reusable) {
-    Owner.pool().give(std::move(Connection));
+    Owner.pool().give(std::move(Connection), Now);
   }
   Connection.reset();
   Owner.onBackendIncarnation(incarnationOf(Response.Headers), Now);
--- a/packages/daemon/test/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call.cpp
@@ -190,6 +190,19 @@
   EXPECT_THAT(Seen, testing::Not(testing::HasSubstr("Magnolia-Hops: 0")));
 }
 
+// Guards against full load on a backend server that restarted between two
+// requests, before it has named its new incarnation.
+TEST_F(SidecarCallTest, ConnectionClosedAfterAnAnswerStartsTheRampAgain) {
+  startBackend([](const std::string &) { return plainAnswer("[cut]"); });
+  EXPECT_EQ(run(request()).Kind, std::nullopt);
+  const auto Before = Own.admissionState().Resets;
+  // The first connection ends only after the answer was read.
+  while (Own.admissionState().Resets == Before) {
+    EXPECT_EQ(run(request()).Kind, std::nullopt);
+  }
+  EXPECT_EQ(Own.admissionState().InFlight, 0U);
+}
+
 // Guards against full load on a backend server that restarted unannounced.
 TEST_F(SidecarCallTest, ChangedIncarnationStartsTheRampAgain) {
   int Run = 1;
