--- a/bench/policy/choose_bench.cpp
+++ b/bench/policy/choose_bench.cpp
@@ -39,7 +39,7 @@
   TimePoint Now = Start;
   std::array<Dispatch, 16> Open{};
   std::size_t Turn = 0;
-  for (auto Step : Bench) {
+  for ([[maybe_unused]] auto Step : Bench) {
     Now += std::chrono::microseconds(100);
     Dispatch &Slot = Open[Turn++ % Open.size()];
     if (Slot.Node != 0) {
@@ -63,7 +63,7 @@
                    Start);
   RandomEngine Random(1);
   Error LastError;
-  for (auto Step : Bench) {
+  for ([[maybe_unused]] auto Step : Bench) {
     benchmark::DoNotOptimize(choose(State, {}, Start, Random, LastError));
   }
 }
@@ -72,7 +72,7 @@
 void replaceCandidates(benchmark::State &Bench) {
   RouteState State;
   const auto Specs = specs(static_cast<std::size_t>(Bench.range(0)));
-  for (auto Step : Bench) {
+  for ([[maybe_unused]] auto Step : Bench) {
     updateCandidates(State, Specs, Start);
   }
 }
--- a/bench/policy/sidecar_bench.cpp
+++ b/bench/policy/sidecar_bench.cpp
@@ -13,7 +13,7 @@
   AdmissionState State;
   State.Ramp = State.Options.Slots;
   TimePoint Now = Start;
-  for (auto Step : Bench) {
+  for ([[maybe_unused]] auto Step : Bench) {
     Now += std::chrono::microseconds(100);
     benchmark::DoNotOptimize(admit(State, {.Deadline = TimePoint::max()}, Now));
     benchmark::DoNotOptimize(
@@ -39,7 +39,7 @@
   for (std::uint64_t I = 0; I < Held; ++I) {
     Next();
   }
-  for (auto Round : Bench) {
+  for ([[maybe_unused]] auto Round : Bench) {
     Next();
   }
   Bench.counters["bytes_per_entry"] =
@@ -52,7 +52,7 @@
   RunLedger Ledger(1);
   TimePoint Now = Start;
   std::uint64_t Sequence = 0;
-  for (auto Step : Bench) {
+  for ([[maybe_unused]] auto Step : Bench) {
     Now += std::chrono::milliseconds(10);
     const RequestId Id{.Origin = 1, .Run = 1, .Sequence = ++Sequence};
     const std::string Key = std::to_string(Sequence);
--- a/packages/policy/src/policy/admission/admission_state.h
+++ b/packages/policy/src/policy/admission/admission_state.h
@@ -22,38 +22,38 @@
 // takes one away. Guard it with one mutex.
 struct AdmissionState {
   AdmissionOptions Options;
-  std::uint32_t InFlight = 0;
   // Oldest first; at most Options.MaxWaiting.
   std::vector<Waiter> Waiting;
   Ticket LastTicket = 0;
-  bool Draining = false;
   // Run of the backend server; 0: unknown.
   Incarnation Backend = 0;
-  // Limit of the cold-start ramp; a backend server of unknown history starts
-  // at one.
-  std::uint32_t Ramp = 1;
-  // Time in this step with a request in flight, up to BusySince.
+  // Time in this step of the ramp with a request in flight, up to BusySince.
   Duration StepWorked{0};
   TimePoint BusySince{};
-  std::uint32_t StepGood = 0;
-  std::uint32_t StepBad = 0;
-  // True where the limit was reached since the last step: only then do the
-  // responses say something about it.
-  bool StepFull = false;
   // Limit that follows latency under overload; 0: not set yet.
   double Adaptive = 0;
-  std::uint32_t AdaptiveResponses = 0;
   // Fast and slow moving averages of the service time.
   Duration Latency{0};
   Duration Baseline{0};
-  std::uint32_t Responses = 0;
   // Counters.
   std::uint64_t Admitted = 0;
   std::uint64_t Queued = 0;
   std::uint64_t Refused = 0;
   std::uint64_t Expired = 0;
   std::uint64_t Resets = 0;
+  std::uint32_t InFlight = 0;
   std::uint32_t MaxInFlight = 0;
+  // Limit of the cold-start ramp; a backend server of unknown history starts
+  // at one.
+  std::uint32_t Ramp = 1;
+  std::uint32_t StepGood = 0;
+  std::uint32_t StepBad = 0;
+  std::uint32_t AdaptiveResponses = 0;
+  std::uint32_t Responses = 0;
+  // True where the limit was reached since the last step: only then do the
+  // responses say something about it.
+  bool StepFull = false;
+  bool Draining = false;
 };
 
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/admission/internal/ramp.cpp
+++ b/packages/policy/src/policy/admission/internal/ramp.cpp
@@ -73,7 +73,6 @@
   State.Ramp = 1;
   State.Adaptive = 0;
   State.AdaptiveResponses = 0;
-  State.Latency = Duration{0};
   State.Baseline = Duration{0};
   State.Responses = 0;
   beginStep(State, Now);
--- a/packages/policy/src/policy/admission/internal/ramp.h
+++ b/packages/policy/src/policy/admission/internal/ramp.h
@@ -5,7 +5,9 @@
 
 namespace magnolia::policy::internal {
 
-// Starts the cold-start ramp again and forgets the latency.
+// Starts the cold-start ramp again and forgets the baseline. The last latency
+// stays until the first response, so that load reports never show a slow server
+// as an unknown one.
 void resetRamp(AdmissionState &State, TimePoint Now);
 
 // Adds the time since the last call to the work of the step; call it before
--- a/packages/policy/test/policy/ledger/run_once.cpp
+++ b/packages/policy/test/policy/ledger/run_once.cpp
@@ -1,8 +1,9 @@
 #include "policy/ledger/run_once.h"
 
-#include <functional>
 #include <gtest/gtest.h>
 
+#include <functional>
+
 namespace magnolia::policy {
 namespace {
 
