--- a/bench/loopback/verdicts.cpp
+++ b/bench/loopback/verdicts.cpp
@@ -127,14 +127,25 @@
   double Overloads = 0;
   double Repeated = 0;
   double Unrecorded = 0;
-  for (const auto &Record : Records) {
-    Overloads += static_cast<double>(Record.Overloads);
+  std::vector<Measure> Measures;
+  Measures.reserve(Records.size() + 3);
+  for (std::size_t Index = 0; Index < Records.size(); ++Index) {
+    const auto &Record = Records[Index];
+    const auto Own = static_cast<double>(Record.Overloads);
+    if (Own > 0) {
+      Measures.push_back(figure("overloads_of_server_" +
+                                    std::to_string(Index + 1) + "_" +
+                                    Record.Service,
+                                Own));
+    }
+    Overloads += Own;
     Repeated += static_cast<double>(Record.RepeatedIds);
     Unrecorded += static_cast<double>(Record.Unrecorded);
   }
-  return {atMost("overloads", Overloads, 0),
-          figure("request_ids_with_several_runs", Repeated),
-          atMost("runs_without_record", Unrecorded, 0)};
+  Measures.push_back(atMost("overloads", Overloads, 0));
+  Measures.push_back(figure("request_ids_with_several_runs", Repeated));
+  Measures.push_back(atMost("runs_without_record", Unrecorded, 0));
+  return Measures;
 }
 
 std::vector<Measure> judgeLatency(std::span<const CallResult> Results) {
