--- a/packages/daemon/src/daemon/control/membership_runner.cpp
+++ b/packages/daemon/src/daemon/control/membership_runner.cpp
@@ -8,7 +8,6 @@
 #include "policy/config/spread.h"
 #include "policy/membership/sync.h"
 
-#include <map>
 #include <optional>
 #include <utility>
 #include <wire/control.pb.h>
@@ -89,20 +88,7 @@
   if (WatchersKnown && WatchersGeneration == generation()) {
     return Watchers;
   }
-  std::map<std::string_view, std::vector<policy::Member>> Zones;
-  for (const policy::Member &Record : members()) {
-    if (policy::isLive(Record)) {
-      Zones[Record.Zone].push_back(Record);
-    }
-  }
-  Watchers.clear();
-  for (const auto &[Zone, Members] : Zones) {
-    for (const policy::Member &Record : Members) {
-      if (policy::isWatcher(Record, Members)) {
-        Watchers.push_back(Record);
-      }
-    }
-  }
+  Watchers = policy::watchersOf(members());
   WatchersGeneration = generation();
   WatchersKnown = true;
   return Watchers;
--- a/packages/daemon/src/daemon/control/move_runner.cpp
+++ b/packages/daemon/src/daemon/control/move_runner.cpp
@@ -22,7 +22,12 @@
 
 namespace {
 
-constexpr policy::Duration ReportPeriod = std::chrono::milliseconds(500);
+// A quarter second: with half a second, bad versions at low rates were cut off
+// later than 2 s in more of the seeded runs.
+constexpr policy::Duration ReportPeriod = std::chrono::milliseconds(250);
+// Watchers that collect the evidence of a move: the driver and the one that
+// takes over, for example when only the driver has lost the store.
+constexpr std::size_t Collectors = 2;
 constexpr std::chrono::milliseconds WriteTimeout{2000};
 
 ControlEndpoint endpointOf(const policy::Member &Target) {
@@ -131,18 +136,16 @@
   const policy::Member &Self = To.Membership.self();
   for (const auto &[Service, Report] :
        To.Brakes.takeReports(Self.Node, Self.Run)) {
-    const policy::Member *const Driver = driverOf(Report.MoveId);
-    if (Driver == nullptr) {
-      continue;
-    }
-    if (Driver->Node != Self.Node) {
+    for (const policy::Member &Collector : collectorsOf(Report.MoveId)) {
+      if (Collector.Node == Self.Node) {
+        addReport(Service, Report, WallNow);
+        continue;
+      }
       wire::ControlBody Body;
       *Body.mutable_evidence() = toRequest(Service, Report);
-      To.Client.call(endpointOf(*Driver), std::move(Body),
+      To.Client.call(endpointOf(Collector), std::move(Body),
                      [](const std::optional<wire::ControlBody> &) {});
-      continue;
     }
-    addReport(Service, Report, WallNow);
   }
 }
 
@@ -221,8 +224,8 @@
   std::vector<policy::Member> Targets =
       policy::pushTargets(To.Membership.self(), To.Membership.members(),
                           {.Origin = Rounds == policy::PushRounds}, To.Random);
-  if (const policy::Member *const Driver = driverOf(MoveId)) {
-    Targets.push_back(*Driver);
+  for (const policy::Member &Collector : collectorsOf(MoveId)) {
+    Targets.push_back(Collector);
   }
   for (const policy::Member &Target : Targets) {
     wire::ControlBody Body;
@@ -236,14 +239,17 @@
   }
 }
 
-const policy::Member *MoveRunner::driverOf(std::string_view MoveId) const {
+std::vector<policy::Member>
+MoveRunner::collectorsOf(std::string_view MoveId) const {
   const std::vector<policy::Member> &Watchers = To.Membership.watchers();
+  std::vector<policy::Member> Result;
   for (const policy::Member &Candidate : Watchers) {
-    if (policy::driverRank(Candidate.Node, Watchers, MoveId) == 0U) {
-      return &Candidate;
+    const auto Rank = policy::driverRank(Candidate.Node, Watchers, MoveId);
+    if (Rank && *Rank < Collectors) {
+      Result.push_back(Candidate);
     }
   }
-  return nullptr;
+  return Result;
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/move_runner.h
+++ b/packages/daemon/src/daemon/control/move_runner.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace magnolia::wire {
 class EvidenceRequest;
@@ -82,7 +83,8 @@
   void onWritten(const std::string &Service, bool Written);
   void spread(const std::string &Service, const std::string &MoveId,
               const policy::Verdict &Held, std::uint32_t Rounds);
-  [[nodiscard]] const policy::Member *driverOf(std::string_view MoveId) const;
+  [[nodiscard]] std::vector<policy::Member>
+  collectorsOf(std::string_view MoveId) const;
 
   Links To;
   std::map<std::string, policy::MoveRecord, std::less<>> Records;
