--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -78,7 +78,6 @@
 
   void cancelOpen(policy::TimePoint Now);
   void record(const Attempt &Ended, bool Failed, policy::TimePoint Now);
-  [[nodiscard]] bool callerIsGone();
 
   Entry &Owner;
   Given Call;
@@ -90,7 +89,8 @@
   std::optional<CallAnswer> LastError;
   std::optional<CallAnswer> Result;
   bool Exhausted = false;
-  bool CallerReady = false;
+  // Set where the caller closed its connection.
+  bool CallerGone = false;
 };
 
 } // namespace magnolia::daemon
