Move the decisions on serving, joining and repair to packages/policy

Cause: the daemon decided which versions serve, when a node turns to the store and when it compares configurations; no test could drive these without sockets. A full read of the store that was older than one handed-over key was dropped whole, so the other keys it brought were missing until the next change. Change: policy/fleet with fault tables; the daemon calls it.

--- a/packages/daemon/src/daemon/control/config_runner.cpp
+++ b/packages/daemon/src/daemon/control/config_runner.cpp
@@ -1,6 +1,5 @@
 #include "daemon/control/config_runner.h"
 
-#include "daemon/control/clock.h"
 #include "daemon/control/config_keys.h"
 #include "daemon/control/control_client.h"
 #include "daemon/control/membership_runner.h"
@@ -8,10 +7,10 @@
 #include "policy/config/apply.h"
 #include "policy/config/exchange.h"
 #include "policy/config/spread.h"
+#include "policy/fleet/repair.h"
 
 #include <algorithm>
 #include <optional>
-#include <set>
 #include <utility>
 #include <wire/control.pb.h>
 
@@ -19,12 +18,6 @@
 
 namespace {
 
-// A small table is compared often, so that one lost push is repaired within
-// the 5 s of today; a large one less often, to bound the traffic.
-constexpr std::size_t SmallTable = 256;
-constexpr policy::Duration SmallTableInterval = std::chrono::milliseconds(500);
-constexpr policy::Duration LargeTableInterval = std::chrono::seconds(5);
-
 wire::ConfigEntry toWire(const policy::ConfigEntry &Entry) {
   wire::ConfigEntry Result;
   Result.set_key(Entry.Key);
@@ -50,27 +43,6 @@
   return {.Address = Target.Address, .Port = Target.ControlPort};
 }
 
-// Keys of the table that a full read of the store no longer holds.
-std::vector<policy::ConfigEntry>
-deletedKeys(const policy::ConfigTable &Table,
-            const store::WatchResult &FullRead) {
-  std::set<std::string_view> Present;
-  for (const store::WatchEvent &Event : FullRead.Events) {
-    Present.insert(Event.Key);
-  }
-  std::vector<policy::ConfigEntry> Result;
-  for (const auto &[Key, Entry] : Table.Entries) {
-    if (!Entry.Tombstone && Entry.Revision <= FullRead.StoreRevision &&
-        !Present.contains(Key)) {
-      Result.push_back({.Key = Key,
-                        .Revision = FullRead.StoreRevision,
-                        .Value = {},
-                        .Tombstone = true});
-    }
-  }
-  return Result;
-}
-
 } // namespace
 
 ConfigRunner::ConfigRunner(MembershipRunner &Membership, ControlClient &Client,
@@ -97,21 +69,17 @@
 }
 
 void ConfigRunner::onStoreResult(store::WatchResult Result) {
-  // A store that lost its data starts again with low revisions. What was
-  // accepted stays in effect.
-  if (Result.StoreRevision < Table.HighestRevision && Result.Full) {
-    return;
-  }
   std::vector<policy::ConfigEntry> Entries;
-  if (Result.Full) {
-    Entries = deletedKeys(Table, Result);
-  }
   for (store::WatchEvent &Event : Result.Events) {
     Entries.push_back({.Key = std::move(Event.Key),
                        .Revision = Event.ModRevision,
                        .Value = std::move(Event.Value),
                        .Tombstone = Event.Deleted});
   }
+  if (Result.Full) {
+    Entries = policy::changesOf(Table, {.Entries = std::move(Entries),
+                                        .Revision = Result.StoreRevision});
+  }
   apply(Entries, Source::Store, policy::PushRounds);
 }
 
@@ -155,12 +123,9 @@
 
 void ConfigRunner::onDifference(const policy::Member &Other,
                                 policy::TimePoint Now) {
-  if (Now < NextExchange) {
+  if (!policy::takeRepair(Repair, Table, Now)) {
     return;
   }
-  NextExchange = Now + (Table.Entries.size() < SmallTable ? SmallTableInterval
-                                                          : LargeTableInterval);
-  ++Exchanges;
   wire::ControlBody Body;
   wire::ExchangeDigestRequest &Request = *Body.mutable_exchange_digest();
   for (const std::uint64_t Bucket : policy::digest(Table).Buckets) {
--- a/packages/daemon/src/daemon/control/config_runner.h
+++ b/packages/daemon/src/daemon/control/config_runner.h
@@ -4,6 +4,7 @@
 #include "daemon/control/fwd.h"
 #include "policy/config/config_table.h"
 #include "policy/core/types.h"
+#include "policy/fleet/repair_state.h"
 #include "policy/membership/member.h"
 #include "store/core/watch_result.h"
 
@@ -51,7 +52,7 @@
   void onDifference(const policy::Member &Other, policy::TimePoint Now);
 
   [[nodiscard]] const policy::ConfigTable &table() const { return Table; }
-  [[nodiscard]] std::uint64_t exchanges() const { return Exchanges; }
+  [[nodiscard]] std::uint64_t exchanges() const { return Repair.Started; }
 
 private:
   void push(std::span<const policy::ConfigEntry> Entries, Source From,
@@ -65,8 +66,7 @@
   policy::RandomEngine &Random;
   EntryHandler OnEntry;
   policy::ConfigTable Table;
-  policy::TimePoint NextExchange;
-  std::uint64_t Exchanges = 0;
+  policy::RepairState Repair;
 };
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -7,6 +7,7 @@
 #include "daemon/sidecar/sidecar.h"
 #include "daemon/view/evidence_recorder.h"
 #include "daemon/view/view_holder.h"
+#include "policy/fleet/join.h"
 #include "settings/record/format_record.h"
 #include "settings/record/parse_record.h"
 #include "settings/record/record_key.h"
@@ -31,16 +32,6 @@
 // anew while it holds shares that change with time.
 constexpr policy::Duration ViewPause = std::chrono::milliseconds(10);
 constexpr policy::Duration ViewPeriod = std::chrono::milliseconds(500);
-// A node that knows no other member asks the store for contacts this often.
-constexpr policy::Duration JoinPeriod = std::chrono::seconds(3);
-// A node that starts knows only itself and would take itself for a watcher of
-// its zone. It waits for other members first, and longer where there are none,
-// so that the restart of a whole zone does not reach the store as one burst.
-constexpr policy::Duration SettleTime = std::chrono::seconds(1);
-constexpr policy::Duration AloneTime = std::chrono::seconds(3);
-constexpr policy::Duration StartSpread = std::chrono::seconds(2);
-constexpr policy::Duration ContactPeriod = std::chrono::seconds(30);
-
 std::vector<policy::Contact> contactsIn(const store::RangeResult &Range) {
   std::vector<policy::Contact> Contacts;
   policy::Error LastError;
@@ -110,11 +101,7 @@
     return false;
   }
   connectTraffic();
-  std::uniform_int_distribution<policy::Duration::rep> Spread(
-      0, StartSpread.count());
-  const policy::Duration Delay(Spread(Random));
-  NextJoin = steadyNow() + SettleTime + Delay;
-  AloneUntil = steadyNow() + AloneTime + Delay;
+  Join = policy::makeJoin(steadyNow(), Random);
   Thread = std::thread([this] { run(); });
   return true;
 }
@@ -171,17 +158,17 @@
   const policy::TimePoint Now = steadyNow();
   Membership->tick(Now, Config->table().Digest.Whole);
   Moves->tick(Now, wallNow());
+  policy::onMembers(Join, Membership->members().size(), Now);
   if (Store) {
     joinThroughStore(Now);
-    watchStore();
+    watchStore(Now);
   }
 }
 
 void ControlCore::joinThroughStore(policy::TimePoint Now) {
-  if (Membership->members().size() > 1 || Now < NextJoin) {
+  if (!policy::takeContactRead(Join, Now)) {
     return;
   }
-  NextJoin = Now + JoinPeriod;
   Store->submit([this](const store::StoreOperations &Operations) {
     store::StoreError LastError;
     const auto Range =
@@ -194,32 +181,20 @@
   });
 }
 
-void ControlCore::watchStore() {
-  const policy::TimePoint Now = steadyNow();
-  if (!JoinedAt && Membership->members().size() > 1) {
-    JoinedAt = Now;
+void ControlCore::watchStore(policy::TimePoint Now) {
+  if (policy::updateWatch(Join, Membership->isWatcher(), Now)) {
+    log(LogLevel::Info,
+        Join.Watching ? "store watch started" : "store watch ended");
+    Store->setWatching(Join.Watching);
   }
-  const bool Settled =
-      (JoinedAt && Now >= *JoinedAt + SettleTime) || Now >= AloneUntil;
-  const bool Watch = Settled && Membership->isWatcher();
-  if (Watch != Store->isWatching()) {
-    log(LogLevel::Info, Watch ? "store watch started" : "store watch ended");
-    Store->setWatching(Watch);
-    NextContact = Now;
-  }
-  if (Watch && Now >= NextContact) {
-    NextContact = Now + ContactPeriod;
+  if (policy::takeContactWrite(Join, Now)) {
     writeContact();
   }
 }
 
 void ControlCore::writeContact() {
-  // The slot is the rank among the watchers of the zone.
-  std::uint32_t Slot = 0;
   const policy::Member &Self = Membership->self();
-  for (const policy::Member &Other : Membership->watchers()) {
-    Slot += Other.Zone == Self.Zone && Other.Node < Self.Node ? 1 : 0;
-  }
+  const std::uint32_t Slot = policy::contactSlot(Self, Membership->watchers());
   const store::PutRequest Wanted = {
       .Key = settings::contactKey(Self.Zone, Slot),
       .Value = settings::formatContact({.Address = Self.Address,
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -14,9 +14,9 @@
 #include "daemon/control/store_worker.h"
 #include "daemon/control/task_queue.h"
 #include "daemon/view/local_backend.h"
+#include "policy/fleet/join_state.h"
 
 #include <memory>
-#include <optional>
 #include <string>
 #include <thread>
 
@@ -47,7 +47,7 @@
   void run();
   void tick();
   void joinThroughStore(policy::TimePoint Now);
-  void watchStore();
+  void watchStore(policy::TimePoint Now);
   void writeContact();
   void publishView(policy::TimePoint Now);
   void onEntry(const policy::ConfigEntry &Entry);
@@ -75,11 +75,7 @@
   bool ViewDirty = true;
   bool ViewVaries = false;
   policy::TimePoint LastView;
-  policy::TimePoint NextJoin;
-  // When the first other member was known; until when a node waits for one.
-  std::optional<policy::TimePoint> JoinedAt;
-  policy::TimePoint AloneUntil;
-  policy::TimePoint NextContact;
+  policy::JoinState Join;
   std::thread Thread;
 };
 
--- a/packages/daemon/src/daemon/control/store_worker.cpp
+++ b/packages/daemon/src/daemon/control/store_worker.cpp
@@ -1,6 +1,7 @@
 #include "daemon/control/store_worker.h"
 
-#include <algorithm>
+#include "policy/fleet/join.h"
+
 #include <chrono>
 #include <utility>
 
@@ -13,8 +14,6 @@
 constexpr std::size_t MaximumJobs = 64;
 constexpr milliseconds WatchWait{10000};
 constexpr milliseconds CallTimeout{2000};
-constexpr milliseconds FirstBackoff{100};
-constexpr milliseconds LongestBackoff{2000};
 constexpr milliseconds JobPoll{200};
 // Every key: one waiting watch per watcher covers services, zones and moves.
 constexpr std::string_view AllKeys;
@@ -115,17 +114,9 @@
 }
 
 void StoreWorker::pauseAfterFailure(int Failures) {
-  // The pause doubles and is random, so that the watchers of a fleet do not
-  // return to a recovering store at the same moment.
-  constexpr int MaximumDoublings = 5;
-  const milliseconds Longest =
-      std::min(LongestBackoff,
-               FirstBackoff * (1 << std::min(Failures, MaximumDoublings)));
-  std::uniform_int_distribution<milliseconds::rep> Pause(Longest.count() / 2,
-                                                         Longest.count());
+  const policy::Duration Pause = policy::storeBackoff(Failures, Random);
   std::unique_lock Lock(Mutex);
-  Changed.wait_for(Lock, milliseconds(Pause(Random)),
-                   [this] { return Stopping; });
+  Changed.wait_for(Lock, Pause, [this] { return Stopping; });
 }
 
 void StoreWorker::jobLoop() {
--- a/packages/daemon/src/daemon/control/view_builder.cpp
+++ b/packages/daemon/src/daemon/control/view_builder.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/view_builder.h"
 
+#include "policy/fleet/serving.h"
 #include "policy/zone/zone.h"
 
 #include <chrono>
@@ -7,44 +8,26 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace magnolia::daemon {
 
 namespace {
 
-using MembersOfService =
+using ServiceMembers =
     std::map<std::string_view, std::vector<const policy::Member *>>;
 
-MembersOfService groupByService(std::span<const policy::Member> Members) {
-  MembersOfService Result;
-  for (const policy::Member &Record : Members) {
-    if (policy::isLive(Record) && !Record.Service.empty()) {
-      Result[Record.Service].push_back(&Record);
-    }
-  }
-  return Result;
-}
-
-policy::Duration distanceTo(const policy::Member &Other,
-                            const ViewInput &Input) {
-  if (Other.Region != Input.Self.Region) {
-    return Input.RegionDistance;
-  }
-  return Other.Zone == Input.Self.Zone ? policy::Duration{}
-                                       : Input.ZoneDistance;
-}
-
-BackendEndpoint endpointOf(const policy::Member &Other,
-                           const ViewInput &Input) {
-  return {.Node = Other.Node,
-          .Address = Other.Address,
-          .PeerPort = Other.PeerPort,
-          .Zone = Other.Zone,
-          .Version = Other.Version,
-          .Run = Other.Run,
-          .Draining = Other.Draining,
-          .ZoneDistance = distanceTo(Other, Input)};
+BackendEndpoint endpointOf(const policy::ServingMember &Serving) {
+  const policy::Member &Record = *Serving.Record;
+  return {.Node = Record.Node,
+          .Address = Record.Address,
+          .PeerPort = Record.PeerPort,
+          .Zone = Record.Zone,
+          .Version = Record.Version,
+          .Run = Record.Run,
+          .Draining = Record.Draining,
+          .ZoneDistance = Serving.Distance};
 }
 
 RouteRule ruleOf(const settings::RouteRecord &Route) {
@@ -54,59 +37,34 @@
           .Timeout = std::chrono::milliseconds(Route.TimeoutMs)};
 }
 
-// True where the version may serve under the records of the service.
-bool mayServe(std::string_view Version, const settings::ServiceRecord &Record,
-              const policy::MoveRecord *Move) {
-  if (Move == nullptr) {
-    return Record.Version.empty() || Version == Record.Version;
-  }
-  switch (Move->Phase) {
-  case policy::MovePhase::Planned:
-  case policy::MovePhase::TakenBack:
-    return Version == Move->FromVersion;
-  case policy::MovePhase::Shifting:
-    return Version == Move->FromVersion || Version == Move->ToVersion;
-  case policy::MovePhase::Done:
-    return Version == Move->ToVersion;
-  }
-  return true;
-}
-
-void setMove(ServiceView &View, const policy::MoveRecord &Move,
-             policy::TimePoint WallNow) {
-  if (Move.Phase != policy::MovePhase::Shifting) {
-    return;
-  }
-  View.MoveId = Move.Id;
-  View.OldVersion = Move.FromVersion;
-  View.NewVersion = Move.ToVersion;
-  // Past the deadline without Done every node serves the old version.
-  View.NewShare = WallNow < Move.Deadline ? Move.Share : 0;
-}
-
 ServiceView buildService(const settings::ServiceRecord &Record,
-                         const MembersOfService &Members,
+                         const ServiceMembers &Members,
                          const ViewInput &Input) {
-  ServiceView View;
-  View.Name = Record.Service;
-  View.RetryRatio = Record.RetryRatio;
-  View.ProbeRatio = Record.ProbeRatio;
-  View.ProbeFloorPerSecond = Record.ProbeFloor;
+  const auto Found = Members.find(Record.Service);
+  const auto Move = Input.Records.Moves.find(Record.Service);
+  policy::ServingPlan Plan = policy::planService(
+      {.Self = Input.Self,
+       .Members = Found == Members.end()
+                      ? std::span<const policy::Member *const>()
+                      : std::span(Found->second),
+       .Version = Record.Version,
+       .Move = Move == Input.Records.Moves.end() ? nullptr : &Move->second,
+       .ZoneDistance = Input.ZoneDistance,
+       .RegionDistance = Input.RegionDistance},
+      Input.WallNow);
+  ServiceView View = {.Name = Record.Service,
+                      .RetryRatio = Record.RetryRatio,
+                      .ProbeRatio = Record.ProbeRatio,
+                      .ProbeFloorPerSecond = Record.ProbeFloor,
+                      .MoveId = std::move(Plan.MoveId),
+                      .OldVersion = std::move(Plan.OldVersion),
+                      .NewVersion = std::move(Plan.NewVersion),
+                      .NewShare = Plan.NewShare};
   for (const settings::RouteRecord &Route : Record.Routes) {
     View.Rules.push_back(ruleOf(Route));
   }
-  const auto Move = Input.Records.Moves.find(Record.Service);
-  const policy::MoveRecord *const Current =
-      Move == Input.Records.Moves.end() ? nullptr : &Move->second;
-  if (Current != nullptr) {
-    setMove(View, *Current, Input.WallNow);
-  }
-  if (const auto Found = Members.find(Record.Service); Found != Members.end()) {
-    for (const policy::Member *const Other : Found->second) {
-      if (mayServe(Other->Version, Record, Current)) {
-        View.Backends.push_back(endpointOf(*Other, Input));
-      }
-    }
+  for (const policy::ServingMember &Serving : Plan.Members) {
+    View.Backends.push_back(endpointOf(Serving));
   }
   return View;
 }
@@ -115,7 +73,7 @@
 
 ClusterView buildView(const ViewInput &Input) {
   ClusterView View;
-  const MembersOfService Members = groupByService(Input.Members);
+  const ServiceMembers Members = policy::membersByService(Input.Members);
   for (const auto &[Name, Record] : Input.Records.Services) {
     View.Services[Name] = std::make_shared<const ServiceView>(
         buildService(Record, Members, Input));
--- /dev/null
+++ b/packages/policy/src/policy/fleet/fwd.h
@@ -0,0 +1,17 @@
+#ifndef POLICY_FLEET_FWD_H
+#define POLICY_FLEET_FWD_H
+
+namespace magnolia::policy {
+
+struct JoinOptions;
+struct JoinState;
+struct RepairOptions;
+struct RepairState;
+struct ServingMember;
+struct ServingPlan;
+struct ServingQuery;
+struct StoreRead;
+
+} // namespace magnolia::policy
+
+#endif
--- /dev/null
+++ b/packages/policy/src/policy/fleet/serving.cpp
@@ -0,0 +1,71 @@
+#include "policy/fleet/serving.h"
+
+namespace magnolia::policy {
+
+namespace {
+
+void planMove(ServingPlan &Plan, const MoveRecord &Move, TimePoint WallNow) {
+  Plan.Varies = !hasEnded(Move);
+  if (Move.Phase != MovePhase::Shifting) {
+    return;
+  }
+  Plan.MoveId = Move.Id;
+  Plan.OldVersion = Move.FromVersion;
+  Plan.NewVersion = Move.ToVersion;
+  // Past the deadline without Done every node serves the old version.
+  Plan.NewShare = WallNow < Move.Deadline ? Move.Share : 0;
+}
+
+} // namespace
+
+std::map<std::string_view, std::vector<const Member *>>
+membersByService(std::span<const Member> Members) {
+  std::map<std::string_view, std::vector<const Member *>> Result;
+  for (const Member &Record : Members) {
+    if (!Record.Service.empty()) {
+      Result[Record.Service].push_back(&Record);
+    }
+  }
+  return Result;
+}
+
+bool mayServe(std::string_view Version, std::string_view ServiceVersion,
+              const MoveRecord *Move) {
+  if (Move == nullptr) {
+    return ServiceVersion.empty() || Version == ServiceVersion;
+  }
+  switch (Move->Phase) {
+  case MovePhase::Planned:
+  case MovePhase::TakenBack:
+    return Version == Move->FromVersion;
+  case MovePhase::Shifting:
+    return Version == Move->FromVersion || Version == Move->ToVersion;
+  case MovePhase::Done:
+    return Version == Move->ToVersion;
+  }
+  return false;
+}
+
+Duration distance(const ServingQuery &Query, const Member &Other) {
+  if (Other.Region != Query.Self.Region) {
+    return Query.RegionDistance;
+  }
+  return Other.Zone == Query.Self.Zone ? Duration{0} : Query.ZoneDistance;
+}
+
+ServingPlan planService(const ServingQuery &Query, TimePoint WallNow) {
+  ServingPlan Plan;
+  if (Query.Move != nullptr) {
+    planMove(Plan, *Query.Move, WallNow);
+  }
+  for (const Member *const Record : Query.Members) {
+    if (isLive(*Record) &&
+        mayServe(Record->Version, Query.Version, Query.Move)) {
+      Plan.Members.push_back(
+          {.Record = Record, .Distance = distance(Query, *Record)});
+    }
+  }
+  return Plan;
+}
+
+} // namespace magnolia::policy
--- /dev/null
+++ b/packages/policy/test/policy/fleet/join.cpp
@@ -0,0 +1,74 @@
+#include "policy/fleet/join.h"
+
+#include <chrono>
+#include <gtest/gtest.h>
+
+namespace magnolia::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+TimePoint at(Duration Offset) { return TimePoint(seconds(1000)) + Offset; }
+
+// Guards against the burst of a zone that restarts: nodes that know only
+// themselves must not all read the store.
+TEST(Join, WaitsForOtherMembersBeforeTheStore) {
+  RandomEngine Random(1);
+  JoinState State = makeJoin(at(Duration(0)), Random);
+  EXPECT_FALSE(takeContactRead(State, at(milliseconds(900))));
+  EXPECT_FALSE(updateWatch(State, true, at(milliseconds(900))));
+  onMembers(State, 2, at(milliseconds(950)));
+  EXPECT_FALSE(takeContactRead(State, at(seconds(10))));
+  EXPECT_FALSE(updateWatch(State, true, at(milliseconds(1900))));
+  EXPECT_TRUE(updateWatch(State, true, at(milliseconds(1950))));
+}
+
+// Guards against a first node that never reads its configuration.
+TEST(Join, WatchesAloneAfterAWhile) {
+  RandomEngine Random(2);
+  JoinState State = makeJoin(at(Duration(0)), Random);
+  EXPECT_TRUE(takeContactRead(State, at(seconds(3))));
+  EXPECT_FALSE(takeContactRead(State, at(seconds(4))));
+  EXPECT_TRUE(updateWatch(State, true, at(seconds(5))));
+}
+
+// Guards against two watch decisions in a row and against a watch that goes on
+// after the node lost its rank.
+TEST(Join, ReportsEachChangeOfTheWatchOnce) {
+  RandomEngine Random(3);
+  JoinState State = makeJoin(at(Duration(0)), Random);
+  EXPECT_TRUE(updateWatch(State, true, at(seconds(6))));
+  EXPECT_FALSE(updateWatch(State, true, at(seconds(7))));
+  EXPECT_TRUE(takeContactWrite(State, at(seconds(7))));
+  EXPECT_FALSE(takeContactWrite(State, at(seconds(8))));
+  EXPECT_TRUE(updateWatch(State, false, at(seconds(9))));
+  EXPECT_FALSE(takeContactWrite(State, at(seconds(90))));
+}
+
+// Guards against two watchers of a zone that overwrite each other's contact.
+TEST(Join, GivesTheWatchersOfAZoneDifferentSlots) {
+  const std::vector<Member> Watchers = {{.Node = 5, .Zone = "a"},
+                                        {.Node = 9, .Zone = "a"},
+                                        {.Node = 1, .Zone = "b"}};
+  EXPECT_EQ(contactSlot(Watchers[0], Watchers), 0U);
+  EXPECT_EQ(contactSlot(Watchers[1], Watchers), 1U);
+  EXPECT_EQ(contactSlot(Watchers[2], Watchers), 0U);
+}
+
+// Guards against watchers that return to a recovering store together, and
+// against a pause that grows without bound.
+TEST(Join, BacksOffWithinItsBounds) {
+  RandomEngine Random(4);
+  const JoinOptions Options;
+  for (const int Failures : {1, 2, 3, 10, 1000}) {
+    const Duration Pause = storeBackoff(Failures, Random, Options);
+    EXPECT_GE(Pause, Options.FirstBackoff / 2) << Failures;
+    EXPECT_LE(Pause, Options.LongestBackoff) << Failures;
+  }
+  EXPECT_LE(storeBackoff(1, Random, Options), Options.FirstBackoff);
+  EXPECT_GE(storeBackoff(100, Random, Options), Options.LongestBackoff / 2);
+}
+
+} // namespace
+} // namespace magnolia::policy
--- /dev/null
+++ b/packages/policy/test/policy/fleet/repair.cpp
@@ -0,0 +1,84 @@
+#include "policy/fleet/repair.h"
+
+#include "policy/config/apply.h"
+
+#include <chrono>
+#include <gtest/gtest.h>
+
+namespace magnolia::policy {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Guards against an exchange per datagram, which would use up the bandwidth
+// for control.
+TEST(Repair, IsPacedByTheSizeOfTheTable) {
+  RepairState State;
+  ConfigTable Table;
+  const TimePoint Start(seconds(10));
+  EXPECT_TRUE(takeRepair(State, Table, Start));
+  EXPECT_FALSE(takeRepair(State, Table, Start + milliseconds(499)));
+  EXPECT_TRUE(takeRepair(State, Table, Start + milliseconds(500)));
+  for (std::size_t I = 0; I < State.Options.SmallTable; ++I) {
+    apply(Table, {.Key = "services/" + std::to_string(I), .Revision = I + 1});
+  }
+  EXPECT_TRUE(takeRepair(State, Table, Start + seconds(1)));
+  EXPECT_FALSE(takeRepair(State, Table, Start + milliseconds(5999)));
+  EXPECT_EQ(State.Postponed, 2U);
+}
+
+struct ReadCase {
+  const char *Guards;
+  StoreRead Read;
+  // Value of the held key after the changes; empty where it is deleted.
+  const char *Expected;
+};
+
+class StoreReads : public testing::TestWithParam<ReadCase> {};
+
+TEST_P(StoreReads, NeverRevertTheTable) {
+  const ReadCase &Case = GetParam();
+  SCOPED_TRACE(Case.Guards);
+  ConfigTable Table;
+  apply(Table, {.Key = "services/a", .Revision = 10, .Value = "held"});
+  for (const ConfigEntry &Entry : changesOf(Table, Case.Read)) {
+    apply(Table, Entry);
+  }
+  EXPECT_EQ(Table.Entries.at("services/a").Value, Case.Expected);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Repair, StoreReads,
+    testing::Values(
+        ReadCase{"a deletion that no watch has reported",
+                 {.Entries = {}, .Revision = 12},
+                 ""},
+        ReadCase{"a read from before an operator handed the key over",
+                 {.Entries = {}, .Revision = 9},
+                 "held"},
+        ReadCase{"a store that lost its data",
+                 {.Entries =
+                      {{.Key = "services/a", .Revision = 2, .Value = "other"}},
+                  .Revision = 3},
+                 "held"},
+        ReadCase{
+            "a newer value",
+            {.Entries = {{.Key = "services/a", .Revision = 11, .Value = "new"}},
+             .Revision = 11},
+            "new"}));
+
+// Guards against the loss of a whole read because one key was handed over by
+// an operator in the meantime.
+TEST(Repair, KeepsTheOtherKeysOfAnEarlierRead) {
+  ConfigTable Table;
+  apply(Table, {.Key = "services/a", .Revision = 10, .Value = "held"});
+  const std::vector<ConfigEntry> Changes = changesOf(
+      Table, {.Entries = {{.Key = "services/b", .Revision = 4, .Value = "b"}},
+              .Revision = 9});
+  ASSERT_EQ(Changes.size(), 1U);
+  EXPECT_TRUE(apply(Table, Changes[0]));
+}
+
+} // namespace
+} // namespace magnolia::policy
