Leave out an empty version in magnoliactl status

Cause: an entry node without a backend server was printed as "version ,". Change: the version is printed only where there is one.

--- a/packages/ctl/src/ctl/command/inspect.cpp
+++ b/packages/ctl/src/ctl/command/inspect.cpp
@@ -77,7 +77,9 @@
 
 void printStatus(Context &Run, const std::string &Node,
                  const wire::StatusAnswer &Status) {
-  Run.Out.line("node " + Node + ": version " + Status.version() + ", " +
+  const std::string Version =
+      Status.version().empty() ? "" : "version " + Status.version() + ", ";
+  Run.Out.line("node " + Node + ": " + Version +
                std::to_string(Status.alive()) + " alive, " +
                std::to_string(Status.suspect()) + " suspect, " +
                std::to_string(Status.unreachable()) + " unreachable");
