Decide the writes of a move in packages/policy

Cause: when a watcher writes the next record of a move, and who collects its evidence, was decided inside the daemon and had no test. Change: policy/move/drive with tests of one write at a time, take-over by rank and the two collectors.

--- a/packages/daemon/src/daemon/control/move_runner.cpp
+++ b/packages/daemon/src/daemon/control/move_runner.cpp
@@ -9,7 +9,7 @@
 #include "daemon/control/store_worker.h"
 #include "daemon/control/task_queue.h"
 #include "policy/config/spread.h"
-#include "policy/move/advance.h"
+#include "policy/move/drive.h"
 #include "settings/record/format_record.h"
 #include "settings/record/record_key.h"
 #include "store/client/put_resolved.h"
@@ -25,9 +25,6 @@
 // A quarter second: with half a second, bad versions at low rates were cut off
 // later than 2 s in more of the seeded runs.
 constexpr policy::Duration ReportPeriod = std::chrono::milliseconds(250);
-// Watchers that collect the evidence of a move: the driver and the one that
-// takes over, for example when only the driver has lost the store.
-constexpr std::size_t Collectors = 2;
 constexpr std::chrono::milliseconds WriteTimeout{2000};
 
 ControlEndpoint endpointOf(const policy::Member &Target) {
@@ -136,7 +133,8 @@
   const policy::Member &Self = To.Membership.self();
   for (const auto &[Service, Report] :
        To.Brakes.takeReports(Self.Node, Self.Run)) {
-    for (const policy::Member &Collector : collectorsOf(Report.MoveId)) {
+    for (const policy::Member &Collector :
+         policy::collectorsOf(To.Membership.watchers(), Report.MoveId)) {
       if (Collector.Node == Self.Node) {
         addReport(Service, Report, WallNow);
         continue;
@@ -165,28 +163,16 @@
 
 void MoveRunner::drive(const policy::MoveRecord &Record,
                        policy::TimePoint WallNow) {
-  Drive &Held = Drives[Record.Service];
-  policy::addVerdict(Held.Evidence, Record, Record.Id,
-                     To.Brakes.verdict(Record.Service));
-  if (Held.Writing) {
-    return;
-  }
-  const auto Next = policy::advance(Record, Held.Evidence, WallNow);
-  if (!Next) {
-    Held.DueRevision = 0;
-    return;
-  }
-  if (Held.DueRevision != Record.Revision) {
-    Held.DueRevision = Record.Revision;
-    Held.DueAt = WallNow;
-  }
-  if (policy::shouldDrive(To.Membership.self().Node, To.Membership.watchers(),
-                          Record.Id, Held.DueAt, WallNow)) {
-    write(*Next);
+  policy::DriveState &State = Drives[Record.Service];
+  const auto Next = policy::nextWrite(
+      State, Record, To.Brakes.verdict(Record.Service),
+      To.Membership.self().Node, To.Membership.watchers(), WallNow);
+  if (Next && !write(*Next)) {
+    policy::onWritten(State, false);
   }
 }
 
-void MoveRunner::write(const policy::MoveRecord &Next) {
+bool MoveRunner::write(const policy::MoveRecord &Next) {
   const std::string OperationId = operationId(To.Membership.self(), ++Writes);
   const store::PutRequest Request = {
       .Key = settings::moveKey(Next.Service),
@@ -196,26 +182,22 @@
            .Driver = To.Membership.self().Address + ":" +
                      std::to_string(To.Membership.self().PeerPort)}),
       .Expected = Next.Revision};
-  Drives[Next.Service].Writing =
-      To.Store->submit([this, Request, OperationId, Service = Next.Service](
-                           const store::StoreOperations &Store) {
-        WriteResult Result = writeRecord(Store, Request, OperationId);
-        To.Queue.post([this, Service, Result = std::move(Result)] {
-          if (Result.Held) {
-            To.Config.apply(std::span(&*Result.Held, 1),
-                            ConfigRunner::Source::Operator, policy::PushRounds);
-          }
-          onWritten(Service, Result.Written);
-        });
-      });
+  return To.Store->submit([this, Request, OperationId, Service = Next.Service](
+                              const store::StoreOperations &Store) {
+    WriteResult Result = writeRecord(Store, Request, OperationId);
+    To.Queue.post([this, Service, Result = std::move(Result)] {
+      if (Result.Held) {
+        To.Config.apply(std::span(&*Result.Held, 1),
+                        ConfigRunner::Source::Operator, policy::PushRounds);
+      }
+      onWritten(Service, Result.Written);
+    });
+  });
 }
 
 void MoveRunner::onWritten(const std::string &Service, bool Written) {
-  if (!Written) {
-    ++FailedWrites;
-  }
   if (const auto Found = Drives.find(Service); Found != Drives.end()) {
-    Found->second.Writing = false;
+    policy::onWritten(Found->second, Written);
   }
 }
 
@@ -224,7 +206,8 @@
   std::vector<policy::Member> Targets =
       policy::pushTargets(To.Membership.self(), To.Membership.members(),
                           {.Origin = Rounds == policy::PushRounds}, To.Random);
-  for (const policy::Member &Collector : collectorsOf(MoveId)) {
+  for (const policy::Member &Collector :
+       policy::collectorsOf(To.Membership.watchers(), MoveId)) {
     Targets.push_back(Collector);
   }
   for (const policy::Member &Target : Targets) {
@@ -239,17 +222,4 @@
   }
 }
 
-std::vector<policy::Member>
-MoveRunner::collectorsOf(std::string_view MoveId) const {
-  const std::vector<policy::Member> &Watchers = To.Membership.watchers();
-  std::vector<policy::Member> Result;
-  for (const policy::Member &Candidate : Watchers) {
-    const auto Rank = policy::driverRank(Candidate.Node, Watchers, MoveId);
-    if (Rank && *Rank < Collectors) {
-      Result.push_back(Candidate);
-    }
-  }
-  return Result;
-}
-
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/move_runner.h
+++ b/packages/daemon/src/daemon/control/move_runner.h
@@ -3,8 +3,8 @@
 
 #include "daemon/control/fwd.h"
 #include "policy/core/types.h"
-#include "policy/membership/member.h"
-#include "policy/move/move_evidence.h"
+#include "policy/move/drive_state.h"
+#include "policy/move/evidence_report.h"
 #include "policy/move/move_record.h"
 #include "policy/move/verdict.h"
 
@@ -13,7 +13,6 @@
 #include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
 
 namespace magnolia::wire {
 class EvidenceRequest;
@@ -61,37 +60,25 @@
   records() const {
     return Records;
   }
-  [[nodiscard]] std::uint64_t writes() const { return Writes; }
-  [[nodiscard]] std::uint64_t failedWrites() const { return FailedWrites; }
 
 private:
-  // What a watcher keeps per move to drive it.
-  struct Drive {
-    policy::MoveEvidence Evidence;
-    // Revision that the next record was due for, and since when.
-    std::uint64_t DueRevision = 0;
-    policy::TimePoint DueAt;
-    bool Writing = false;
-  };
-
   void sendReports(policy::TimePoint WallNow);
   void addReport(const std::string &Service,
                  const policy::EvidenceReport &Report,
                  policy::TimePoint WallNow);
   void drive(const policy::MoveRecord &Record, policy::TimePoint WallNow);
-  void write(const policy::MoveRecord &Next);
+  // False where the write cannot be queued.
+  [[nodiscard]] bool write(const policy::MoveRecord &Next);
   void onWritten(const std::string &Service, bool Written);
   void spread(const std::string &Service, const std::string &MoveId,
               const policy::Verdict &Held, std::uint32_t Rounds);
-  [[nodiscard]] std::vector<policy::Member>
-  collectorsOf(std::string_view MoveId) const;
 
   Links To;
   std::map<std::string, policy::MoveRecord, std::less<>> Records;
-  std::map<std::string, Drive, std::less<>> Drives;
+  std::map<std::string, policy::DriveState, std::less<>> Drives;
   policy::TimePoint NextReport;
+  // Makes each operation id of this run unique.
   std::uint64_t Writes = 0;
-  std::uint64_t FailedWrites = 0;
 };
 
 } // namespace magnolia::daemon
--- a/packages/policy/src/policy/move/fwd.h
+++ b/packages/policy/src/policy/move/fwd.h
@@ -10,6 +10,7 @@
 enum class VerdictKind : std::uint8_t;
 struct AnswerPair;
 struct AnswerRing;
+struct DriveState;
 struct EvidenceReport;
 struct LocalBrake;
 struct MoveEvidence;
--- /dev/null
+++ b/packages/policy/test/policy/move/drive.cpp
@@ -0,0 +1,117 @@
+#include "policy/move/drive.h"
+
+#include "policy/move/advance.h"
+
+#include <chrono>
+#include <gtest/gtest.h>
+
+namespace magnolia::policy {
+namespace {
+
+using std::chrono::minutes;
+using std::chrono::seconds;
+
+const TimePoint Start(std::chrono::hours(1000));
+const Verdict Bad = {.Kind = VerdictKind::Bad, .Reason = "fails"};
+
+MoveRecord shifting() {
+  return {.Service = "s",
+          .FromVersion = "1",
+          .ToVersion = "2",
+          .Id = "m",
+          .Start = Start,
+          .Deadline = Start + minutes(10),
+          .Phase = MovePhase::Shifting,
+          .StepSince = Start,
+          .Share = 0.02,
+          .Revision = 7};
+}
+
+std::vector<Member> watchers() {
+  return {{.Node = 1, .Zone = "a"},
+          {.Node = 2, .Zone = "b"},
+          {.Node = 3, .Zone = "c"}};
+}
+
+NodeId nodeOfRank(std::size_t Rank) {
+  const std::vector<Member> Watchers = watchers();
+  for (const Member &Candidate : Watchers) {
+    if (driverRank(Candidate.Node, Watchers, "m") == Rank) {
+      return Candidate.Node;
+    }
+  }
+  return 0;
+}
+
+// Guards against a bad version that waits for evidence from other nodes: the
+// verdict of the own brake suffices.
+TEST(Drive, TakesBackOnTheOwnVerdict) {
+  DriveState State;
+  const auto Next = nextWrite(State, shifting(), Bad, nodeOfRank(0), watchers(),
+                              Start + seconds(1));
+  ASSERT_TRUE(Next);
+  EXPECT_EQ(Next->Phase, MovePhase::TakenBack);
+  EXPECT_EQ(Next->EndReason, "fails");
+}
+
+// Guards against two writes of one node for the same revision.
+TEST(Drive, HasOneWriteAtATime) {
+  DriveState State;
+  const auto Write = [&State](TimePoint Now) {
+    return nextWrite(State, shifting(), Bad, nodeOfRank(0), watchers(), Now)
+        .has_value();
+  };
+  EXPECT_TRUE(Write(Start + seconds(1)));
+  EXPECT_FALSE(Write(Start + seconds(2)));
+  onWritten(State, false);
+  EXPECT_TRUE(Write(Start + seconds(3)));
+  EXPECT_EQ(State.Writes, 2U);
+  EXPECT_EQ(State.FailedWrites, 1U);
+}
+
+// Guards against a move that stops because its driver is paused or has lost
+// the store, and against all watchers writing at once.
+TEST(Drive, LowerRanksTakeOverAfterADelay) {
+  const MoveOptions Options;
+  for (const std::size_t Rank : {0U, 1U, 2U}) {
+    DriveState State;
+    const TimePoint Due = Start + seconds(1);
+    const auto Write = [&](TimePoint Now) {
+      return nextWrite(State, shifting(), Bad, nodeOfRank(Rank), watchers(),
+                       Now)
+          .has_value();
+    };
+    const Duration Wait = Options.TakeoverDelay * static_cast<int>(Rank);
+    if (Rank > 0) {
+      EXPECT_FALSE(Write(Due)) << Rank;
+      EXPECT_FALSE(Write(Due + Wait - std::chrono::milliseconds(1))) << Rank;
+    }
+    EXPECT_TRUE(Write(Due + Wait)) << Rank;
+  }
+}
+
+// Guards against a take-over right after another watcher's progress.
+TEST(Drive, ProgressStartsTheDelayAnew) {
+  DriveState State;
+  MoveRecord Record = shifting();
+  const NodeId Second = nodeOfRank(1);
+  EXPECT_FALSE(
+      nextWrite(State, Record, Bad, Second, watchers(), Start + seconds(1)));
+  Record.Revision = 8;
+  EXPECT_FALSE(
+      nextWrite(State, Record, Bad, Second, watchers(), Start + seconds(5)));
+  EXPECT_TRUE(
+      nextWrite(State, Record, Bad, Second, watchers(), Start + seconds(8)));
+}
+
+// Guards against evidence that only the driver holds.
+TEST(Drive, TwoWatchersCollect) {
+  const std::vector<Member> Collectors = collectorsOf(watchers(), "m");
+  ASSERT_EQ(Collectors.size(), MoveCollectors);
+  EXPECT_NE(Collectors[0].Node, nodeOfRank(2));
+  EXPECT_NE(Collectors[1].Node, nodeOfRank(2));
+  EXPECT_TRUE(collectorsOf({}, "m").empty());
+}
+
+} // namespace
+} // namespace magnolia::policy
