Show the allowed number of probes in the dump

Cause: the budget of measuring could not be checked from outside. Change: the dump states the allowed number beside the probes sent. Conclusion: the budget holds by the node's own count.

--- a/packages/daemon/src/daemon/dump/dump.cpp
+++ b/packages/daemon/src/daemon/dump/dump.cpp
@@ -7,6 +7,7 @@
 #include "daemon/view/local_backend.h"
 #include "policy/admission/admit.h"
 #include "policy/overload/admit_service.h"
+#include "policy/probe/next_probe.h"
 
 #include <nlohmann/json.hpp>
 
@@ -89,6 +90,7 @@
                     {"refused", Runtime.Retries.Refused}};
   Value["probe"] = {{"requests", Runtime.Probes.Requests},
                     {"probes", Runtime.Probes.Probes},
+                    {"allowed", policy::probesAllowed(Runtime.Probes, Now)},
                     {"refused", Runtime.Probes.Refused}};
   Value["overload"] = {
       {"admitted", Runtime.Overload.Admitted},
