--- a/scripts/capacity_run.py
+++ b/scripts/capacity_run.py
@@ -6,6 +6,8 @@
 """
 
 import argparse
+import base64
+import http.server
 import json
 import os
 import pathlib
@@ -13,24 +15,28 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import urllib.request
 
 HTTP_PORT, PEER_PORT, CONTROL_PORT, GOSSIP_PORT = 18080, 18081, 18082, 18083
-STORE_PORT = 18070
+STORE_PORT, BACKEND_PORT = 18070, 18090
 ZONES = ("a", "b", "c")
 NODES_PER_SERVICE = 10
 # 37,000 configuration changes a day.
 CHANGE_INTERVAL_S = 86400 / 37000
 SETTLE_LIMIT_S = 90
+# Time for the spread of the last joins to end before the measurement.
+SETTLE_REST_S = 10
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 
 
-def fetch(address, port, path, body=None):
+def fetch(address, port, path, body=None, method=None):
     url = f"http://{address}:{port}{path}"
     data = None if body is None else json.dumps(body).encode()
-    with urllib.request.urlopen(url, data=data, timeout=5) as answer:
+    request = urllib.request.Request(url, data=data, method=method)
+    with urllib.request.urlopen(request, timeout=5) as answer:
         return answer.read().decode()
 
 
@@ -61,14 +67,30 @@
 
 
 def control_bytes(address):
-    """Control bytes sent and received by a node so far."""
+    """Bytes of gossip and control calls sent and received by a node so far."""
     metrics = read_metrics(fetch(address, HTTP_PORT, "/-/metrics"))
     found = [value for name, value in metrics.items()
-             if "bytes" in name and ("control" in name or "gossip" in name
-                                     or "store" in name)]
+             if name.startswith("magnolia_control_") and "_bytes_" in name]
     return sum(found) if found else None
 
 
+class IdleBackend(http.server.BaseHTTPRequestHandler):
+    """Backend server without work: only its health and load are read."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        body = b'{"status":"ok","in_flight":0,"capacity":12,"slots":12}'
+        self.send_response(200)
+        self.send_header("Content-Length", str(len(body)))
+        self.send_header("Magnolia-Backend-Incarnation", "1")
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *_):
+        pass
+
+
 class Fleet:
     def __init__(self, build, size, folder):
         self.build, self.size, self.folder = build, size, folder
@@ -79,6 +101,7 @@
         self.services = [f"service-{n}"
                          for n in range(max(1, size // NODES_PER_SERVICE))]
         self.processes = []
+        self.backends = []
 
     def spawn(self, name, command):
         output = open(self.folder / f"{name}.out", "ab")
@@ -98,7 +121,7 @@
                 f"gossip_port = {GOSSIP_PORT}\nregion = capacity\n"
                 f"zone = capacity-{ZONES[number % 3]}\n"
                 f"cluster_key_file = {self.folder}/cluster.key\n\n"
-                f"[backend]\naddress = {address}\nport = 18090\n"
+                f"[backend]\naddress = {address}\nport = {BACKEND_PORT}\n"
                 f"service = {self.service_of(number)}\nversion = 1\n"
                 f"slots = 12\nconnections = 200\n"
                 f"health_path = /health\nload_path = /load\n\n"
@@ -117,6 +140,25 @@
             file.write_text(self.settings(address, number))
             self.spawn(address, [self.build / "packages/daemon/magnoliad",
                                  "--config", file])
+            backend = http.server.ThreadingHTTPServer((address, BACKEND_PORT),
+                                                      IdleBackend)
+            self.backends.append(backend)
+            threading.Thread(target=backend.serve_forever, args=(1.0,),
+                             daemon=True).start()
+        for address, number in self.nodes:
+            self.announce(address, number)
+
+    def announce(self, address, number):
+        body = {"service": self.service_of(number), "version": "1",
+                "port": BACKEND_PORT, "slots": 12, "connections": 200,
+                "incarnation": 1}
+        for _ in range(100):
+            try:
+                fetch(address, HTTP_PORT, "/-/backend", body)
+                return
+            except OSError:
+                time.sleep(0.1)
+        raise RuntimeError(f"the node at {address} took no announcement")
 
     def control(self, *words, node=None):
         command = [self.build / "packages/ctl/magnoliactl", *words,
@@ -139,25 +181,47 @@
         started = time.monotonic()
         watched = {self.nodes[i][0] for i in (0, self.size // 2, -1)}
         while time.monotonic() - started < SETTLE_LIMIT_S:
-            watched = {a for a in watched if self.alive(a) < self.size}
+            watched = {a for a in watched if self.alive(a) < self.size - 1}
             if not watched:
                 return time.monotonic() - started
             time.sleep(0.5)
         return None
 
-    def publish(self, edition):
+    def publish(self):
+        """Publishes the first edition of all services."""
         folder = self.folder / "services"
-        folder.mkdir(exist_ok=True)
-        service = self.services[edition % len(self.services)]
-        (folder / f"{service}.service.ini").write_text(
-            f"[service]\nname = {service}\n\n[route /]\n"
-            f"idempotent = true\ntimeout_ms = {1000 + edition}\n")
-        return self.control("publish", str(folder)).returncode == 0
+        folder.mkdir()
+        for service in self.services:
+            (folder / f"{service}.service.ini").write_text(
+                f"[service]\nname = {service}\nversion = 1\n\n[route /]\n"
+                f"idempotent = true\ntimeout_ms = 1000\n")
+        result = self.control("publish", str(folder))
+        if result.returncode not in (0, 5):
+            raise RuntimeError("publishing failed: " + result.stdout)
+
+    def change(self, edition):
+        """Changes a service in the store itself: magnoliactl also asks every
+        node whether the change is in force, which is no cost of the nodes'
+        own traffic."""
+        key = "services/" + self.services[edition % len(self.services)]
+        entry = json.loads(fetch(self.store_address, STORE_PORT,
+                                 f"/v1/kv?key={key}"))
+        record = json.loads(base64.b64decode(entry["value"]))
+        record["operation_id"] = f"capacity-{edition}"
+        for route in record["routes"]:
+            route["timeout_ms"] = 1001 + edition
+        value = base64.b64encode(json.dumps(record).encode()).decode()
+        fetch(self.store_address, STORE_PORT, "/v1/kv",
+              {"key": key, "value": value,
+               "expected_revision": entry["revision"]}, "PUT")
 
     def usage(self):
         return [process_usage(p.pid) for p in self.processes[1:]]
 
     def stop(self):
+        for backend in self.backends:
+            backend.shutdown()
+            backend.server_close()
         for process in reversed(self.processes):
             if process.poll() is None:
                 process.send_signal(signal.SIGTERM)
@@ -172,7 +236,7 @@
 
 def store_calls(fleet):
     counters = json.loads(fetch(fleet.store_address, STORE_PORT, "/counters"))
-    return sum(v for v in counters.values() if isinstance(v, (int, float)))
+    return sum(counters["calls"].values())
 
 
 def sampled_bytes(fleet):
@@ -184,11 +248,13 @@
 
 def measure(fleet, seconds):
     settled = fleet.settle()
+    fleet.publish()
+    time.sleep(SETTLE_REST_S)
     before, bytes_before = fleet.usage(), sampled_bytes(fleet)
     calls_before, start = store_calls(fleet), time.monotonic()
-    published, edition = 0, 0
+    edition = 0
     while time.monotonic() - start < seconds:
-        published += fleet.publish(edition)
+        fleet.change(edition)
         edition += 1
         next_change = start + edition * CHANGE_INTERVAL_S
         time.sleep(max(0, min(next_change, start + seconds) - time.monotonic()))
@@ -201,7 +267,7 @@
         "nodes": fleet.size,
         "seconds": round(length, 2),
         "settled_s": None if settled is None else round(settled, 1),
-        "changes_published": published,
+        "changes": edition,
         "cpu_share_of_core": sum(cpu) / len(cpu),
         "cpu_share_of_core_max": cpu[-1],
         "resident_mb": sum(memory) / len(memory) / 1e6,
