--- a/scripts/capacity_run.py
+++ b/scripts/capacity_run.py
@@ -7,6 +7,7 @@
 
 import argparse
 import base64
+import concurrent.futures
 import http.server
 import json
 import os
@@ -219,8 +220,10 @@
         return [process_usage(p.pid) for p in self.processes[1:]]
 
     def stop(self):
+        # Each shutdown waits for up to a second.
+        with concurrent.futures.ThreadPoolExecutor(100) as pool:
+            list(pool.map(lambda backend: backend.shutdown(), self.backends))
         for backend in self.backends:
-            backend.shutdown()
             backend.server_close()
         for process in reversed(self.processes):
             if process.poll() is None:
