State 'not run' only where it holds for every attempt

Cause: a call answered with the kind of its last attempt. An idempotent request whose first attempt was lost and whose second was rejected told its caller Magnolia-Run: no although the first attempt may have run. Change: planNext notes attempts that may have run and answers OutcomeUnknown or DeadlineExceededUnknown then. The new test failed before the change. Conclusion: a refusal that says 'not run' is true over all attempts.

--- a/packages/policy/src/policy/retry/attempt_state.h
+++ b/packages/policy/src/policy/retry/attempt_state.h
@@ -18,6 +18,8 @@
   // Another layer of the call chain retries or has used up the retries, so
   // this one must not.
   bool RetriesExhausted = false;
+  // An attempt ended without a proof that it did not run. Set by planNext.
+  bool MayHaveRun = false;
 };
 
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/retry/plan_next.cpp
+++ b/packages/policy/src/policy/retry/plan_next.cpp
@@ -61,6 +61,34 @@
   return false;
 }
 
+// True where the end of an attempt leaves open whether it ran. A lost attempt
+// of a non-idempotent request is decided by its fence.
+bool mayHaveRun(const Outcome &Result) {
+  switch (Result.Event) {
+  case OutcomeEvent::Rejected:
+    return errorEntry(Result.Kind).Run != RunOutcome::No;
+  case OutcomeEvent::Lost:
+  case OutcomeEvent::FenceStarted:
+  case OutcomeEvent::FenceSilent:
+    return true;
+  case OutcomeEvent::Slow:
+  case OutcomeEvent::FenceNeverRun:
+    return false;
+  }
+  return true;
+}
+
+// Kind for the caller: an earlier attempt that may have run outweighs the
+// proof that the last one did not.
+ErrorKind kindForCaller(const AttemptState &State, ErrorKind Kind) {
+  if (!State.MayHaveRun || errorEntry(Kind).Run != RunOutcome::No) {
+    return Kind;
+  }
+  return Kind == ErrorKind::DeadlineExceededNotRun
+             ? ErrorKind::DeadlineExceededUnknown
+             : ErrorKind::OutcomeUnknown;
+}
+
 // True where an idempotent request may succeed on another candidate although
 // this attempt may have run. Other errors would come again.
 bool isRepeatable(const Outcome &Result) {
@@ -93,7 +121,7 @@
     return {.Action = RetryAction::KeepWaiting};
   }
   return {.Action = RetryAction::GiveUp,
-          .Kind = giveUpKind(State, Result, Now),
+          .Kind = kindForCaller(State, giveUpKind(State, Result, Now)),
           .RetriesExhausted = true};
 }
 
@@ -133,7 +161,7 @@
 
 void onAttemptEnd(AttemptState &State) { State.Open -= State.Open > 0 ? 1 : 0; }
 
-RetryDecision planNext(const AttemptState &State, const Outcome &Result,
+RetryDecision planNext(AttemptState &State, const Outcome &Result,
                        RetryBudget &Budget, TimePoint Now) {
   if (Result.Event == OutcomeEvent::Slow) {
     return planHedge(State, Budget, Now);
@@ -142,6 +170,7 @@
   if (Result.Event == OutcomeEvent::Lost && !State.Idempotent) {
     return {.Action = RetryAction::Fence};
   }
+  State.MayHaveRun |= mayHaveRun(Result);
   const bool Repeatable = Safe || (State.Idempotent && isRepeatable(Result));
   if (Repeatable && !Result.RetriesExhausted && State.Open == 0 &&
       mayAttempt(State, Budget, Now) && takeToken(Budget, Now)) {
--- a/packages/policy/src/policy/retry/plan_next.h
+++ b/packages/policy/src/policy/retry/plan_next.h
@@ -28,8 +28,9 @@
 // Decides what follows the outcome of an attempt, and charges the budget for a
 // retry or hedge. Call onAttemptEnd first unless the outcome is Slow or the
 // decision is still owed to a fence. A non-idempotent request is sent again
-// only after a proof that it did not run.
-[[nodiscard]] RetryDecision planNext(const AttemptState &State,
+// only after a proof that it did not run. The kind of a GiveUp states "not run"
+// only where this holds for every attempt.
+[[nodiscard]] RetryDecision planNext(AttemptState &State,
                                      const Outcome &Result, RetryBudget &Budget,
                                      TimePoint Now);
 
--- a/packages/policy/test/policy/retry/plan_next.cpp
+++ b/packages/policy/test/policy/retry/plan_next.cpp
@@ -241,7 +241,7 @@
 // Guards against more retries than the share and the floor allow.
 TEST(PlanNext, RetriesStayWithinBudget) {
   RetryBudget Budget;
-  const AttemptState State{.Attempts = 1, .Deadline = TimePoint::max()};
+  AttemptState State{.Attempts = 1, .Deadline = TimePoint::max()};
   TimePoint Now = Start;
   for (int I = 0; I < 10'000; ++I) {
     Now += milliseconds(1);
@@ -265,5 +265,24 @@
             ErrorKind::DeadlineExceededNotRun);
 }
 
+// Guards against a false "not run": the last attempt was rejected, but an
+// earlier one was lost and may have run.
+TEST(PlanNext, StatesNotRunOnlyWhereNoAttemptMayHaveRun) {
+  RetryBudget Budget;
+  recordRequest(Budget, Start);
+  AttemptState State{.Idempotent = true, .Deadline = Start + milliseconds(100)};
+  onAttempt(State);
+  onAttemptEnd(State);
+  ASSERT_EQ(planNext(State, {OutcomeEvent::Lost}, Budget, Start).Action,
+            RetryAction::RetryElsewhere);
+  onAttempt(State);
+  onAttemptEnd(State);
+  State.RetriesExhausted = true;
+  const RetryDecision Last =
+      planNext(State, {Rejected, ErrorKind::Overloaded}, Budget, Start);
+  EXPECT_EQ(Last.Action, RetryAction::GiveUp);
+  EXPECT_NE(errorEntry(Last.Kind).Run, RunOutcome::No);
+}
+
 } // namespace
 } // namespace magnolia::policy
