--- a/packages/policy/test/policy/retry/plan_next.cpp
+++ b/packages/policy/test/policy/retry/plan_next.cpp
@@ -221,11 +221,11 @@
 TEST(PlanNext, Faults) {
   for (const RetryCase &Row : Cases) {
     SCOPED_TRACE(Row.Guards);
-    const AttemptState State{.Idempotent = Row.Idempotent,
-                             .Attempts = Row.Attempts,
-                             .Open = Row.Open,
-                             .Deadline = Start + Row.Left,
-                             .RetriesExhausted = Row.Exhausted};
+    AttemptState State{.Idempotent = Row.Idempotent,
+                       .Attempts = Row.Attempts,
+                       .Open = Row.Open,
+                       .Deadline = Start + Row.Left,
+                       .RetriesExhausted = Row.Exhausted};
     RetryBudget Budget;
     Budget.Tokens = Row.Tokens;
     Budget.FilledAt = Start;
