Give the trial of a version the share that the brake asks for

Cause: after a first failure the brake pauses the new version and then asks for up to 25% of sparse traffic for a short trial, but the traffic threads only knew cut or not cut and kept the share of the record. At 2.7 requests a second a bad route was judged later than 2 s after its fault. Change: VersionCuts carries shares; MoveBrakes sets the effective share.

--- a/packages/daemon/src/daemon/control/move_brakes.cpp
+++ b/packages/daemon/src/daemon/control/move_brakes.cpp
@@ -132,11 +132,10 @@
 
 void MoveBrakes::apply(const Entry &Changed, policy::TimePoint WallNow) {
   const policy::MoveRecord &Record = Changed.Record;
-  if (policy::effectiveShare(Record, Changed.Brake, WallNow) > 0) {
-    Cuts.restore(Record.Service, Record.ToVersion);
-  } else {
-    Cuts.cut(Record.Service, Record.ToVersion);
-  }
+  // Also where it equals the record's share: the view of the traffic threads
+  // may be older than the record.
+  Cuts.setShare(Record.Service, Record.ToVersion,
+                policy::effectiveShare(Record, Changed.Brake, WallNow));
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/entry/service_runtime.cpp
+++ b/packages/daemon/src/daemon/entry/service_runtime.cpp
@@ -48,8 +48,8 @@
   const ServiceView &View = *Runtime.View;
   std::vector<policy::VersionShare> Shares;
   if (!View.MoveId.empty()) {
-    const bool Cut = Cuts.isCut(View.Name, View.NewVersion);
-    const double NewShare = Cut ? 0 : View.NewShare;
+    const double NewShare =
+        Cuts.share(View.Name, View.NewVersion).value_or(View.NewShare);
     Shares.push_back({.Version = Runtime.Versions.indexOf(View.OldVersion),
                       .Share = 1 - NewShare});
     if (NewShare > 0) {
--- a/packages/daemon/src/daemon/view/version_cuts.cpp
+++ b/packages/daemon/src/daemon/view/version_cuts.cpp
@@ -2,25 +2,37 @@
 
 namespace magnolia::daemon {
 
-void VersionCuts::cut(std::string_view Service, std::string_view Version) {
+void VersionCuts::setShare(std::string_view Service, std::string_view Version,
+                           double Share) {
   const std::lock_guard Lock(Mutex);
-  Cuts.emplace(Service, Version);
-  Count = Cuts.size();
+  Shares[{std::string(Service), std::string(Version)}] = Share;
+  Count = Shares.size();
+}
+
+void VersionCuts::cut(std::string_view Service, std::string_view Version) {
+  setShare(Service, Version, 0);
 }
 
 void VersionCuts::restore(std::string_view Service, std::string_view Version) {
   const std::lock_guard Lock(Mutex);
-  Cuts.erase({std::string(Service), std::string(Version)});
-  Count = Cuts.size();
+  Shares.erase({std::string(Service), std::string(Version)});
+  Count = Shares.size();
 }
 
-bool VersionCuts::isCut(std::string_view Service,
-                        std::string_view Version) const {
+std::optional<double> VersionCuts::share(std::string_view Service,
+                                         std::string_view Version) const {
   if (Count == 0) {
-    return false;
+    return std::nullopt;
   }
   const std::lock_guard Lock(Mutex);
-  return Cuts.contains({std::string(Service), std::string(Version)});
+  const auto Found = Shares.find({std::string(Service), std::string(Version)});
+  return Found == Shares.end() ? std::nullopt : std::optional(Found->second);
+}
+
+bool VersionCuts::isCut(std::string_view Service,
+                        std::string_view Version) const {
+  const std::optional<double> Given = share(Service, Version);
+  return Given && *Given <= 0;
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/test/daemon/control/move_brakes.cpp
+++ b/packages/daemon/test/daemon/control/move_brakes.cpp
@@ -3,6 +3,7 @@
 #include "daemon/control/clock.h"
 #include "daemon/view/evidence_recorder.h"
 #include "daemon/view/version_cuts.h"
+#include "policy/move/brake.h"
 
 #include <chrono>
 #include <gtest/gtest.h>
@@ -49,6 +50,21 @@
   EXPECT_EQ(Verdicts, 1);
 }
 
+// Guards against a fault that is judged too late: after a single failure the
+// version rests, and a trial with more than its share follows within 2 s.
+TEST(MoveBrakes, GivesTheTrialItsShare) {
+  VersionCuts Cuts;
+  MoveBrakes Brakes(Cuts, [](auto, auto, auto) {});
+  Brakes.setRecord(shifting());
+  for (int I = 0; I < 20; ++I) {
+    count(Brakes, "1", false);
+  }
+  count(Brakes, "2", true);
+  EXPECT_TRUE(Cuts.isCut("catalogue", "2"));
+  Brakes.refresh(wallNow() + policy::BrakePause + milliseconds(50));
+  EXPECT_GT(Cuts.share("catalogue", "2").value_or(0), shifting().Share);
+}
+
 // Guards against traffic for a bad version between the end of the move and
 // the next view.
 TEST(MoveBrakes, KeepsTheCutOfAVersionTakenBack) {
--- a/packages/policy/src/policy/retry/plan_next.h
+++ b/packages/policy/src/policy/retry/plan_next.h
@@ -30,9 +30,8 @@
 // decision is still owed to a fence. A non-idempotent request is sent again
 // only after a proof that it did not run. The kind of a GiveUp states "not run"
 // only where this holds for every attempt.
-[[nodiscard]] RetryDecision planNext(AttemptState &State,
-                                     const Outcome &Result, RetryBudget &Budget,
-                                     TimePoint Now);
+[[nodiscard]] RetryDecision planNext(AttemptState &State, const Outcome &Result,
+                                     RetryBudget &Budget, TimePoint Now);
 
 // Time to wait for a response before a hedge, from the median latency of the
 // service.
