Let the thread of a connection end it at a stop

Change: idle connections wait for bytes or for the stop on an eventfd; bytes go first. The Busy flag is gone.

--- a/packages/daemon/src/daemon/entry/http_service.cpp
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -51,7 +51,6 @@
     const bool GoOn = Response.KeepAlive;
     const bool Written = write(Accepted.fd(), Response, Method);
     Owner.Use.Counts.time(Timing::Request, now() - Start);
-    Accepted.Busy = false;
     if (!Written || !GoOn) {
       return;
     }
@@ -72,7 +71,6 @@
   for (;;) {
     const HttpReadStatus Status = Reader.read();
     if (Status == HttpReadStatus::Ready) {
-      Accepted.Busy = true;
       return Reader.takeRequest();
     }
     if (Status != HttpReadStatus::NeedMore) {
@@ -88,12 +86,11 @@
     }
     const auto Count = receiveSome(Accepted.fd(), Reader.room());
     if (Count > 0) {
-      Accepted.Busy = true;
       Reader.commit(static_cast<std::size_t>(Count));
     } else if (Count < 0 ||
-               !waitReadable(
-                   Accepted.fd(),
-                   now() + (Reader.hasBytes() ? Options.Read : Options.Idle))) {
+               !(Reader.hasBytes()
+                     ? waitReadable(Accepted.fd(), now() + Options.Read)
+                     : Accepted.waitForRequest(now() + Options.Idle))) {
       return std::nullopt;
     }
   }
--- a/packages/daemon/src/daemon/net/connection_server.cpp
+++ b/packages/daemon/src/daemon/net/connection_server.cpp
@@ -3,8 +3,11 @@
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
 
+#include <poll.h>
+#include <sys/eventfd.h>
 #include <sys/socket.h>
 
+#include <array>
 #include <cerrno>
 #include <chrono>
 #include <system_error>
@@ -17,12 +20,17 @@
 // Pause after accept fails for lack of descriptors.
 constexpr auto AcceptPause = std::chrono::milliseconds(10);
 
-// Interval at which a drain looks for connections that have become idle.
-constexpr auto DrainInterval = std::chrono::milliseconds(5);
-
 } // namespace
 
-ConnectionServer::ConnectionServer(Options Given) : Given(std::move(Given)) {}
+bool Session::waitForRequest(policy::TimePoint Deadline) const {
+  std::array<pollfd, 2> Fds = {
+      {{.fd = fd(), .events = POLLIN, .revents = 0},
+       {.fd = StopFd, .events = POLLIN, .revents = 0}}};
+  return waitReady(Fds, Deadline, {}) && Fds[0].revents != 0;
+}
+
+ConnectionServer::ConnectionServer(Options Given)
+    : Given(std::move(Given)), StopFd(::eventfd(0, EFD_CLOEXEC)) {}
 
 ConnectionServer::~ConnectionServer() {
   stopAccepting();
@@ -57,14 +65,10 @@
 }
 
 bool ConnectionServer::drain(policy::TimePoint Deadline) {
+  ::eventfd_write(StopFd.fd(), 1);
   std::unique_lock Lock(Mutex);
   while (!Sessions.empty() && now() < Deadline) {
-    for (const Session &Open : Sessions) {
-      if (!Open.Busy) {
-        ::shutdown(Open.fd(), SHUT_RD);
-      }
-    }
-    Ended.wait_for(Lock, DrainInterval, [this] { return Sessions.empty(); });
+    Ended.wait_for(Lock, Deadline - now(), [this] { return Sessions.empty(); });
   }
   return Sessions.empty();
 }
@@ -102,7 +106,8 @@
     }
     return;
   }
-  const auto Place = Sessions.emplace(Sessions.begin(), std::move(Fd));
+  const auto Place =
+      Sessions.emplace(Sessions.begin(), std::move(Fd), StopFd.fd());
   try {
     std::thread([this, Place] { serve(Place); }).detach();
   } catch (const std::system_error &) {
--- a/packages/daemon/src/daemon/net/connection_server.h
+++ b/packages/daemon/src/daemon/net/connection_server.h
@@ -20,16 +20,21 @@
 // One accepted connection, served by one thread.
 class Session {
 public:
-  explicit Session(UniqueFd Accepted) : Socket(std::move(Accepted)) {}
+  Session(UniqueFd Accepted, int StopFd)
+      : Socket(std::move(Accepted)), StopFd(StopFd) {}
 
   [[nodiscard]] int fd() const { return Socket.fd(); }
 
-  // True from the first byte of a request to the end of its answer. An idle
-  // connection may be closed by a stop.
-  std::atomic<bool> Busy = false;
+  // Waits for the first bytes of a request. False: the deadline passed, or the
+  // server stops and no bytes have arrived. Only the thread that serves the
+  // connection ends it, so that a stop cannot cut a request that has just
+  // arrived.
+  [[nodiscard]] bool waitForRequest(policy::TimePoint Deadline) const;
 
 private:
   UniqueFd Socket;
+  // Readable once the server stops.
+  int StopFd;
 };
 
 // Accepts connections and gives each a thread of its own, up to a maximum.
@@ -73,6 +78,7 @@
 
   const Options Given;
   UniqueFd Listener;
+  UniqueFd StopFd;
   std::thread Acceptor;
   std::atomic<bool> Stopping = false;
   std::atomic<std::uint64_t> Refused = 0;
--- a/packages/daemon/src/daemon/sidecar/peer_service.cpp
+++ b/packages/daemon/src/daemon/sidecar/peer_service.cpp
@@ -22,6 +22,10 @@
   }
   wire::PeerFrame Frame;
   for (;;) {
+    if (!Connection.hasBytes() &&
+        !Accepted.waitForRequest(now() + Options.IdleTimeout)) {
+      return;
+    }
     switch (Connection.await(Frame, now() + Options.IdleTimeout)) {
     case ReceiveStatus::Nothing:
       return;
@@ -31,7 +35,7 @@
       }
       return;
     case ReceiveStatus::Frame:
-      if (serveFrame(Connection, Frame, Accepted) == Next::Close) {
+      if (serveFrame(Connection, Frame) == Next::Close) {
         return;
       }
     }
@@ -39,17 +43,13 @@
 }
 
 PeerService::Next PeerService::serveFrame(PeerConnection &Connection,
-                                          wire::PeerFrame &Frame,
-                                          Session &Accepted) {
+                                          wire::PeerFrame &Frame) {
   if (Frame.has_cancel()) {
     // The request was answered meanwhile.
     return Next::Continue;
   }
   if (Frame.has_request()) {
-    Accepted.Busy = true;
-    const Next After = serveRequest(Connection, Frame);
-    Accepted.Busy = false;
-    return After;
+    return serveRequest(Connection, Frame);
   }
   return answerControl(Connection, Frame) ? Next::Continue : Next::Close;
 }
--- a/packages/daemon/src/daemon/sidecar/peer_service.h
+++ b/packages/daemon/src/daemon/sidecar/peer_service.h
@@ -40,7 +40,7 @@
   enum class Next : std::uint8_t { Continue, Close };
 
   [[nodiscard]] Next serveFrame(PeerConnection &Connection,
-                                wire::PeerFrame &Frame, Session &Accepted);
+                                wire::PeerFrame &Frame);
   [[nodiscard]] Next serveRequest(PeerConnection &Connection,
                                   wire::PeerFrame &Frame);
   // Nothing where the connection is of no more use.
