Release ended control calls outside of the gRPC threads

Cause: the daemon tests aborted twice under full load with gRPC's assertion 'ref_counted.h:183 prior > 0'; channels were released on threads of the library and each had a subchannel pool of its own. Conclusion: the cause is presumed, not traced.

--- a/packages/daemon/src/daemon/control/control_client.cpp
+++ b/packages/daemon/src/daemon/control/control_client.cpp
@@ -35,10 +35,23 @@
   for (int Left = InFlight; Left != 0; Left = InFlight) {
     InFlight.wait(Left);
   }
+  releaseRetired();
+}
+
+void ControlClient::retire(std::shared_ptr<void> Call) {
+  const std::lock_guard Lock(Mutex);
+  Retired.push_back(std::move(Call));
+}
+
+void ControlClient::releaseRetired() {
+  std::vector<std::shared_ptr<void>> Ended;
+  const std::lock_guard Lock(Mutex);
+  Ended.swap(Retired);
 }
 
 void ControlClient::call(const ControlEndpoint &Target, wire::ControlBody Body,
                          ControlCallback Callback) {
+  releaseRetired();
   if (InFlight.fetch_add(1) >= MaximumCallsInFlight) {
     InFlight.fetch_sub(1);
     ++Refused;
@@ -63,6 +76,7 @@
           Answer = wire::open(ClusterKey, Call->Answer, LastError);
         }
         Callback(std::move(Answer));
+        retire(Call);
         InFlight.fetch_sub(1);
         InFlight.notify_all();
       });
@@ -83,7 +97,6 @@
   Arguments.SetMaxSendMessageSize(MaximumMessageBytes);
   // A node that restarted is reachable again soon.
   Arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, 1000);
-  Arguments.SetInt(GRPC_ARG_USE_LOCAL_SUBCHANNEL_POOL, 1);
   Channels.emplace_front(
       Target, grpc::CreateCustomChannel(
                   "ipv4:" + Target.Address + ":" + std::to_string(Target.Port),
--- a/packages/daemon/src/daemon/control/control_client.h
+++ b/packages/daemon/src/daemon/control/control_client.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace grpc {
 class Channel;
@@ -46,6 +47,10 @@
   [[nodiscard]] std::uint64_t bytesSent() const { return BytesSent; }
 
 private:
+  // Keeps an ended call until the next one, so that its channel is not
+  // released on a thread of the gRPC library.
+  void retire(std::shared_ptr<void> Call);
+  void releaseRetired();
   std::shared_ptr<grpc::Channel> channelTo(const ControlEndpoint &Target);
 
   const std::string ClusterKey;
@@ -54,6 +59,7 @@
   // Most recently used first.
   std::list<std::pair<ControlEndpoint, std::shared_ptr<grpc::Channel>>>
       Channels;
+  std::vector<std::shared_ptr<void>> Retired;
   std::atomic<int> InFlight = 0;
   std::atomic<std::uint64_t> Refused = 0;
   std::atomic<std::uint64_t> BytesSent = 0;
