--- a/bench/loopback/demo.cpp
+++ b/bench/loopback/demo.cpp
@@ -68,12 +68,13 @@
         Tool(Options.Build / "packages/ctl/magnoliactl", Run) {}
 
   bool play() {
-    const auto Known = startDeployment(Run, Tool, Given);
+    startDeployment(Run, Tool, Given);
     LoadPlan Plan;
     Plan.Targets.Entries = Run.entries();
     Plan.Services = Run.plan().Services;
     Plan.CallsPerSecond = Given.CallsPerSecond;
     Plan.Seed = Given.Seed;
+    const auto Start = Clock::now();
     Load Callers(Plan);
     publish();
     pauseFor(std::chrono::seconds(4));
@@ -82,7 +83,7 @@
     move();
     Stop.perform(Run);
     const auto Results = Callers.finish();
-    judge(Results, std::chrono::duration<double>(Clock::now() - Known).count());
+    judge(Results, std::chrono::duration<double>(Clock::now() - Start).count());
     return print();
   }
 
@@ -132,6 +133,7 @@
   // The evidence of callers is judged at the end, with all results.
   void rollBack() {
     Bad = scenario(Fault::BadVersion);
+    const auto Start = Clock::now();
     Bad->inject();
     const auto Phase = awaitEnd(RollBackLimit);
     addMove("bad version rolled back", Phase == "taken_back", Start,
@@ -148,6 +150,7 @@
     Fleet::await(
         [&] { return Tool.revisions().size() == Run.Instances.size(); },
         std::chrono::seconds(10));
+    const auto Start = Clock::now();
     Tool.change({"move", "start", Service, "--from", "1", "--to", GoodVersion,
                  "--deadline",
                  '+' + std::to_string(MoveDeadline.count()) + 's'});
--- a/bench/loopback/run.cpp
+++ b/bench/loopback/run.cpp
@@ -45,17 +45,12 @@
   return Records;
 }
 
-Clock::time_point startDeployment(Fleet &Run, ControlTool &Tool,
-                                  const Options &Given) {
+void startDeployment(Fleet &Run, ControlTool &Tool, const Options &Given) {
   Run.start();
   if (!Given.StaticRoutes) {
     Fleet::await(
         [&] { return Tool.revisions().size() == Run.Instances.size(); },
         StartLimit);
-  }
-  // Nodes probe from the moment at which they know the services.
-  const auto Known = Clock::now();
-  if (!Given.StaticRoutes) {
     if (!Tool.publish(1)) {
       throw std::runtime_error("the settings were not in force after 20 s");
     }
@@ -64,7 +59,6 @@
   if (!Fleet::await([&] { return Run.ready(Entries); }, StartLimit)) {
     throw std::runtime_error("the deployment was not ready after 30 s");
   }
-  return Known;
 }
 
 bool runLoopback(const Options &Given) {
@@ -74,7 +68,7 @@
             Folder.path());
   ControlTool Tool(Given.Build / "packages/ctl/magnoliactl", Run);
   const auto Script = makeScenario(Given, Run, Tool);
-  const auto Known = startDeployment(Run, Tool, Given);
+  startDeployment(Run, Tool, Given);
 
   LoadPlan Plan;
   Plan.Targets.Entries = Run.entries();
@@ -108,7 +102,7 @@
   Add(judgeMeasuring(
       fetchMetrics(Run),
       {.Services = static_cast<double>(Run.plan().Services.size())},
-      std::chrono::duration<double>(Clock::now() - Known).count()));
+      std::chrono::duration<double>(Clock::now() - Start).count()));
   Add(Script->judge(Results, Records));
   return report(Measures);
 }
--- a/bench/loopback/run.h
+++ b/bench/loopback/run.h
@@ -2,7 +2,6 @@
 #define LOOPBACK_RUN_H
 
 #include "backend_record.h"
-#include "call.h"
 #include "control_tool.h"
 #include "fleet.h"
 #include "options.h"
@@ -20,9 +19,7 @@
 
 // Starts the deployment, publishes its settings and waits until every entry
 // node gets answers from every service. Throws where that takes too long.
-// Returns the time from which on the nodes may probe.
-Clock::time_point startDeployment(Fleet &Run, ControlTool &Tool,
-                                  const Options &Given);
+void startDeployment(Fleet &Run, ControlTool &Tool, const Options &Given);
 
 // Records of all backend servers; throws where one is missing.
 [[nodiscard]] std::vector<BackendRecord> fetchRecords(const Fleet &Run);
