--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -16,7 +16,7 @@
   endif()
   file(GLOB_RECURSE TESTS CONFIGURE_DEPENDS
        ${CMAKE_CURRENT_SOURCE_DIR}/test/*.cpp)
-  if(TESTS)
+  if(TESTS AND MAGNOLIA_TESTS)
     add_executable(magnolia_${NAME}_test ${TESTS})
     target_include_directories(magnolia_${NAME}_test PRIVATE test)
     target_link_libraries(magnolia_${NAME}_test
--- a/packages/daemon/src/daemon/control/config_keys.h
+++ b/packages/daemon/src/daemon/control/config_keys.h
@@ -12,7 +12,8 @@
 [[nodiscard]] inline bool isConfigKey(std::string_view Key) {
   return Key.starts_with(settings::ServicePrefix) ||
          Key.starts_with(settings::ZonePrefix) ||
-         Key.starts_with(settings::MovePrefix);
+         Key.starts_with(settings::MovePrefix) ||
+         Key.starts_with(settings::OrderPrefix) || Key == settings::RoutingKey;
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/control_options.h
+++ b/packages/daemon/src/daemon/control/control_options.h
@@ -2,12 +2,16 @@
 #define DAEMON_CONTROL_CONTROL_OPTIONS_H
 
 #include "policy/core/types.h"
+#include "policy/fleet/join_options.h"
 #include "policy/membership/contact.h"
 #include "policy/membership/member.h"
+#include "store/client/http_store.h"
+#include "store/core/store_operations.h"
 #include "wire/seal/cluster_key.h"
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -27,6 +31,13 @@
   policy::Duration ZoneDistance = std::chrono::milliseconds(1);
   policy::Duration RegionDistance = std::chrono::milliseconds(30);
   std::uint64_t Seed = 0;
+  // Opens the store.
+  store::StoreOperations (*OpenStore)(const store::HttpStoreOptions &Options) =
+      store::httpStore;
+  policy::JoinOptions Join;
+  // Called with each backend server that the store says is leaving.
+  std::function<void(std::string_view Instance, policy::Incarnation Born)>
+      OnLeaving;
 };
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/fleet_records.cpp
+++ b/packages/daemon/src/daemon/control/fleet_records.cpp
@@ -4,6 +4,7 @@
 #include "policy/zone/zone_record.h"
 #include "settings/record/parse_record.h"
 #include "settings/record/record_key.h"
+#include "settings/record/routing_json.h"
 
 #include <optional>
 #include <string_view>
@@ -71,8 +72,56 @@
   return true;
 }
 
+bool applyOrder(FleetRecords &Records, const std::string &Name,
+                const policy::ConfigEntry &Entry, policy::Error &LastError) {
+  if (Entry.Tombstone) {
+    Records.Orders.erase(Name);
+    return true;
+  }
+  const std::optional<settings::MoveOrder> Order =
+      settings::parseOrder(Entry.Value, LastError);
+  if (!Order || Order->Service != Name) {
+    return false;
+  }
+  Records.Orders[Name] = {.Service = Name,
+                          .ToVersion = Order->ToVersion,
+                          .Window =
+                              std::chrono::milliseconds(Order->DurationMs),
+                          .Revision = Entry.Revision};
+  return true;
+}
+
+bool applyRouting(FleetRecords &Records, const policy::ConfigEntry &Entry,
+                  policy::Error &LastError) {
+  if (Entry.Tombstone) {
+    LastError = {policy::ErrorKind::BadRequest,
+                 "the routing table was deleted; the last one stays in effect"};
+    return false;
+  }
+  std::optional<settings::RoutingRecord> Record =
+      settings::parseRouting(Entry.Value, LastError);
+  if (!Record) {
+    return false;
+  }
+  Records.Routing = std::make_shared<const RoutingTable>(
+      makeRoutingTable(*std::move(Record)));
+  return true;
+}
+
 } // namespace
 
+const policy::MoveOrder *openOrder(const FleetRecords &Records,
+                                   std::string_view Service) {
+  const auto Order = Records.Orders.find(Service);
+  if (Order == Records.Orders.end()) {
+    return nullptr;
+  }
+  const auto Move = Records.Moves.find(Service);
+  const bool Begun = Move != Records.Moves.end() &&
+                     Move->second.Id == policy::moveIdOf(Order->second);
+  return Begun ? nullptr : &Order->second;
+}
+
 bool applyEntry(FleetRecords &Records, const policy::ConfigEntry &Entry,
                 policy::TimePoint SteadyNow, policy::Error &LastError) {
   LastError = {policy::ErrorKind::BadRequest,
@@ -84,6 +133,10 @@
     Applied = applyZone(Records, *Zone, Entry, SteadyNow, LastError);
   } else if (const auto Move = nameIn(Entry.Key, settings::MovePrefix)) {
     Applied = applyMove(Records, *Move, Entry, LastError);
+  } else if (const auto Order = nameIn(Entry.Key, settings::OrderPrefix)) {
+    Applied = applyOrder(Records, *Order, Entry, LastError);
+  } else if (Entry.Key == settings::RoutingKey) {
+    Applied = applyRouting(Records, Entry, LastError);
   }
   Records.Malformed += Applied ? 0 : 1;
   return Applied;
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -14,6 +14,7 @@
 #include "store/client/http_store.h"
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -101,7 +102,7 @@
     return false;
   }
   connectTraffic();
-  Join = policy::makeJoin(steadyNow(), Random);
+  Join = policy::makeJoin(steadyNow(), Random, Options.Join);
   Thread = std::thread([this] { run(); });
   return true;
 }
@@ -111,16 +112,44 @@
     return;
   }
   Store = std::make_unique<StoreWorker>(
-      store::httpStore(
+      Options.OpenStore(
           {.Address = Options.StoreAddress, .Port = Options.StorePort}),
       [this](store::WatchResult Result) {
         Queue.post([this, Result = std::move(Result)] {
+          takeContacts(Result);
           Config->onStoreResult(Result);
         });
       },
       Options.Seed);
 }
 
+// A watch shows the contacts that other nodes write, so that a new node finds
+// the fleet with its first read, and who is leaving.
+void ControlCore::takeContacts(const store::WatchResult &Result) {
+  std::vector<policy::Contact> Contacts;
+  policy::Error LastError;
+  for (const store::WatchEvent &Event : Result.Events) {
+    if (Event.Deleted) {
+      continue;
+    }
+    const std::string_view Key = Event.Key;
+    if (Key.starts_with(settings::ContactPrefix)) {
+      if (const auto Read = settings::parseContact(Event.Value, LastError)) {
+        Contacts.push_back(
+            {.Address = Read->Address, .GossipPort = Read->GossipPort});
+      }
+    } else if (Key.starts_with(settings::LeavingPrefix) && Options.OnLeaving) {
+      policy::Incarnation Born = 0;
+      std::from_chars(Event.Value.data(),
+                      Event.Value.data() + Event.Value.size(), Born);
+      Options.OnLeaving(Key.substr(settings::LeavingPrefix.size()), Born);
+    }
+  }
+  if (!Contacts.empty()) {
+    Membership->addContacts(Contacts);
+  }
+}
+
 void ControlCore::connectTraffic() {
   Shared.Evidence.setHook(
       [this](const EvidenceSample &Sample) { Brakes.count(Sample); });
@@ -243,6 +272,14 @@
                            });
   Shared.Own.setRun(Membership->self().Run);
   Shared.Own.setZoneOut(View.ZonesOut.contains(Options.Self.Zone));
+  if (View.Routing) {
+    const auto Limits =
+        View.Routing->Services.find(Shared.Backend.state().Service);
+    if (Limits != View.Routing->Services.end()) {
+      Shared.Own.setCapacity(Limits->second.Connections,
+                             Limits->second.ColdPerSecond);
+    }
+  }
   Shared.Views.publish(std::move(View));
 }
 
@@ -267,6 +304,13 @@
       Moves->onRecord(Move->second);
     }
   }
+  if (Entry.Key.starts_with(settings::OrderPrefix)) {
+    const auto Order = Records.Orders.find(
+        std::string_view(Entry.Key).substr(settings::OrderPrefix.size()));
+    if (Order != Records.Orders.end()) {
+      Moves->onOrder(Order->second);
+    }
+  }
   ViewDirty = true;
 }
 
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -46,6 +46,7 @@
   void connectTraffic();
   void run();
   void tick();
+  void takeContacts(const store::WatchResult &Result);
   void joinThroughStore(policy::TimePoint Now);
   void watchStore(policy::TimePoint Now);
   void writeContact();
--- a/packages/daemon/src/daemon/control/move_runner.cpp
+++ b/packages/daemon/src/daemon/control/move_runner.cpp
@@ -9,6 +9,7 @@
 #include "daemon/control/store_worker.h"
 #include "daemon/control/task_queue.h"
 #include "policy/config/spread.h"
+#include "policy/move/advance.h"
 #include "policy/move/drive.h"
 #include "settings/record/format_record.h"
 #include "settings/record/record_key.h"
@@ -91,6 +92,33 @@
   To.Brakes.removeRecord(Service);
 }
 
+void MoveRunner::onOrder(const policy::MoveOrder &Order) {
+  Orders[Order.Service] = Order;
+}
+
+void MoveRunner::planOrders(policy::TimePoint WallNow) {
+  for (const auto &[Service, Order] : Orders) {
+    const auto Last = Records.find(Service);
+    const auto Planned = policy::planOrder(
+        Order, Last == Records.end() ? nullptr : &Last->second,
+        To.Membership.members(), WallNow);
+    if (!Planned) {
+      continue;
+    }
+    policy::DriveState &State = Drives[Service];
+    const policy::TimePoint DueAt =
+        OrdersDue.try_emplace(Planned->Id, WallNow).first->second;
+    if (State.Writing ||
+        !policy::shouldDrive(To.Membership.self().Node,
+                             To.Membership.watchers(), Planned->Id, DueAt,
+                             WallNow, policy::optionsFor(*Planned))) {
+      continue;
+    }
+    State = {};
+    State.Writing = write(*Planned);
+  }
+}
+
 void MoveRunner::onOwnVerdict(const std::string &Service,
                               const std::string &MoveId,
                               const policy::Verdict &Held) {
@@ -122,6 +150,7 @@
   if (To.Store == nullptr || !To.Membership.isWatcher()) {
     return;
   }
+  planOrders(WallNow);
   for (const auto &[Service, Record] : Records) {
     if (!policy::hasEnded(Record)) {
       drive(Record, WallNow);
@@ -164,9 +193,10 @@
 void MoveRunner::drive(const policy::MoveRecord &Record,
                        policy::TimePoint WallNow) {
   policy::DriveState &State = Drives[Record.Service];
-  const auto Next = policy::nextWrite(
-      State, Record, To.Brakes.verdict(Record.Service),
-      To.Membership.self().Node, To.Membership.watchers(), WallNow);
+  const auto Next =
+      policy::nextWrite(State, Record, To.Brakes.verdict(Record.Service),
+                        To.Membership.self().Node, To.Membership.watchers(),
+                        WallNow, policy::optionsFor(Record));
   if (Next && !write(*Next)) {
     policy::onWritten(State, false);
   }
--- a/packages/daemon/src/daemon/control/move_runner.h
+++ b/packages/daemon/src/daemon/control/move_runner.h
@@ -6,6 +6,7 @@
 #include "policy/move/drive_state.h"
 #include "policy/move/evidence_report.h"
 #include "policy/move/move_record.h"
+#include "policy/move/order.h"
 #include "policy/move/verdict.h"
 
 #include <cstdint>
@@ -46,6 +47,8 @@
   // Takes over a record that changed in the configuration.
   void onRecord(const policy::MoveRecord &Record);
   void onRemoved(std::string_view Service);
+  // Takes over an order whose move may have to be planned.
+  void onOrder(const policy::MoveOrder &Order);
 
   // A verdict of this node, or one that another node has sent.
   void onOwnVerdict(const std::string &Service, const std::string &MoveId,
@@ -67,6 +70,8 @@
                  const policy::EvidenceReport &Report,
                  policy::TimePoint WallNow);
   void drive(const policy::MoveRecord &Record, policy::TimePoint WallNow);
+  // Writes the first records of moves that operators ordered.
+  void planOrders(policy::TimePoint WallNow);
   // False where the write cannot be queued.
   [[nodiscard]] bool write(const policy::MoveRecord &Next);
   void onWritten(const std::string &Service, bool Written);
@@ -76,6 +81,9 @@
   Links To;
   std::map<std::string, policy::MoveRecord, std::less<>> Records;
   std::map<std::string, policy::DriveState, std::less<>> Drives;
+  std::map<std::string, policy::MoveOrder, std::less<>> Orders;
+  // When the planning of an order was due first, by its move's id.
+  std::map<std::string, policy::TimePoint, std::less<>> OrdersDue;
   policy::TimePoint NextReport;
   // Makes each operation id of this run unique.
   std::uint64_t Writes = 0;
--- a/packages/daemon/src/daemon/control/view_builder.cpp
+++ b/packages/daemon/src/daemon/control/view_builder.cpp
@@ -42,12 +42,15 @@
                          const ViewInput &Input) {
   const auto Found = Members.find(Record.Service);
   const auto Move = Input.Records.Moves.find(Record.Service);
+  const policy::MoveOrder *Order = openOrder(Input.Records, Record.Service);
   policy::ServingPlan Plan = policy::planService(
       {.Self = Input.Self,
        .Members = Found == Members.end()
                       ? std::span<const policy::Member *const>()
                       : std::span(Found->second),
        .Version = Record.Version,
+       .Ordered =
+           Order ? std::string_view(Order->ToVersion) : std::string_view(),
        .Move = Move == Input.Records.Moves.end() ? nullptr : &Move->second,
        .ZoneDistance = Input.ZoneDistance,
        .RegionDistance = Input.RegionDistance},
@@ -78,6 +81,15 @@
     View.Services[Name] = std::make_shared<const ServiceView>(
         buildService(Record, Members, Input));
   }
+  View.Routing = Input.Records.Routing;
+  if (View.Routing) {
+    for (const auto &[Name, Limits] : View.Routing->Services) {
+      if (!View.Services.contains(Name)) {
+        View.Services[Name] = std::make_shared<const ServiceView>(
+            buildService({.Service = Name}, Members, Input));
+      }
+    }
+  }
   for (const auto &[Name, Zone] : Input.Records.Zones) {
     if (policy::isOut(Zone)) {
       View.ZonesOut.insert(Name);
--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_ENTRY_ENTRY_H
 #define DAEMON_ENTRY_ENTRY_H
 
+#include "daemon/dialect/dialect.h"
 #include "daemon/entry/service_runtime.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/peer/peer_exchange.h"
@@ -23,6 +24,11 @@
   policy::Duration DeadlineMaximum{};
   policy::Duration FenceTimeout{};
   std::uint32_t Hops = 17;
+  // Null: the native one.
+  const Dialect *Speaks = nullptr;
+  // Service of the backend server beside this node, as settings name it.
+  std::string LocalService;
+  ServiceTable::Options Services;
   ExchangeOptions Exchange;
 };
 
@@ -39,12 +45,16 @@
   };
 
   Entry(const EntryOptions &Given, const Parts &Used)
-      : Options(Given), Use(Used) {}
+      : Options(Given), Use(Used), Services(Given.Services) {}
 
   [[nodiscard]] policy::RequestId nextId() {
     return {.Origin = Options.Node, .Run = Options.Run, .Sequence = ++Sequence};
   }
 
+  [[nodiscard]] const Dialect &dialect() const {
+    return Options.Speaks ? *Options.Speaks : nativeDialect();
+  }
+
   const EntryOptions Options;
   const Parts Use;
   ServiceTable Services;
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -35,6 +35,7 @@
   State.Hops = Call.Request.Hops;
   State.Deadline = Call.Request.Deadline;
   State.RetriesExhausted = Call.RetriesExhausted;
+  State.MaxRuns = Call.MaxRuns;
 }
 
 CallAnswer EntryCall::run() {
@@ -100,7 +101,8 @@
   Made.Peer = {
       .Node = *Node, .Address = Target.Address, .Port = Target.PeerPort};
   Made.Version = Target.Version;
-  if (!HedgeAt && State.Idempotent && Runtime.Route.Median.count() > 0) {
+  if (!HedgeAt && Call.MayHedge && State.Idempotent &&
+      Runtime.Route.Median.count() > 0) {
     // The median is without the way to the zone of the candidate.
     HedgeAt =
         Now + Target.ZoneDistance + policy::hedgeDelay(Runtime.Route.Median);
@@ -130,6 +132,7 @@
 
 std::optional<policy::Outcome> EntryCall::dispatch(Attempt &Made) {
   Call.Request.Version = Made.Version;
+  Call.Request.Repeat = State.Runs > 0;
   if (Made.Peer.Node == Owner.Options.Node) {
     Owner.Use.Counts.count(Counter::LocalAttempts);
     Call.Request.SidecarRun = Owner.Options.Run;
@@ -258,6 +261,7 @@
 void EntryCall::failed(std::list<Attempt>::iterator Place, CallAnswer Answer,
                        policy::TimePoint Now) {
   const ErrorKind Kind = *Answer.Kind;
+  const bool Reached = Answer.Reached;
   const bool NotRun = policy::errorEntry(Kind).Run == policy::RunOutcome::No;
   {
     const std::lock_guard Lock(Call.Runtime->Mutex);
@@ -283,7 +287,8 @@
                           Kind == ErrorKind::OutcomeUnknown;
   resolve({.Event = Repeatable && State.Idempotent ? OutcomeEvent::Lost
                                                    : OutcomeEvent::Rejected,
-           .Kind = Kind},
+           .Kind = Kind,
+           .Reached = Reached},
           nullptr);
 }
 
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -29,6 +29,10 @@
     std::string Route;
     // The caller's request says that retries are used up.
     bool RetriesExhausted = false;
+    // Most backend servers that may get the request; 0: as many as attempts.
+    std::uint32_t MaxRuns = 0;
+    // True where a second copy may be sent to a server while the first runs.
+    bool MayHedge = true;
     // Connection of the caller; watched, so that its end cancels the call.
     int CallerFd = -1;
   };
--- a/packages/daemon/src/daemon/entry/http_service.cpp
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -1,6 +1,7 @@
 #include "daemon/entry/http_service.h"
 
 #include "daemon/entry/entry_call.h"
+#include "daemon/entry/local_endpoints.h"
 #include "daemon/entry/parse_call.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
@@ -46,11 +47,11 @@
     const policy::TimePoint Start = now();
     const std::string Method = Request->Method;
     const bool KeepAlive = Request->KeepAlive;
-    HttpResponse Response = answer(std::move(*Request), Accepted.fd());
+    HttpResponse Response = Answer(std::move(*Request), Accepted.fd());
     Response.KeepAlive = KeepAlive && !Closing;
     const bool GoOn = Response.KeepAlive;
     const bool Written = write(Accepted.fd(), Response, Method);
-    Owner.Use.Counts.time(Timing::Request, now() - Start);
+    Counts.time(Timing::Request, now() - Start);
     if (!Written || !GoOn) {
       return;
     }
@@ -59,8 +60,9 @@
 }
 
 void HttpService::refuse(int Fd) {
-  HttpResponse Response = errorResponse(
-      ErrorKind::Overloaded, "too many connections to this node", false);
+  HttpResponse Response =
+      errorResponse(Speaks, ErrorKind::Overloaded,
+                    "too many connections to this node", false);
   Response.KeepAlive = false;
   (void)write(Fd, Response, {});
 }
@@ -97,25 +99,25 @@
 }
 
 void HttpService::rejectMalformed(int Fd, HttpReadStatus Status) {
-  Owner.Use.Counts.count(Counter::MalformedRequests);
+  Counts.count(Counter::MalformedRequests);
   HttpResponse Response;
   if (Status == HttpReadStatus::BodyTooLarge) {
     Response =
-        errorResponse(ErrorKind::BodyTooLarge,
+        errorResponse(Speaks, ErrorKind::BodyTooLarge,
                       "the body is over " +
                           std::to_string(Options.Limits.BodyBytes) + " bytes",
                       false);
-    Owner.Use.Counts.countError(ErrorKind::BodyTooLarge);
+    Counts.countError(ErrorKind::BodyTooLarge);
   } else {
     Response = errorResponse(
-        ErrorKind::BadRequest,
+        Speaks, ErrorKind::BadRequest,
         Status == HttpReadStatus::HeadTooLarge
             ? "the headers are over " +
                   std::to_string(Options.Limits.HeadBytes) + " bytes or " +
                   std::to_string(HttpHeaderMaximumCount) + " headers"
             : "the request is no valid HTTP/1.1",
         false);
-    Owner.Use.Counts.countError(ErrorKind::BadRequest);
+    Counts.countError(ErrorKind::BadRequest);
   }
   Response.KeepAlive = false;
   if (write(Fd, Response, {})) {
@@ -123,8 +125,19 @@
   }
 }
 
-HttpResponse HttpService::answer(HttpRequest Request, int Fd) {
-  if (isLocal(Request)) {
+bool HttpService::write(int Fd, const HttpResponse &Response,
+                        std::string_view Method) {
+  const std::string Head = responseHead(Response, Method);
+  const std::string_view Body = hasBody(Response.Status, Method)
+                                    ? std::string_view(Response.Body)
+                                    : std::string_view();
+  return sendAll(Fd, Head, Body, now() + Options.Read);
+}
+
+HttpResponse serveCaller(Entry &Owner, const LocalEndpoints &Local,
+                         HttpRequest Request, int Fd) {
+  const Dialect &Speaks = Owner.dialect();
+  if (!Speaks.RoutesByHost && isLocal(Request)) {
     return answerLocal(Local, Request, remoteAddress(Fd));
   }
   Metrics &Counts = Owner.Use.Counts;
@@ -133,14 +146,14 @@
   auto Call = parseCall(Owner, std::move(Request), now(), LastError);
   if (!Call) {
     Counts.countError(LastError.Kind);
-    return errorResponse(LastError.Kind, LastError.Detail, false);
+    return errorResponse(Speaks, LastError.Kind, LastError.Detail, false);
   }
   Call->CallerFd = Fd;
   EntryCall Running(Owner, std::move(*Call));
   CallAnswer Answer = Running.run();
   if (Answer.Kind) {
     Counts.countError(*Answer.Kind);
-    return errorResponse(*Answer.Kind, Answer.Detail,
+    return errorResponse(Speaks, *Answer.Kind, Answer.Detail,
                          Running.retriesExhausted());
   }
   HttpResponse Response;
@@ -150,13 +163,4 @@
   return Response;
 }
 
-bool HttpService::write(int Fd, const HttpResponse &Response,
-                        std::string_view Method) {
-  const std::string Head = responseHead(Response, Method);
-  const std::string_view Body = hasBody(Response.Status, Method)
-                                    ? std::string_view(Response.Body)
-                                    : std::string_view();
-  return sendAll(Fd, Head, Body, now() + Options.Read);
-}
-
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/entry/local_endpoints.cpp
+++ b/packages/daemon/src/daemon/entry/local_endpoints.cpp
@@ -26,7 +26,8 @@
 }
 
 HttpResponse badRequest(std::string_view Detail) {
-  return errorResponse(policy::ErrorKind::BadRequest, Detail, false);
+  return errorResponse(nativeDialect(), policy::ErrorKind::BadRequest, Detail,
+                       false);
 }
 
 // Reads an optional whole number; false where it is there but out of range.
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -1,10 +1,13 @@
 #include "daemon/entry/parse_call.h"
 
 #include "policy/chain/chain_headers.h"
+#include "policy/overload/return_delay.h"
 
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <charconv>
+#include <random>
 #include <utility>
 
 namespace magnolia::daemon {
@@ -55,6 +58,111 @@
   return std::min(Timeout, Options.DeadlineMaximum);
 }
 
+// Milliseconds that the caller still waits; nothing where it does not say.
+std::optional<policy::Duration> deadlineOf(const Dialect &Speaks,
+                                           const HttpRequest &Request) {
+  const std::string *Text =
+      findHeader(Request.Headers, Speaks.Headers.Deadline);
+  std::uint32_t Number = 0;
+  if (!Text ||
+      std::from_chars(Text->data(), Text->data() + Text->size(), Number).ec !=
+          std::errc()) {
+    return std::nullopt;
+  }
+  return std::chrono::milliseconds(Number);
+}
+
+std::string_view hostOf(const HttpRequest &Request) {
+  const std::string *Host = findHeader(Request.Headers, "Host");
+  return Host ? std::string_view(*Host).substr(0, Host->find(':'))
+              : std::string_view();
+}
+
+void replaceHeader(HttpHeaders &Headers, std::string_view Name,
+                   std::string Value) {
+  std::erase_if(Headers, [Name](const HttpHeader &Header) {
+    return equalNames(Header.Name, Name);
+  });
+  if (!Value.empty()) {
+    Headers.push_back({std::string(Name), std::move(Value)});
+  }
+}
+
+// Seconds with three decimals.
+std::string secondsText(policy::Duration Length) {
+  const auto Ms =
+      std::chrono::duration_cast<std::chrono::milliseconds>(Length).count();
+  const std::string Fraction = std::to_string(1000 + Ms % 1000);
+  return std::to_string(Ms / 1000) + "." + Fraction.substr(1);
+}
+
+void setTimes(EntryCall::Given &Call, const settings::HostRoute &Route,
+              std::optional<policy::Duration> Waits,
+              const EntryOptions &Options, policy::TimePoint Now) {
+  policy::Duration Left = Waits.value_or(Options.Deadline);
+  if (Route.TimeoutMs != 0) {
+    Left = std::min<policy::Duration>(
+        Left, std::chrono::milliseconds(Route.TimeoutMs));
+  }
+  Call.Request.Deadline = Now + std::min(Left, Options.DeadlineMaximum);
+  if (Route.ObjectiveMs != 0) {
+    Call.Request.Objective = Now + std::chrono::milliseconds(Route.ObjectiveMs);
+  }
+}
+
+// Moves method, target, headers and body of the request into the call.
+void takeMessage(EntryCall::Given &Call, HttpRequest Request) {
+  removeHopByHop(Request.Headers);
+  std::erase_if(Request.Headers, [](const HttpHeader &Header) {
+    return equalNames(Header.Name, ServiceHeader) ||
+           equalNames(Header.Name, "Expect");
+  });
+  Call.Request.Method = std::move(Request.Method);
+  Call.Request.Target = std::move(Request.Target);
+  Call.Request.Headers = std::move(Request.Headers);
+  Call.Request.Body = std::move(Request.Body);
+}
+
+// Call of a request whose service the routing table knows.
+std::optional<EntryCall::Given> parseRouted(Entry &Owner, HttpRequest Request,
+                                            policy::TimePoint Now,
+                                            policy::Error &LastError) {
+  const auto View = Owner.Use.Views.current();
+  if (!View->Routing) {
+    LastError = {ErrorKind::NoBackendServer, "no routing table is known yet"};
+    return std::nullopt;
+  }
+  const settings::HostRoute *Route =
+      findRoute(*View->Routing, hostOf(Request), pathOf(Request.Target));
+  if (!Route) {
+    LastError = {ErrorKind::UnknownService, "no route for host and path"};
+    return std::nullopt;
+  }
+  std::uniform_real_distribution<double> Point(0, 1);
+  const settings::RouteTarget &Target = targetAt(*Route, Point(threadEngine()));
+  EntryCall::Given Call;
+  Call.Runtime = Owner.Services.find(*View, Target.Service, Now);
+  if (!Call.Runtime) {
+    LastError = {ErrorKind::NoBackendServer, "no service " + Target.Service};
+    return std::nullopt;
+  }
+  Call.Route = Route->Prefix;
+  Call.MaxRuns = Route->MaxAttempts;
+  Call.MayHedge = false;
+  Call.Request.Id = Owner.nextId();
+  Call.Request.Service = Target.Service;
+  Call.Request.Idempotent = Route->Idempotent;
+  Call.Request.Priority = Route->Priority;
+  const Dialect &Speaks = Owner.dialect();
+  setTimes(Call, *Route, deadlineOf(Speaks, Request), Owner.Options, Now);
+  takeMessage(Call, std::move(Request));
+  if (!Speaks.Headers.CallerService.empty()) {
+    replaceHeader(Call.Request.Headers, Speaks.Headers.CallerService,
+                  Owner.Options.LocalService);
+  }
+  return Call;
+}
+
 } // namespace
 
 bool isLocal(const HttpRequest &Request) {
@@ -75,6 +183,13 @@
 std::optional<EntryCall::Given> parseCall(Entry &Owner, HttpRequest Request,
                                           policy::TimePoint Now,
                                           policy::Error &LastError) {
+  if (Owner.dialect().RoutesByHost) {
+    if (toOriginForm(Request.Target, Request.Method)) {
+      return parseRouted(Owner, std::move(Request), Now, LastError);
+    }
+    LastError = {ErrorKind::BadRequest, "the target is no path"};
+    return std::nullopt;
+  }
   const std::string Service(serviceOf(Request));
   if (Service.empty() || Service.size() > ServiceNameMaximum) {
     LastError = {ErrorKind::BadRequest,
@@ -108,26 +223,23 @@
   Call.Request.Deadline = Now + timeoutOf(Owner.Options, *Chain, Rule);
   Call.Request.Hops = Chain->Hops + 1;
   Call.Request.IdempotencyKey = Chain->IdempotencyKey;
-  removeHopByHop(Request.Headers);
-  std::erase_if(Request.Headers, [](const HttpHeader &Header) {
-    return equalNames(Header.Name, ServiceHeader) ||
-           equalNames(Header.Name, "Expect");
-  });
-  Call.Request.Method = std::move(Request.Method);
-  Call.Request.Target = std::move(Request.Target);
-  Call.Request.Headers = std::move(Request.Headers);
-  Call.Request.Body = std::move(Request.Body);
+  takeMessage(Call, std::move(Request));
   return Call;
 }
 
-HttpResponse errorResponse(ErrorKind Kind, std::string_view Detail,
-                           bool RetriesExhausted) {
+HttpResponse errorResponse(const Dialect &Speaks, ErrorKind Kind,
+                           std::string_view Detail, bool RetriesExhausted) {
   const policy::ErrorEntry &Entry = policy::errorEntry(Kind);
   HttpResponse Response;
-  Response.Status = Entry.Status;
+  Response.Status = Speaks.StatusOf(Kind);
   Response.Headers = {{"Content-Type", "application/json"},
                       {"Magnolia-Error", std::string(Entry.Name)},
                       {"Magnolia-Run", std::string(toString(Entry.Run))}};
+  if (!Speaks.Headers.RetryAfter.empty() && Entry.Retryable) {
+    Response.Headers.push_back(
+        {std::string(Speaks.Headers.RetryAfter),
+         secondsText(policy::returnDelay(Kind, threadEngine()))});
+  }
   if (RetriesExhausted) {
     Response.Headers.push_back({std::string(policy::RetryHeader),
                                 std::string(policy::RetryExhausted)});
--- a/packages/daemon/src/daemon/entry/parse_call.h
+++ b/packages/daemon/src/daemon/entry/parse_call.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_ENTRY_PARSE_CALL_H
 #define DAEMON_ENTRY_PARSE_CALL_H
 
+#include "daemon/dialect/dialect.h"
 #include "daemon/entry/entry_call.h"
 #include "daemon/http/message.h"
 
@@ -28,7 +29,8 @@
           policy::Error &LastError);
 
 // Error answer to a caller, with the headers that state whether it ran.
-[[nodiscard]] HttpResponse errorResponse(policy::ErrorKind Kind,
+[[nodiscard]] HttpResponse errorResponse(const Dialect &Speaks,
+                                         policy::ErrorKind Kind,
                                          std::string_view Detail,
                                          bool RetriesExhausted);
 
--- a/packages/daemon/src/daemon/entry/service_runtime.cpp
+++ b/packages/daemon/src/daemon/entry/service_runtime.cpp
@@ -78,6 +78,13 @@
   return Shares;
 }
 
+std::shared_ptr<ServiceRuntime> ServiceTable::make() const {
+  auto Made = std::make_shared<ServiceRuntime>();
+  Made->Retries.Options = Initial.Retry;
+  Made->Overload.Options = Initial.Overload;
+  return Made;
+}
+
 std::shared_ptr<ServiceRuntime> ServiceTable::find(const ClusterView &View,
                                                    std::string_view Name,
                                                    policy::TimePoint Now) {
@@ -89,12 +96,9 @@
   {
     const std::lock_guard Lock(Mutex);
     const auto Found = Services.find(Name);
-    Runtime =
-        Found != Services.end()
-            ? Found->second
-            : Services
-                  .emplace(Service->first, std::make_shared<ServiceRuntime>())
-                  .first->second;
+    Runtime = Found != Services.end()
+                  ? Found->second
+                  : Services.emplace(Service->first, make()).first->second;
   }
   const std::lock_guard Lock(Runtime->Mutex);
   refresh(*Runtime, View, Service->second, Now);
--- a/packages/daemon/src/daemon/entry/service_runtime.h
+++ b/packages/daemon/src/daemon/entry/service_runtime.h
@@ -58,6 +58,15 @@
 // The services that this node has had requests for.
 class ServiceTable {
 public:
+  // Options that every service starts with.
+  struct Options {
+    policy::RetryOptions Retry;
+    policy::OverloadOptions Overload;
+  };
+
+  ServiceTable() = default;
+  explicit ServiceTable(const Options &Initial) : Initial(Initial) {}
+
   // Runtime of a service of the view, made at its first use; null for a
   // service that the view does not have.
   [[nodiscard]] std::shared_ptr<ServiceRuntime>
@@ -67,6 +76,9 @@
   all() const;
 
 private:
+  [[nodiscard]] std::shared_ptr<ServiceRuntime> make() const;
+
+  const Options Initial;
   mutable std::mutex Mutex;
   std::map<std::string, std::shared_ptr<ServiceRuntime>, std::less<>> Services;
 };
--- a/packages/daemon/src/daemon/http/reader.cpp
+++ b/packages/daemon/src/daemon/http/reader.cpp
@@ -99,9 +99,6 @@
   HttpReadStatus advanceResponse() {
     for (;;) {
       const HttpReadStatus Status = advance(*Response);
-      if (Response->is_header_done() && Response->need_eof() && !Headless) {
-        return HttpReadStatus::Malformed;
-      }
       if (Status != HttpReadStatus::Ready ||
           Response->get().result_int() >= FirstFinalStatus) {
         return Status;
@@ -150,6 +147,19 @@
                                      : Held->advanceResponse();
 }
 
+HttpReadStatus HttpReader::finish() {
+  if (Held->Read == Kind::Request) {
+    return HttpReadStatus::Malformed;
+  }
+  ResponseParser &Parser = *Held->Response;
+  if (!Parser.is_header_done() || !Parser.need_eof()) {
+    return HttpReadStatus::Malformed;
+  }
+  boost::system::error_code Fault;
+  Parser.put_eof(Fault);
+  return Fault ? HttpReadStatus::Malformed : HttpReadStatus::Ready;
+}
+
 bool HttpReader::hasBytes() const {
   return Held->Begin < Held->End ||
          (Held->Read == Kind::Request && Held->Request->got_some());
--- a/packages/daemon/src/daemon/http/reader.h
+++ b/packages/daemon/src/daemon/http/reader.h
@@ -47,10 +47,11 @@
   [[nodiscard]] std::span<char> room();
   void commit(std::size_t Count);
 
-  // Goes on with the bytes at hand. Ready once the whole message is there; a
-  // response whose end only the end of the connection would show is
-  // Malformed, because a cut could not be told from its end.
+  // Goes on with the bytes at hand. Ready once the whole message is there.
   [[nodiscard]] HttpReadStatus read();
+  // The other side has closed the connection in order. Ready for a response
+  // without a stated length, which ends so; Malformed for any other message.
+  [[nodiscard]] HttpReadStatus finish();
 
   // True where bytes of an unfinished or further message are held.
   [[nodiscard]] bool hasBytes() const;
--- a/packages/daemon/src/daemon/metrics/metrics.cpp
+++ b/packages/daemon/src/daemon/metrics/metrics.cpp
@@ -53,6 +53,8 @@
      "Changes of the backend server's incarnation."},
     {Counter::BackendSheds, "backend_sheds",
      "Requests that the backend server refused to run."},
+    {Counter::BackendExtraAnswers, "backend_extra_answers",
+     "Answers of the backend server to earlier requests, discarded."},
     {Counter::LoadPolls, "load_polls",
      "Reads of the backend server's load endpoint."},
     {Counter::MalformedRequests, "malformed_requests",
--- a/packages/daemon/src/daemon/metrics/metrics.h
+++ b/packages/daemon/src/daemon/metrics/metrics.h
@@ -38,6 +38,7 @@
   BackendBrokenAnswers,
   BackendRestarts,
   BackendSheds,
+  BackendExtraAnswers,
   LoadPolls,
   MalformedRequests,
 };
--- a/packages/daemon/src/daemon/net/socket.cpp
+++ b/packages/daemon/src/daemon/net/socket.cpp
@@ -21,6 +21,9 @@
 
 constexpr int Backlog = 1024;
 
+// Time after which a connection with unacknowledged bytes counts as broken.
+constexpr unsigned UserTimeoutMs = 5000;
+
 bool fillAddress(const std::string &Address, std::uint16_t Port,
                  sockaddr_in &Target) {
   std::memset(&Target, 0, sizeof Target);
@@ -58,6 +61,8 @@
 void setUpSocket(int Fd) {
   const int On = 1;
   setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
+  setsockopt(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs,
+             sizeof UserTimeoutMs);
   fcntl(Fd, F_SETFL, fcntl(Fd, F_GETFL) | O_NONBLOCK);
 }
 
@@ -164,7 +169,10 @@
     if (Count < 0 && errno == EINTR) {
       continue;
     }
-    return Count < 0 && errno == EAGAIN ? 0 : -1;
+    if (Count == 0) {
+      return ConnectionClosed;
+    }
+    return errno == EAGAIN ? 0 : ConnectionBroken;
   }
 }
 
--- a/packages/daemon/src/daemon/net/socket.h
+++ b/packages/daemon/src/daemon/net/socket.h
@@ -44,6 +44,11 @@
 [[nodiscard]] bool sendSome(int Fd, std::string_view &Head,
                             std::string_view &Body);
 
+// Results of receiveSome for a connection that the other side has closed in
+// order, and for one that broke.
+inline constexpr std::ptrdiff_t ConnectionClosed = -1;
+inline constexpr std::ptrdiff_t ConnectionBroken = -2;
+
 // Bytes read; 0: nothing there now; negative: closed or broken.
 [[nodiscard]] std::ptrdiff_t receiveSome(int Fd, std::span<char> Room);
 
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/log/log.h"
 #include "daemon/net/clock.h"
+#include "daemon/net/socket.h"
+#include "settings/record/record_key.h"
 
 #include <map>
 #include <memory>
@@ -19,18 +21,49 @@
           .ConnectTimeout = Settings.ConnectTimeout};
 }
 
+// Sidecars that one request is offered to at most.
+constexpr std::uint32_t RoutedAttempts = 4;
+
+// Calls to the store that a backend server waits for, which gives up after a
+// second.
+constexpr std::chrono::milliseconds KeepTimeout{350};
+constexpr std::chrono::milliseconds LeavingLease{60'000};
+
+constexpr double Percent = 100.0;
+
 SidecarOptions sidecarOptions(const settings::NodeSettings &Settings,
-                              policy::Incarnation Run) {
+                              const Dialect &Speaks, policy::Incarnation Run) {
   return {.Run = Run,
+          .Speaks = &Speaks,
           .AnswerLimits = {.HeadBytes = Settings.HeaderBytes,
                            .BodyBytes = Settings.AnswerBytes},
           .ConnectTimeout = Settings.ConnectTimeout,
           .MaxWaiting = Settings.WaitQueue,
+          .UsableShare = Settings.UsablePercent / Percent,
+          .RepeatRatio = Settings.RepeatPercent / Percent,
+          .RepeatSlack = static_cast<double>(Settings.RepeatSlack),
           .LedgerEntries = Settings.LedgerEntries};
 }
 
+// Where sidecars reject by priority, an early rejection at the entry node that
+// does not know it would hit urgent requests, and retries elsewhere cost no
+// backend server anything.
+ServiceTable::Options serviceOptions(const settings::NodeSettings &Settings,
+                                     const Dialect &Speaks) {
+  ServiceTable::Options Options;
+  Options.Retry.Cap = Settings.RetryBurst;
+  Options.Retry.FloorPerSecond = Settings.RetryFloor / Percent;
+  if (Speaks.RoutesByHost) {
+    Options.Retry.FreeRejections = true;
+    Options.Retry.MaxAttempts = RoutedAttempts;
+    Options.Overload.MaxShed = 0;
+  }
+  return Options;
+}
+
 EntryOptions entryOptions(const settings::NodeSettings &Settings,
-                          policy::NodeId Id, policy::Incarnation Run) {
+                          const Dialect &Speaks, policy::NodeId Id,
+                          policy::Incarnation Run) {
   return {.Node = Id,
           .Run = Run,
           .Spin = Settings.Spin,
@@ -38,6 +71,9 @@
           .DeadlineMaximum = Settings.DeadlineMaximum,
           .FenceTimeout = Settings.FenceTimeout,
           .Hops = Settings.Hops,
+          .Speaks = &Speaks,
+          .LocalService = Settings.LocalService,
+          .Services = serviceOptions(Settings, Speaks),
           .Exchange = {.AnswerBytes = Settings.AnswerBytes,
                        .PingAfter = Settings.PingAfter,
                        .PingTimeout = Settings.PingTimeout}};
@@ -55,6 +91,31 @@
   return Options;
 }
 
+policy::JoinOptions joinOptions(const settings::NodeSettings &Settings) {
+  const policy::Duration Delay = Settings.JoinDelay;
+  return {.SettleTime = Delay,
+          .AloneTime = 3 * Delay,
+          .Spread = 2 * Delay,
+          .ContactReadPeriod = 3 * Delay,
+          .ContactWritePeriod = 30 * Delay};
+}
+
+settings::HostPort callersOf(const settings::NodeSettings &Settings) {
+  return Settings.Callers.Port != 0
+             ? Settings.Callers
+             : settings::HostPort{.Address = Settings.Address,
+                                  .Port = Settings.HttpPort};
+}
+
+store::StoreOperations openStore(const settings::NodeSettings &Settings,
+                                 const Dialect &Speaks) {
+  if (Settings.Store.Port == 0) {
+    return {};
+  }
+  return Speaks.OpenStore(
+      {.Address = Settings.Store.Address, .Port = Settings.Store.Port});
+}
+
 LocalBackendState backendFromSettings(const settings::NodeSettings &Settings) {
   return {.Service = Settings.BackendService,
           .Version = Settings.BackendVersion,
@@ -69,18 +130,31 @@
 
 } // namespace
 
-Node::Node(settings::NodeSettings Given, wire::ClusterKey ClusterKey)
-    : Settings(std::move(Given)), Key(std::move(ClusterKey)),
+Node::Node(settings::NodeSettings Given, wire::ClusterKey ClusterKey,
+           const Dialect &Dialect)
+    : Settings(std::move(Given)), Key(std::move(ClusterKey)), Speaks(Dialect),
       Id(policy::nodeIdOf(Settings.Address, Settings.PeerPort)),
-      Run(wallClockIncarnation()),
+      Run(wallClockIncarnation()), Store(openStore(Settings, Speaks)),
       Peers(poolOptions(Settings, {.Node = Id, .Run = Run, .Key = Key})),
-      Own(sidecarOptions(Settings, Run), Backend, Counts),
-      Calls(entryOptions(Settings, Id, Run), {.Views = Views,
-                                              .Cuts = Cuts,
-                                              .Evidence = Evidence,
-                                              .Peers = Peers,
-                                              .Own = Own,
-                                              .Counts = Counts}),
+      Own(sidecarOptions(Settings, Speaks, Run), Backend, Counts),
+      Reports({.Address = Settings.LocalBackend.Address,
+               .Port = Settings.LocalBackend.Port,
+               .SilentAfter = Settings.SilentAfter,
+               .IsKnown =
+                   [this](std::string_view Service) {
+                     return isKnownService(Service);
+                   },
+               .KeepLeaving =
+                   [this](const policy::BackendReport &Report) {
+                     return keepLeaving(Report);
+                   }},
+              Speaks, Own, Backend),
+      Calls(entryOptions(Settings, Speaks, Id, Run), {.Views = Views,
+                                                      .Cuts = Cuts,
+                                                      .Evidence = Evidence,
+                                                      .Peers = Peers,
+                                                      .Own = Own,
+                                                      .Counts = Counts}),
       PeerOptions(peerOptions(Settings, {.Node = Id, .Run = Run, .Key = Key})),
       PeerSide(Own, PeerOptions),
       Endpoints{.Backend = Backend,
@@ -92,18 +166,22 @@
                     },
                 .Dump = [this] { return State.text(); },
                 .Announce = [this](const auto &Told) { announce(Told); }},
-      CallerSide(Calls, Endpoints,
-                 {.Limits = {.HeadBytes = Settings.HeaderBytes,
-                             .BodyBytes = Settings.BodyBytes},
-                  .Idle = Settings.CallerIdle,
-                  .Read = Settings.CallerRead}),
+      CallerSide(
+          [this](HttpRequest Request, int Fd) {
+            return serveCaller(Calls, Endpoints, std::move(Request), Fd);
+          },
+          Counts, Speaks,
+          {.Limits = {.HeadBytes = Settings.HeaderBytes,
+                      .BodyBytes = Settings.BodyBytes},
+           .Idle = Settings.CallerIdle,
+           .Read = Settings.CallerRead}),
       PeerServer({.Address = Settings.Address,
                   .Port = Settings.PeerPort,
                   .Maximum = Settings.PeerConnections,
                   .Serve = [this](Session &S) { PeerSide.serve(S); },
                   .Refuse = {}}),
-      HttpServer({.Address = Settings.Address,
-                  .Port = Settings.HttpPort,
+      HttpServer({.Address = callersOf(Settings).Address,
+                  .Port = callersOf(Settings).Port,
                   .Maximum = Settings.HeldConnections,
                   .Serve = [this](Session &S) { CallerSide.serve(S); },
                   .Refuse = [this](int Fd) { CallerSide.refuse(Fd); }}) {
@@ -127,32 +205,138 @@
   if (!PeerServer.start(LastError) || !HttpServer.start(LastError)) {
     return false;
   }
-  constexpr auto NoPath = "";
-  Watch.emplace(Own, Backend,
-                BackendWatch::Options{.LoadPath = Settings.HasBackend
-                                                      ? Settings.BackendLoadPath
-                                                      : NoPath,
-                                      .Interval = Settings.LoadPoll,
-                                      .FromSettings = Settings.HasBackend});
+  if (!startSideServers(LastError)) {
+    return false;
+  }
+  Watch.emplace(
+      Own, Backend,
+      BackendWatch::Options{
+          .LoadPath = [this] { return healthPath(); },
+          .Interval = Settings.LoadPoll,
+          .FromSettings = Settings.HasBackend,
+          .AfterCheck =
+              [this](policy::TimePoint Now) { Reports.checkSilence(Now); }});
   Probes.emplace(Calls);
   return true;
 }
 
+bool Node::startSideServers(policy::Error &LastError) {
+  const auto Report = [this](const HttpRequest &Request, int) {
+    return Reports.answer(Request);
+  };
+  const auto Readiness = [this](const HttpRequest &Request, int) {
+    return answerReadiness(Request);
+  };
+  const auto Local = [this](const HttpRequest &Request, int Fd) {
+    return answerLocal(Endpoints, Request, remoteAddress(Fd));
+  };
+  return startSide(Settings.Announcements, Report, LastError) &&
+         startSide(Settings.Readiness, Readiness, LastError) &&
+         startSide(Settings.Metrics, Local, LastError);
+}
+
+bool Node::startSide(const settings::HostPort &Where,
+                     HttpService::Handler Answer, policy::Error &LastError) {
+  if (Where.Port == 0) {
+    return true;
+  }
+  SideServer Side;
+  Side.Service = std::make_unique<HttpService>(
+      std::move(Answer), Counts, Speaks,
+      HttpServiceOptions{.Limits = {.HeadBytes = Settings.HeaderBytes,
+                                    .BodyBytes = Settings.HeaderBytes},
+                         .Idle = Settings.CallerIdle,
+                         .Read = Settings.CallerRead});
+  Side.Server = std::make_unique<ConnectionServer>(
+      ConnectionServer::Options{.Address = Where.Address,
+                                .Port = Where.Port,
+                                .Maximum = Settings.HeldConnections,
+                                .Serve = [Service = Side.Service.get()](
+                                             Session &S) { Service->serve(S); },
+                                .Refuse = {}});
+  const bool Started = Side.Server->start(LastError);
+  Sides.push_back(std::move(Side));
+  return Started;
+}
+
+bool Node::isReady() const {
+  return !Stopping && (!Speaks.RoutesByHost || Views.current()->Routing);
+}
+
+HttpResponse Node::answerReadiness(const HttpRequest &Request) const {
+  constexpr std::uint16_t NotFound = 404;
+  constexpr std::uint16_t Unavailable = 503;
+  HttpResponse Response;
+  if (Request.Target != Speaks.ReadinessPath) {
+    Response.Status = NotFound;
+  } else if (!isReady()) {
+    Response.Status = Unavailable;
+  }
+  return Response;
+}
+
+bool Node::isKnownService(std::string_view Service) const {
+  const auto View = Views.current();
+  return !View->Routing || View->Routing->Services.contains(Service);
+}
+
+// Without a store there is nothing that a restarted node could read.
+bool Node::keepLeaving(const policy::BackendReport &Report) {
+  if (!Store.Put) {
+    return true;
+  }
+  store::StoreError LastError;
+  const auto Lease = Store.GrantLease(LeavingLease, KeepTimeout, LastError);
+  const bool Kept =
+      Lease &&
+      Store.Put({.Key = std::string(settings::LeavingPrefix) + Report.Instance,
+                 .Value = std::to_string(Report.Born),
+                 .Expected = 0,
+                 .Lease = *Lease},
+                KeepTimeout, LastError);
+  if (Kept || LastError.Kind == store::StoreErrorKind::Conflict) {
+    return true;
+  }
+  log(LogLevel::Warning, "farewell of the backend server not kept",
+      {{"instance", std::string_view(Report.Instance)},
+       {"reason", std::string_view(LastError.Detail)}});
+  return false;
+}
+
+std::string Node::healthPath() const {
+  if (Settings.HasBackend) {
+    return Settings.BackendLoadPath;
+  }
+  const auto View = Views.current();
+  if (!View->Routing) {
+    return {};
+  }
+  const auto Limits = View->Routing->Services.find(Backend.state().Service);
+  return Limits == View->Routing->Services.end() ? std::string()
+                                                 : Limits->second.HealthPath;
+}
+
 bool Node::startControl(policy::Error &LastError) {
-  ControlOptions Options = {.Self = {.Node = Id,
-                                     .Address = Settings.Address,
-                                     .PeerPort = Settings.PeerPort,
-                                     .ControlPort = Settings.ControlPort,
-                                     .GossipPort = Settings.GossipPort,
-                                     .HttpPort = Settings.HttpPort,
-                                     .Region = Settings.Region,
-                                     .Zone = Settings.Zone,
-                                     .Run = Run},
-                            .Key = Key,
-                            .StoreAddress = Settings.Store.Address,
-                            .StorePort = Settings.Store.Port,
-                            .ZoneDistance = Settings.ZoneDistance,
-                            .Seed = Id ^ Run};
+  ControlOptions Options = {
+      .Self = {.Node = Id,
+               .Address = Settings.Address,
+               .PeerPort = Settings.PeerPort,
+               .ControlPort = Settings.ControlPort,
+               .GossipPort = Settings.GossipPort,
+               .HttpPort = Settings.HttpPort,
+               .Region = Settings.Region,
+               .Zone = Settings.Zone,
+               .Run = Run},
+      .Key = Key,
+      .StoreAddress = Settings.Store.Address,
+      .StorePort = Settings.Store.Port,
+      .ZoneDistance = Settings.ZoneDistance,
+      .Seed = Id ^ Run,
+      .OpenStore = Speaks.OpenStore,
+      .Join = joinOptions(Settings),
+      .OnLeaving = [this](std::string_view Instance, policy::Incarnation Born) {
+        Reports.noteLeaving(Instance, Born);
+      }};
   for (const settings::HostPort &Contact : Settings.Contacts) {
     Options.Contacts.push_back(
         {.Address = Contact.Address, .GossipPort = Contact.Port});
@@ -210,6 +394,7 @@
 }
 
 void Node::beginStop() {
+  Stopping = true;
   Own.drain();
   Backend.setDraining(true);
   if (Control) {
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -1,10 +1,13 @@
 #ifndef DAEMON_NODE_NODE_H
 #define DAEMON_NODE_NODE_H
 
+#include "daemon/announce/announcer.h"
 #include "daemon/control/control_thread.h"
+#include "daemon/dialect/dialect.h"
 #include "daemon/dump/dump.h"
 #include "daemon/entry/entry.h"
 #include "daemon/entry/http_service.h"
+#include "daemon/entry/local_endpoints.h"
 #include "daemon/entry/prober.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/net/connection_server.h"
@@ -19,9 +22,13 @@
 #include "settings/node/node_settings.h"
 #include "wire/seal/cluster_key.h"
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace magnolia::daemon {
 
@@ -29,7 +36,8 @@
 // the evidence and listens to the own backend server.
 class Node {
 public:
-  Node(settings::NodeSettings Given, wire::ClusterKey Key);
+  Node(settings::NodeSettings Given, wire::ClusterKey Key,
+       const Dialect &Speaks = nativeDialect());
 
   [[nodiscard]] bool start(policy::Error &LastError);
 
@@ -43,8 +51,13 @@
   // Port for callers, also where the settings leave the choice to the system.
   [[nodiscard]] std::uint16_t httpPort() const { return HttpServer.port(); }
 
+  // True where callers may send requests: the node is not stopping and knows
+  // where requests go.
+  [[nodiscard]] bool isReady() const;
+
   const settings::NodeSettings Settings;
   const wire::ClusterKey Key;
+  const Dialect &Speaks;
   const policy::NodeId Id;
   const policy::Incarnation Run;
 
@@ -56,6 +69,20 @@
   Dump State;
 
 private:
+  // Listener of its own for requests that callers do not send.
+  struct SideServer {
+    std::unique_ptr<HttpService> Service;
+    std::unique_ptr<ConnectionServer> Server;
+  };
+
+  [[nodiscard]] bool startSideServers(policy::Error &LastError);
+  [[nodiscard]] bool startSide(const settings::HostPort &Where,
+                               HttpService::Handler Answer,
+                               policy::Error &LastError);
+  [[nodiscard]] HttpResponse answerReadiness(const HttpRequest &Request) const;
+  [[nodiscard]] bool isKnownService(std::string_view Service) const;
+  [[nodiscard]] bool keepLeaving(const policy::BackendReport &Report);
+  [[nodiscard]] std::string healthPath() const;
   void publishStatic();
   [[nodiscard]] bool startControl(policy::Error &LastError);
   void announce(const LocalBackendState &Announced);
@@ -63,8 +90,13 @@
   // Outlives the traffic threads, which report their answers to it. Null with
   // [static] backend servers.
   std::unique_ptr<ControlThread> Control;
+  // For calls outside of the control thread; without operations where the
+  // node has no store.
+  store::StoreOperations Store;
   PeerPool Peers;
   Sidecar Own;
+  Announcer Reports;
+  std::atomic<bool> Stopping = false;
   Entry Calls;
   PeerServiceOptions PeerOptions;
   PeerService PeerSide;
@@ -74,6 +106,7 @@
   ConnectionServer HttpServer;
   std::optional<BackendWatch> Watch;
   std::optional<Prober> Probes;
+  std::vector<SideServer> Sides;
 };
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/peer/call.h
+++ b/packages/daemon/src/daemon/peer/call.h
@@ -28,6 +28,13 @@
   // Run of the sidecar that the request is meant for; 0: any.
   policy::Incarnation SidecarRun = 0;
   std::string IdempotencyKey;
+  // 0 is the most urgent.
+  std::uint32_t Priority = 0;
+  // Until when an answer meets the latency objective; zero: no objective.
+  policy::TimePoint Objective{};
+  // An earlier attempt has reached a backend server, so that this one counts
+  // against the budget for repeats.
+  bool Repeat = false;
 };
 
 // Answer of a backend server, or an error of the system where Kind is set.
@@ -38,6 +45,8 @@
   std::optional<policy::ErrorKind> Kind;
   std::string Detail;
   policy::LoadReport Load;
+  // The request was sent to the backend server, whether it ran or not.
+  bool Reached = false;
 };
 
 [[nodiscard]] inline CallAnswer errorAnswer(policy::ErrorKind Kind,
--- a/packages/daemon/src/daemon/peer/call_frames.cpp
+++ b/packages/daemon/src/daemon/peer/call_frames.cpp
@@ -93,6 +93,11 @@
   Message.set_hops(Request.Hops);
   Message.set_sidecar_incarnation(Request.SidecarRun);
   Message.set_idempotency_key(Request.IdempotencyKey);
+  Message.set_priority(Request.Priority);
+  if (Request.Objective != policy::TimePoint{}) {
+    Message.set_remaining_objective_ms(remainingMs(Request.Objective, Now));
+  }
+  Message.set_repeat(Request.Repeat);
   const std::string_view Body = Request.Body;
   Message.set_body(std::string(Body.substr(0, BodyChunkBytes)));
   Message.set_body_continues(Body.size() > BodyChunkBytes);
@@ -107,6 +112,7 @@
   wire::PeerAnswer &Message = *Frame.mutable_answer();
   wire::toWire(Id, *Message.mutable_id());
   wire::toWire(Answer.Load, *Message.mutable_load());
+  Message.set_reached(Answer.Reached);
   if (Answer.Kind) {
     Message.set_error_kind(static_cast<std::uint32_t>(*Answer.Kind) + 1);
     Message.set_error_detail(Answer.Detail);
@@ -156,6 +162,12 @@
   Request.Hops = Message.hops();
   Request.SidecarRun = Message.sidecar_incarnation();
   Request.IdempotencyKey = Message.idempotency_key();
+  Request.Priority = Message.priority();
+  if (Message.remaining_objective_ms() != 0) {
+    Request.Objective =
+        Now + std::chrono::milliseconds(Message.remaining_objective_ms());
+  }
+  Request.Repeat = Message.repeat();
   return readHeaders(Message, Request.Headers) && isPlain(Request.Method) &&
          isPlain(Request.Target);
 }
@@ -163,6 +175,7 @@
 bool readAnswer(const wire::PeerFrame &Frame, CallAnswer &Answer) {
   const wire::PeerAnswer &Message = Frame.answer();
   Answer.Load = wire::fromWire(Message.load());
+  Answer.Reached = Message.reached();
   if (Message.error_kind() != 0) {
     if (Message.error_kind() > policy::ErrorKindCount) {
       return false;
--- a/packages/daemon/src/daemon/sidecar/backend_pool.cpp
+++ b/packages/daemon/src/daemon/sidecar/backend_pool.cpp
@@ -26,10 +26,11 @@
   Closed.swap(Idle);
 }
 
-std::unique_ptr<BackendConnection> BackendPool::takeIdle(policy::TimePoint Now,
-                                                         bool &Suspicious) {
+std::unique_ptr<BackendConnection>
+BackendPool::takeIdle(policy::TimePoint Now, policy::Duration LongestIdle,
+                      bool &Suspicious) {
   const std::lock_guard Lock(Mutex);
-  while (!Idle.empty()) {
+  while (!Idle.empty() && Now - Idle.back()->IdleSince <= LongestIdle) {
     std::unique_ptr<BackendConnection> Free = std::move(Idle.back());
     Idle.pop_back();
     if (isUsable(Free->Socket.fd())) {
--- a/packages/daemon/src/daemon/sidecar/backend_pool.h
+++ b/packages/daemon/src/daemon/sidecar/backend_pool.h
@@ -40,10 +40,12 @@
   // Closes all idle connections, because the backend server restarted.
   void closeAll();
 
-  // Idle connection, or null. Suspicious is set where the backend server has
-  // closed one so early that it may have restarted.
+  // Connection that was idle for no longer than the given time, or null.
+  // Suspicious is set where the backend server has closed one so early that it
+  // may have restarted.
   [[nodiscard]] std::unique_ptr<BackendConnection>
-  takeIdle(policy::TimePoint Now, bool &Suspicious);
+  takeIdle(policy::TimePoint Now, policy::Duration LongestIdle,
+           bool &Suspicious);
   // New connection, or null where the backend server does not accept it.
   [[nodiscard]] std::unique_ptr<BackendConnection>
   open(policy::TimePoint Deadline);
--- a/packages/daemon/src/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.cpp
@@ -4,8 +4,6 @@
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -42,6 +40,9 @@
     if (Backend.state().Port != 0) {
       check();
     }
+    if (Given.AfterCheck) {
+      Given.AfterCheck(now());
+    }
     const bool Present = Backend.state().Present;
     Lock.lock();
     Wake.wait_for(Lock,
@@ -52,7 +53,7 @@
 }
 
 void BackendWatch::check() {
-  const auto Connection = Owner.pool().open(now() + Timeout);
+  std::unique_ptr<BackendConnection> Connection = connect();
   if (!Connection) {
     ++Failures;
     LocalBackendState State = Backend.state();
@@ -68,21 +69,46 @@
     log(LogLevel::Info, "the backend server accepts connections");
     Backend.setPresent(true);
   }
-  if (Given.LoadPath.empty()) {
+  const std::string Path = Given.LoadPath ? Given.LoadPath() : std::string();
+  if (Path.empty()) {
     return;
   }
   Owner.metrics().count(Counter::LoadPolls);
-  if (const auto Response = readLoad(*Connection)) {
-    takeLoad(Response->Body);
+  const auto Response = readLoad(*Connection, Path);
+  if (!Response) {
+    return;
+  }
+  if (!Given.FromSettings && Response->KeepAlive &&
+      !Connection->Reader.hasBytes()) {
+    Owner.pool().give(std::move(Connection), now());
+  }
+  takeHealth(*Response);
+}
+
+// A server from the settings is checked by whether it accepts a connection; one
+// that announces itself is read from over a kept connection.
+std::unique_ptr<BackendConnection> BackendWatch::connect() {
+  if (!Given.FromSettings) {
+    bool Suspicious = false;
+    auto Idle =
+        Owner.pool().takeIdle(now(), policy::Duration::max(), Suspicious);
+    if (Idle) {
+      return Idle;
+    }
   }
+  return Owner.pool().open(now() + Timeout);
 }
 
-std::optional<HttpResponse> BackendWatch::readLoad(BackendConnection &To) {
+std::optional<HttpResponse> BackendWatch::readLoad(BackendConnection &To,
+                                                   const std::string &Path) {
   const policy::TimePoint Until = now() + Timeout;
   HttpRequest Request;
   Request.Method = "GET";
-  Request.Target = Given.LoadPath;
-  Request.Headers = {{"Connection", "close"}};
+  Request.Target = Path;
+  if (Given.FromSettings) {
+    Request.Headers = {{"Connection", "close"}};
+  }
+  To.Reader.begin(Request.Method);
   if (!sendAll(To.Socket.fd(), requestHead(Request, "localhost", 0), {},
                Until)) {
     return std::nullopt;
@@ -103,15 +129,22 @@
 }
 
 // A lagging endpoint may still name an earlier run, so only a later one counts.
-void BackendWatch::takeLoad(const std::string &Body) {
-  const auto Json = nlohmann::json::parse(Body, nullptr, false);
-  if (!Json.is_object()) {
+void BackendWatch::takeHealth(const HttpResponse &Response) {
+  const auto Health = Owner.dialect().ReadHealth(Response);
+  if (!Health) {
+    return;
+  }
+  if (Health->Run > Owner.admissionState().Backend) {
+    Owner.onBackendIncarnation(Health->Run, now());
+  }
+  const LocalBackendState Known = Backend.state();
+  if (Known.Present && !Health->Instance.empty() && !Known.Instance.empty() &&
+      Health->Instance != Known.Instance) {
+    Owner.onOtherInstance();
     return;
   }
-  const auto Run = Json.find("incarnation");
-  if (Run != Json.end() && Run->is_number_unsigned() &&
-      Run->get<policy::Incarnation>() > Owner.admissionState().Backend) {
-    Owner.onBackendIncarnation(Run->get<policy::Incarnation>(), now());
+  if (Health->ColdLeft) {
+    Owner.onColdLeft(*Health->ColdLeft, now());
   }
 }
 
--- a/packages/daemon/src/daemon/sidecar/backend_watch.h
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.h
@@ -20,11 +20,14 @@
 class BackendWatch {
 public:
   struct Options {
-    std::string LoadPath;
+    // Path of the load or health endpoint; empty: none.
+    std::function<std::string()> LoadPath;
     policy::Duration Interval{};
     // True where the settings name the backend server: it counts as present
     // while it accepts connections. One that announced itself stays present.
     bool FromSettings = false;
+    // Called after each check; may be empty.
+    std::function<void(policy::TimePoint Now)> AfterCheck;
   };
 
   BackendWatch(Sidecar &Owner, LocalBackend &Backend, Options Given);
@@ -36,8 +39,10 @@
   void run();
   void check();
   // Nothing where the backend server gives no whole answer.
-  [[nodiscard]] std::optional<HttpResponse> readLoad(BackendConnection &To);
-  void takeLoad(const std::string &Body);
+  [[nodiscard]] std::optional<HttpResponse> readLoad(BackendConnection &To,
+                                                     const std::string &Path);
+  [[nodiscard]] std::unique_ptr<BackendConnection> connect();
+  void takeHealth(const HttpResponse &Response);
 
   Sidecar &Owner;
   LocalBackend &Backend;
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -22,6 +22,10 @@
       Ledger(Given.Run, {.MaxRequests = Given.LedgerEntries}),
       Cancelled([this] { complete({.NotSent = true}, now()); }) {
   Admitted.Options.MaxWaiting = Options.MaxWaiting;
+  Admitted.Options.AnnouncesCold = dialect().ReportsColdStart;
+  Admitted.Options.UsableShare = Options.UsableShare;
+  Admitted.Options.RepeatRatio = Options.RepeatRatio;
+  Admitted.Options.RepeatSlack = Options.RepeatSlack;
 }
 
 Sidecar::Admission Sidecar::admit(const CallRequest &Request,
@@ -43,7 +47,12 @@
   const std::lock_guard Lock(Mutex);
   expireWaits(Now);
   const policy::AdmissionDecision Decision =
-      policy::admit(Admitted, {.Deadline = Request.Deadline}, Now);
+      policy::admit(Admitted,
+                    {.Deadline = Request.Deadline,
+                     .Objective = Request.Objective,
+                     .Priority = Request.Priority,
+                     .Repeat = Request.Repeat},
+                    Now);
   switch (Decision.Action) {
   case policy::AdmissionAction::Run:
     return std::monostate();
@@ -184,11 +193,34 @@
   Backend.setDraining(true);
 }
 
+void Sidecar::onColdLeft(policy::Duration Left, policy::TimePoint Now) {
+  const std::lock_guard Lock(Mutex);
+  policy::onColdLeft(Admitted, Left, Now);
+}
+
+void Sidecar::setCapacity(std::uint32_t Connections, double ColdPerSecond) {
+  const std::lock_guard Lock(Mutex);
+  if (Connections != 0) {
+    Admitted.Options.Connections = Connections;
+  }
+  if (ColdPerSecond > 0) {
+    Admitted.Options.ColdPerSecond = ColdPerSecond;
+  }
+}
+
+void Sidecar::onOtherInstance() {
+  log(LogLevel::Warning, "another backend server has the address");
+  Pool.closeAll();
+  Backend.setPresent(false);
+}
+
 void Sidecar::apply(const LocalBackendState &State, policy::TimePoint Now) {
   Pool.retarget(State.Address, State.Port);
   const std::lock_guard Lock(Mutex);
   Admitted.Options.Slots = State.Slots;
-  Admitted.Options.Connections = State.Connections;
+  if (State.Connections != 0) {
+    Admitted.Options.Connections = State.Connections;
+  }
   Admitted.Draining = State.Draining;
   policy::onBackendIncarnation(Admitted, State.Run, Now);
 }
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_SIDECAR_SIDECAR_H
 #define DAEMON_SIDECAR_SIDECAR_H
 
+#include "daemon/dialect/dialect.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/net/unique_fd.h"
 #include "daemon/peer/call.h"
@@ -29,9 +30,15 @@
 
 struct SidecarOptions {
   policy::Incarnation Run = 0;
+  // Null: the native one.
+  const Dialect *Speaks = nullptr;
   HttpLimits AnswerLimits;
   policy::Duration ConnectTimeout{};
   std::uint32_t MaxWaiting = 16;
+  // See policy::AdmissionOptions.
+  double UsableShare = 1.0;
+  double RepeatRatio = 0;
+  double RepeatSlack = 0;
   std::size_t LedgerEntries = 262'144;
 };
 
@@ -92,6 +99,10 @@
   void onBackendIncarnation(policy::Incarnation Run, policy::TimePoint Now);
   void onConnectFailure(policy::TimePoint Now);
   void onBackendDraining();
+  void onColdLeft(policy::Duration Left, policy::TimePoint Now);
+  // Takes over what the configuration says a backend server of the service
+  // bears; 0 leaves a value as it is.
+  void setCapacity(std::uint32_t Connections, double ColdPerSecond);
 
   // Takes over what the backend server or the settings announced.
   void apply(const LocalBackendState &State, policy::TimePoint Now);
@@ -115,6 +126,16 @@
   [[nodiscard]] BackendPool &pool() { return Pool; }
   [[nodiscard]] Metrics &metrics() { return Counts; }
   [[nodiscard]] const SidecarOptions &options() const { return Options; }
+  [[nodiscard]] const Dialect &dialect() const {
+    return Options.Speaks ? *Options.Speaks : nativeDialect();
+  }
+  // Instance of the backend server, or empty.
+  [[nodiscard]] std::string instance() const {
+    return Backend.state().Instance;
+  }
+  // The backend server at the address is another one: no request goes there
+  // before it has announced itself.
+  void onOtherInstance();
 
 private:
   // Both need the mutex.
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -6,7 +6,6 @@
 #include "policy/chain/chain_headers.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
 #include <utility>
 
@@ -19,30 +18,44 @@
 // Longest time for which a cancelled request keeps its slot.
 constexpr policy::Duration LingerTime = std::chrono::seconds(10);
 
-constexpr std::string_view IncarnationHeader = "Magnolia-Backend-Incarnation";
-
-// Headers with which a backend server states, with status 503, that it did not
-// run the request.
-constexpr std::string_view ShedHeader = "Backend-Shed";
-constexpr std::string_view DrainingHeader = "Backend-Draining";
+// Status of a refusal by a backend server that names its kind in a header.
 constexpr std::uint16_t RefusalStatus = 503;
+constexpr std::uint16_t MisdirectedStatus = 421;
 
-// Headers that the sidecar writes itself.
-constexpr std::array<std::string_view, 4> OwnHeaders = {
-    policy::DeadlineHeader, policy::HopsHeader, policy::RequestIdHeader,
-    "Magnolia-Service"};
+// An idle connection is used for a request that must not run twice only where
+// it was used this short a time ago: a connection may be dead without a sign,
+// and whether such a request ran could not be told.
+constexpr policy::Duration SureIdle = std::chrono::milliseconds(300);
 
 // Headers by which the system itself makes statements to callers. A backend
 // server that copies them from a call of its own must not make such a
 // statement about the request at hand.
-bool isSystemStatement(const HttpHeader &Header) {
+bool isSystemStatement(const Dialect &Speaks, const HttpHeader &Header) {
   return equalNames(Header.Name, "Magnolia-Error") ||
          equalNames(Header.Name, "Magnolia-Run") ||
-         equalNames(Header.Name, IncarnationHeader);
+         (!Speaks.Headers.Incarnation.empty() &&
+          equalNames(Header.Name, Speaks.Headers.Incarnation));
+}
+
+// True for the headers that the sidecar writes itself.
+bool isOwnHeader(const Dialect &Speaks, const HttpHeader &Header) {
+  const HeaderNames &Names = Speaks.Headers;
+  const auto Is = [&Header](std::string_view Name) {
+    return !Name.empty() && equalNames(Header.Name, Name);
+  };
+  return Is(Names.Deadline) || Is(Names.Hops) || Is(Names.ExpectedInstance) ||
+         Is("Magnolia-Service") ||
+         (!Speaks.KeepsRequestId && Is(Names.RequestId));
 }
 
-policy::Incarnation incarnationOf(const HttpHeaders &Headers) {
-  const std::string *Text = findHeader(Headers, IncarnationHeader);
+const std::string *findNamed(const HttpHeaders &Headers,
+                             std::string_view Name) {
+  return Name.empty() ? nullptr : findHeader(Headers, Name);
+}
+
+policy::Incarnation incarnationOf(const Dialect &Speaks,
+                                  const HttpHeaders &Headers) {
+  const std::string *Text = findNamed(Headers, Speaks.Headers.Incarnation);
   policy::Incarnation Run = 0;
   if (Text) {
     std::from_chars(Text->data(), Text->data() + Text->size(), Run);
@@ -129,7 +142,12 @@
   }
   if (Step == Stage::Running) {
     Owner.finishRun(Request, true);
-    Owner.linger(std::move(Connection), Now + LingerTime);
+    if (Owner.dialect().DropsOnClose) {
+      Connection.reset();
+      Owner.complete({.NotSent = true}, Now);
+    } else {
+      Owner.linger(std::move(Connection), Now + LingerTime);
+    }
     finish(errorAnswer(Kind, "ended before the backend server answered"));
   }
 }
@@ -153,7 +171,11 @@
 
 bool SidecarCall::connect(policy::TimePoint Now) {
   bool Suspicious = false;
-  Connection = Owner.pool().takeIdle(Now, Suspicious);
+  const policy::Duration LongestIdle =
+      Request.Idempotent || !Owner.dialect().DropsOnClose
+          ? policy::Duration::max()
+          : SureIdle;
+  Connection = Owner.pool().takeIdle(Now, LongestIdle, Suspicious);
   if (Suspicious) {
     Owner.onConnectFailure(Now);
   }
@@ -182,26 +204,35 @@
 }
 
 HttpRequest SidecarCall::backendRequest(policy::TimePoint Now) {
+  const Dialect &Speaks = Owner.dialect();
+  const HeaderNames &Names = Speaks.Headers;
   HttpRequest Outgoing;
   Outgoing.Method = Request.Method;
   Outgoing.Target = Request.Target;
   for (const HttpHeader &Header : Request.Headers) {
-    const bool Own = std::any_of(
-        OwnHeaders.begin(), OwnHeaders.end(),
-        [&](std::string_view Name) { return equalNames(Header.Name, Name); });
-    if (!Own) {
+    if (!isOwnHeader(Speaks, Header)) {
       Outgoing.Headers.push_back(Header);
     }
   }
+  const auto Add = [&Outgoing](std::string_view Name, std::string Value) {
+    if (!Name.empty() && !Value.empty()) {
+      Outgoing.Headers.push_back({std::string(Name), std::move(Value)});
+    }
+  };
   const auto Left =
       std::chrono::ceil<std::chrono::milliseconds>(Request.Deadline - Now);
-  Outgoing.Headers.push_back({std::string(policy::RequestIdHeader),
-                              policy::formatRequestId(Request.Id)});
-  Outgoing.Headers.push_back(
-      {std::string(policy::DeadlineHeader),
-       std::to_string(std::max<std::int64_t>(Left.count(), 0))});
-  Outgoing.Headers.push_back(
-      {std::string(policy::HopsHeader), std::to_string(Request.Hops)});
+  if (Speaks.KeepsRequestId) {
+    const std::string *Kept = findHeader(Outgoing.Headers, Names.RequestId);
+    SentId = Kept ? *Kept : std::string();
+  } else {
+    SentId = policy::formatRequestId(Request.Id);
+    Add(Names.RequestId, SentId);
+  }
+  Add(Names.Deadline, std::to_string(std::max<std::int64_t>(Left.count(), 0)));
+  Add(Names.Hops, std::to_string(Request.Hops));
+  if (!Names.ExpectedInstance.empty()) {
+    Add(Names.ExpectedInstance, Owner.instance());
+  }
   return Outgoing;
 }
 
@@ -213,7 +244,12 @@
       return;
     }
     if (Count < 0) {
-      answerBroken(Now, "the backend server closed the connection");
+      if (Count == ConnectionClosed &&
+          Connection->Reader.finish() == HttpReadStatus::Ready) {
+        (void)takeAnswer(Now);
+      } else {
+        answerBroken(Now, "the backend server closed the connection");
+      }
       return;
     }
     HeardBackend = true;
@@ -222,8 +258,10 @@
     case HttpReadStatus::NeedMore:
       continue;
     case HttpReadStatus::Ready:
-      takeAnswer(Now);
-      return;
+      if (takeAnswer(Now)) {
+        return;
+      }
+      continue;
     case HttpReadStatus::BodyTooLarge:
       answerTooLarge(Now);
       return;
@@ -236,27 +274,38 @@
   }
 }
 
-void SidecarCall::takeAnswer(policy::TimePoint Now) {
+bool SidecarCall::isOthers(const HttpResponse &Response) const {
+  const std::string *Id =
+      findNamed(Response.Headers, Owner.dialect().Headers.RequestId);
+  return Id && *Id != SentId;
+}
+
+bool SidecarCall::takeAnswer(policy::TimePoint Now) {
   HttpResponse Response = Connection->Reader.takeResponse();
+  if (isOthers(Response) && Response.KeepAlive) {
+    // A second answer to an earlier request; the own one may follow.
+    Owner.metrics().count(Counter::BackendExtraAnswers);
+    Connection->Reader.begin(Request.Method);
+    return false;
+  }
+  if (isOthers(Response)) {
+    answerBroken(Now, "the backend server answered another request");
+    return true;
+  }
   const bool Reusable = Response.KeepAlive && !Connection->Reader.hasBytes() &&
                         HeadLeft.empty() && BodyLeft.empty();
   if (Reusable) {
     Owner.pool().give(std::move(Connection), Now);
   }
   Connection.reset();
-  Owner.onBackendIncarnation(incarnationOf(Response.Headers), Now);
-  const bool Drains = findHeader(Response.Headers, DrainingHeader) != nullptr;
-  const bool Sheds = findHeader(Response.Headers, ShedHeader) != nullptr;
-  if (Response.Status == RefusalStatus && (Drains || Sheds)) {
+  const Dialect &Speaks = Owner.dialect();
+  Owner.onBackendIncarnation(incarnationOf(Speaks, Response.Headers), Now);
+  if (const auto Refusal = refusalIn(Response)) {
     Owner.metrics().count(Counter::BackendSheds);
-    if (Drains) {
-      Owner.onBackendDraining();
-    }
     Owner.finishRun(Request, false);
     Owner.complete({.Latency = Now - Sent, .Failed = true}, Now);
-    finish(errorAnswer(Drains ? ErrorKind::Draining : ErrorKind::Overloaded,
-                       "refused by the backend server"));
-    return;
+    finish(errorAnswer(*Refusal, "refused by the backend server"));
+    return true;
   }
   Owner.finishRun(Request, true);
   constexpr std::uint16_t FirstServerError = 500;
@@ -270,13 +319,40 @@
   const bool KeepLength = Length && !hasBody(Response.Status, Request.Method);
   const std::string Kept = KeepLength ? *Length : std::string();
   removeHopByHop(Response.Headers);
-  std::erase_if(Response.Headers, isSystemStatement);
+  std::erase_if(Response.Headers, [&Speaks](const HttpHeader &Header) {
+    return isSystemStatement(Speaks, Header);
+  });
   if (KeepLength) {
     Response.Headers.push_back({"Content-Length", Kept});
   }
   Ended.Headers = std::move(Response.Headers);
   Ended.Body = std::move(Response.Body);
   finish(std::move(Ended));
+  return true;
+}
+
+std::optional<ErrorKind>
+SidecarCall::refusalIn(const HttpResponse &Response) const {
+  const HeaderNames &Names = Owner.dialect().Headers;
+  if (!Names.ExpectedInstance.empty() && Response.Status == MisdirectedStatus) {
+    Owner.onOtherInstance();
+    return ErrorKind::StaleIncarnation;
+  }
+  if (Names.Draining.empty()) {
+    return findNamed(Response.Headers, Names.NotRun)
+               ? std::optional(ErrorKind::Overloaded)
+               : std::nullopt;
+  }
+  if (Response.Status != RefusalStatus) {
+    return std::nullopt;
+  }
+  if (findNamed(Response.Headers, Names.Draining)) {
+    Owner.onBackendDraining();
+    return ErrorKind::Draining;
+  }
+  return findNamed(Response.Headers, Names.NotRun)
+             ? std::optional(ErrorKind::Overloaded)
+             : std::nullopt;
 }
 
 // An idle connection that the backend server closes just as a request is sent
@@ -319,6 +395,7 @@
 void SidecarCall::finish(CallAnswer Ended) {
   Step = Stage::Done;
   Answer = std::move(Ended);
+  Answer.Reached = Sent != policy::TimePoint{};
   Answer.Load = Owner.load();
   if (Sent != policy::TimePoint{}) {
     Owner.metrics().time(Timing::SidecarOwn, Sent - Arrived);
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -47,7 +47,14 @@
   void send(policy::TimePoint Now);
   void sendMore();
   void readAnswer(policy::TimePoint Now);
-  void takeAnswer(policy::TimePoint Now);
+  // False where the answer was to an earlier request and the own one is still
+  // to come.
+  [[nodiscard]] bool takeAnswer(policy::TimePoint Now);
+  [[nodiscard]] bool isOthers(const HttpResponse &Response) const;
+  // Kind of a refusal by which the backend server states that it did not run
+  // the request.
+  [[nodiscard]] std::optional<policy::ErrorKind>
+  refusalIn(const HttpResponse &Response) const;
   void answerBroken(policy::TimePoint Now, std::string Reason);
   void answerTooLarge(policy::TimePoint Now);
   void refuseBeforeRun(policy::ErrorKind Kind, std::string Detail,
@@ -60,6 +67,8 @@
   Stage Step = Stage::New;
   std::shared_ptr<SlotWait> Wait;
   std::unique_ptr<BackendConnection> Connection;
+  // Id that the backend server repeats in its answer.
+  std::string SentId;
   // Head of the request, and what of head and body is still to be sent.
   std::string Head;
   std::string_view HeadLeft;
--- a/packages/daemon/src/daemon/view/local_backend.h
+++ b/packages/daemon/src/daemon/view/local_backend.h
@@ -14,6 +14,8 @@
 struct LocalBackendState {
   std::string Service;
   std::string Version;
+  // Its own name for itself; empty where it states none.
+  std::string Instance;
   std::string Address;
   std::uint16_t Port = 0;
   std::uint32_t Slots = 1;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,5 +1,7 @@
 #include "daemon/log/log.h"
 #include "daemon/node/node.h"
+#include "daemon/node/obtain_key.h"
+#include "platform/dialect.h"
 #include "settings/node/read_settings.h"
 #include "wire/seal/cluster_key.h"
 
@@ -96,14 +98,21 @@
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
+  sigaddset(&Signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
   std::signal(SIGPIPE, SIG_IGN);
   return Signals;
 }
 
-int runNode(settings::NodeSettings Settings, wire::ClusterKey Key) {
+const daemon::Dialect &dialectOf(const settings::NodeSettings &Settings) {
+  return Settings.Interface == "platform" ? platform::platformDialect()
+                                          : daemon::nativeDialect();
+}
+
+int runNode(settings::NodeSettings Settings, wire::ClusterKey Key,
+            const daemon::Dialect &Speaks) {
   const sigset_t Signals = blockSignals();
-  daemon::Node Node(std::move(Settings), std::move(Key));
+  daemon::Node Node(std::move(Settings), std::move(Key), Speaks);
   policy::Error LastError;
   if (!Node.start(LastError)) {
     return fail(LastError);
@@ -115,7 +124,11 @@
                {"http_port", std::uint64_t{Node.Settings.HttpPort}},
                {"peer_port", std::uint64_t{Node.Settings.PeerPort}}});
   int Signal = 0;
-  sigwait(&Signals, &Signal);
+  while (sigwait(&Signals, &Signal) == 0 && Signal == SIGHUP) {
+    daemon::log(daemon::LogLevel::Info, "reload",
+                {{"changed", false},
+                 {"reason", std::string_view("settings are read at start")}});
+  }
   daemon::log(daemon::LogLevel::Info, "stopping",
               {{"signal", static_cast<std::uint64_t>(Signal)}});
   Node.beginStop();
@@ -138,9 +151,13 @@
   if (!Settings) {
     return fail(LastError);
   }
-  auto Key = wire::readClusterKey(Settings->ClusterKeyFile, LastError);
-  if (!Key) {
-    return fail(LastError);
+  const bool KeyInStore = Settings->ClusterKeyFile.empty();
+  std::optional<wire::ClusterKey> Key;
+  if (!KeyInStore) {
+    Key = wire::readClusterKey(Settings->ClusterKeyFile, LastError);
+    if (!Key) {
+      return fail(LastError);
+    }
   }
   if (Line.Check) {
     std::puts("the settings are valid");
@@ -151,5 +168,10 @@
     return fail({policy::ErrorKind::BadRequest,
                  "the log file " + Settings->LogFile + " cannot be opened"});
   }
-  return runNode(std::move(*Settings), std::move(*Key));
+  const daemon::Dialect &Speaks = dialectOf(*Settings);
+  if (KeyInStore) {
+    Key = daemon::obtainClusterKey(Speaks.OpenStore(
+        {.Address = Settings->Store.Address, .Port = Settings->Store.Port}));
+  }
+  return runNode(std::move(*Settings), std::move(*Key), Speaks);
 }
--- a/packages/daemon/test/daemon/support/scripted_backend.h
+++ b/packages/daemon/test/daemon/support/scripted_backend.h
@@ -5,6 +5,8 @@
 #include "daemon/net/connection_server.h"
 #include "daemon/net/socket.h"
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <chrono>
 #include <functional>
@@ -19,7 +21,8 @@
 
 // Backend server whose answers are raw bytes from a function of the raw
 // request. An empty answer closes the connection; the word "hang" keeps it
-// open until the other side closes it.
+// open until the other side closes it. An answer with [cut] closes the
+// connection after it, one with [reset] breaks it.
 class ScriptedBackend {
 public:
   using Script = std::function<std::string(const std::string &Request)>;
@@ -68,6 +71,10 @@
         }
         return;
       }
+      if (Raw.find("[reset]") != std::string::npos) {
+        reset(Accepted.fd(), Raw);
+        return;
+      }
       if (Raw.empty() || !sendAll(Accepted.fd(), Raw, {}, now() + Patience) ||
           Raw.find("[cut]") != std::string::npos) {
         return;
@@ -75,6 +82,13 @@
     }
   }
 
+  // Sends the bytes; the close that follows breaks the connection.
+  static void reset(int Fd, const std::string &Raw) {
+    (void)sendAll(Fd, Raw, {}, now() + Patience);
+    const linger Abort{.l_onoff = 1, .l_linger = 0};
+    ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &Abort, sizeof Abort);
+  }
+
   static std::size_t wholeRequest(const std::string &Bytes) {
     const std::size_t Head = Bytes.find("\r\n\r\n");
     if (Head == std::string::npos) {
--- a/packages/policy/src/policy/admission/admission_options.h
+++ b/packages/policy/src/policy/admission/admission_options.h
@@ -9,6 +9,22 @@
 struct AdmissionOptions {
   std::uint32_t Slots = 12;
   std::uint32_t Connections = 200;
+  // Share of the slots that is used at the same time: a server that slows down
+  // when it is nearly full does more work with a slot or two to spare.
+  double UsableShare = 1.0;
+  // True where the backend server says itself that it is cold: then the rate
+  // below holds while it does, in place of the ramp.
+  bool AnnouncesCold = false;
+  // Requests a second that a cold server takes; 0: none that is known.
+  double ColdPerSecond = 0;
+  // Repeats of requests that reached a server before, as a share of the first
+  // arrivals of ten seconds and a number on top. 0: repeats aren't bounded
+  // here.
+  double RepeatRatio = 0;
+  double RepeatSlack = 0;
+  // Part of the time left until the latency objective that a request may wait
+  // for a slot, where it has an objective.
+  double ObjectiveWaitShare = 0.33;
   // Requests that may wait for a slot, and for how long.
   std::uint32_t MaxWaiting = 12;
   Duration MaxWait = std::chrono::milliseconds(20);
--- a/packages/policy/src/policy/admission/admission_state.h
+++ b/packages/policy/src/policy/admission/admission_state.h
@@ -2,6 +2,7 @@
 #define POLICY_ADMISSION_ADMISSION_STATE_H
 
 #include "policy/admission/admission_options.h"
+#include "policy/admission/arrival_window.h"
 
 #include <vector>
 
@@ -15,6 +16,11 @@
   Ticket Id = 0;
   TimePoint Since{};
   TimePoint Deadline{};
+  // End of the longest wait.
+  TimePoint Until{};
+  // 0 is the most urgent.
+  std::uint32_t Priority = 0;
+  bool Repeat = false;
 };
 
 // Requests and limits of one backend server. The in-flight count is exact:
@@ -22,7 +28,8 @@
 // takes one away. Guard it with one mutex.
 struct AdmissionState {
   AdmissionOptions Options;
-  // Oldest first; at most Options.MaxWaiting.
+  // The most urgent first, and of these the oldest; at most
+  // Options.MaxWaiting.
   std::vector<Waiter> Waiting;
   Ticket LastTicket = 0;
   // Run of the backend server; 0: unknown.
@@ -35,6 +42,9 @@
   // Fast and slow moving averages of the service time.
   Duration Latency{0};
   Duration Baseline{0};
+  // End of the cold start that the backend server announced.
+  TimePoint ColdUntil{};
+  ArrivalWindow Arrivals;
   // Counters.
   std::uint64_t Admitted = 0;
   std::uint64_t Queued = 0;
--- a/packages/policy/src/policy/admission/admit.cpp
+++ b/packages/policy/src/policy/admission/admit.cpp
@@ -9,8 +9,8 @@
 namespace {
 
 ErrorKind fullKind(const AdmissionState &State) {
-  return State.Ramp < internal::warmLimit(State) ? ErrorKind::ColdStart
-                                                 : ErrorKind::Overloaded;
+  return internal::isRamping(State) ? ErrorKind::ColdStart
+                                    : ErrorKind::Overloaded;
 }
 
 AdmissionDecision refuse(AdmissionState &State, ErrorKind Kind) {
@@ -18,21 +18,80 @@
   return {.Action = AdmissionAction::Refuse, .Kind = Kind};
 }
 
-void take(AdmissionState &State, TimePoint Now) {
+void take(AdmissionState &State, bool Repeat, TimePoint Now) {
   internal::countWork(State, Now);
+  recordArrival(State.Arrivals, Repeat, Now);
   ++State.InFlight;
   ++State.Admitted;
   State.MaxInFlight = std::max(State.MaxInFlight, State.InFlight);
   State.StepFull |= State.InFlight >= limit(State);
 }
 
-// Time until a request at the end of the queue gets a slot.
-Duration expectedWait(const AdmissionState &State) {
-  return State.Latency * (State.Waiting.size() + 1) / limit(State);
+// Waiting requests that go before a new one of this priority.
+std::size_t waitingBefore(const AdmissionState &State, std::uint32_t Priority) {
+  return static_cast<std::size_t>(std::count_if(
+      State.Waiting.begin(), State.Waiting.end(),
+      [Priority](const Waiter &Next) { return Next.Priority <= Priority; }));
 }
 
-bool isOver(const AdmissionState &State, const Waiter &Next, TimePoint Now) {
-  return Now >= Next.Deadline || Now - Next.Since >= State.Options.MaxWait;
+// Time until a request of this priority gets a slot.
+Duration expectedWait(const AdmissionState &State, std::uint32_t Priority) {
+  return State.Latency * (waitingBefore(State, Priority) + 1) / limit(State);
+}
+
+// A request with an objective waits for a part of the time that is left, since
+// it has to run after the wait. One without waits for a fixed time.
+Duration longestWait(const AdmissionState &State, const AdmissionQuery &Query,
+                     TimePoint Now) {
+  if (Query.Objective == TimePoint{}) {
+    return State.Options.MaxWait;
+  }
+  const auto Left = static_cast<double>((Query.Objective - Now).count());
+  return Duration(static_cast<Duration::rep>(
+      std::max(0.0, Left * State.Options.ObjectiveWaitShare)));
+}
+
+bool isOver(const Waiter &Next, TimePoint Now) {
+  return Now >= Next.Deadline || Now >= Next.Until;
+}
+
+// True where a cold server has had all the requests of this second.
+bool isColdFull(AdmissionState &State, TimePoint Now) {
+  return isCold(State, Now) && State.Options.ColdPerSecond > 0 &&
+         static_cast<double>(arrivalsInLastSecond(State.Arrivals, Now) + 1) >
+             State.Options.ColdPerSecond;
+}
+
+bool isRepeatAllowed(const AdmissionState &State, const AdmissionQuery &Query,
+                     TimePoint Now) {
+  const AdmissionOptions &Options = State.Options;
+  return !Query.Repeat ||
+         (Options.RepeatRatio <= 0 && Options.RepeatSlack <= 0) ||
+         mayRepeat(State.Arrivals, Options.RepeatRatio, Options.RepeatSlack,
+                   Now);
+}
+
+// Makes room in a full queue by ending the wait of the last request, where the
+// new one is more urgent. The next call of expire rejects it.
+bool displace(AdmissionState &State, std::uint32_t Priority, TimePoint Now) {
+  if (State.Waiting.empty() || State.Waiting.back().Priority <= Priority) {
+    return false;
+  }
+  State.Waiting.back().Until = Now;
+  return true;
+}
+
+void enqueue(AdmissionState &State, const AdmissionQuery &Query,
+             Duration Longest, TimePoint Now) {
+  const auto Place = std::find_if(
+      State.Waiting.begin(), State.Waiting.end(),
+      [&](const Waiter &Next) { return Next.Priority > Query.Priority; });
+  State.Waiting.insert(Place, {.Id = ++State.LastTicket,
+                               .Since = Now,
+                               .Deadline = Query.Deadline,
+                               .Until = Now + Longest,
+                               .Priority = Query.Priority,
+                               .Repeat = Query.Repeat});
 }
 
 } // namespace
@@ -45,19 +104,27 @@
   if (Now >= Query.Deadline) {
     return refuse(State, ErrorKind::DeadlineExceededNotRun);
   }
-  if (State.InFlight < limit(State) && State.Waiting.empty()) {
-    take(State, Now);
+  if (isColdFull(State, Now)) {
+    return refuse(State, ErrorKind::ColdStart);
+  }
+  if (!isRepeatAllowed(State, Query, Now)) {
+    return refuse(State, ErrorKind::Overloaded);
+  }
+  if (State.InFlight < limit(State) &&
+      waitingBefore(State, Query.Priority) == 0) {
+    take(State, Query.Repeat, Now);
     return {.Action = AdmissionAction::Run};
   }
   State.StepFull = true;
-  const Duration Wait = expectedWait(State);
-  if (State.Waiting.size() >= State.Options.MaxWaiting ||
-      Wait > State.Options.MaxWait || Now + Wait >= Query.Deadline) {
+  const Duration Wait = expectedWait(State, Query.Priority);
+  const Duration Longest = longestWait(State, Query, Now);
+  const bool Full = State.Waiting.size() >= State.Options.MaxWaiting;
+  if (Wait > Longest || Now + Wait >= Query.Deadline ||
+      (Full && !displace(State, Query.Priority, Now))) {
     return refuse(State, fullKind(State));
   }
   ++State.Queued;
-  State.Waiting.push_back(
-      {.Id = ++State.LastTicket, .Since = Now, .Deadline = Query.Deadline});
+  enqueue(State, Query, Longest, Now);
   return {.Action = AdmissionAction::Wait, .Id = State.LastTicket};
 }
 
@@ -72,12 +139,15 @@
   // Requests that wait for too long stay for expire, which rejects them.
   for (auto Next = State.Waiting.begin();
        Next != State.Waiting.end() && State.InFlight < limit(State);) {
-    if (isOver(State, *Next, Now)) {
+    if (isOver(*Next, Now)) {
       ++Next;
       continue;
     }
+    if (isColdFull(State, Now)) {
+      break;
+    }
     Ready.push_back(Next->Id);
-    take(State, Now);
+    take(State, Next->Repeat, Now);
     Next = State.Waiting.erase(Next);
   }
   return Ready;
@@ -86,7 +156,7 @@
 std::vector<Expiry> expire(AdmissionState &State, TimePoint Now) {
   std::vector<Expiry> Ended;
   std::erase_if(State.Waiting, [&](const Waiter &Next) {
-    if (!isOver(State, Next, Now)) {
+    if (!isOver(Next, Now)) {
       return false;
     }
     Ended.push_back({.Id = Next.Id,
@@ -102,8 +172,7 @@
 TimePoint nextExpiry(const AdmissionState &State) {
   TimePoint First = TimePoint::max();
   for (const Waiter &Next : State.Waiting) {
-    First =
-        std::min({First, Next.Deadline, Next.Since + State.Options.MaxWait});
+    First = std::min({First, Next.Deadline, Next.Until});
   }
   return First;
 }
@@ -126,10 +195,21 @@
   internal::resetRamp(State, Now);
 }
 
+void onColdLeft(AdmissionState &State, Duration Left, TimePoint Now) {
+  State.ColdUntil = Now + Left;
+}
+
+bool isCold(const AdmissionState &State, TimePoint Now) {
+  return State.Options.AnnouncesCold && Now < State.ColdUntil;
+}
+
 void drain(AdmissionState &State) { State.Draining = true; }
 
 std::uint32_t limit(const AdmissionState &State) {
-  std::uint32_t Limit = std::min(internal::warmLimit(State), State.Ramp);
+  std::uint32_t Limit = internal::warmLimit(State);
+  if (!State.Options.AnnouncesCold) {
+    Limit = std::min(Limit, State.Ramp);
+  }
   if (State.Adaptive > 0) {
     Limit = std::min(Limit, static_cast<std::uint32_t>(State.Adaptive));
   }
@@ -143,7 +223,7 @@
           .Latency = State.Latency,
           .Run = State.Backend,
           .Draining = State.Draining,
-          .ColdStart = State.Ramp < internal::warmLimit(State)};
+          .ColdStart = internal::isRamping(State)};
 }
 
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/admission/admit.h
+++ b/packages/policy/src/policy/admission/admit.h
@@ -10,6 +10,12 @@
 // Request that asks for a slot.
 struct AdmissionQuery {
   TimePoint Deadline{};
+  // Until when an answer meets the latency objective; zero: no objective.
+  TimePoint Objective{};
+  // 0 is the most urgent.
+  std::uint32_t Priority = 0;
+  // An earlier attempt of the request has reached a backend server.
+  bool Repeat = false;
 };
 
 enum class AdmissionAction : std::uint8_t { Run, Wait, Refuse };
@@ -61,6 +67,12 @@
 void onBackendIncarnation(AdmissionState &State, Incarnation Run,
                           TimePoint Now);
 
+// The backend server says how much longer it is cold; zero: it is warm.
+void onColdLeft(AdmissionState &State, Duration Left, TimePoint Now);
+
+// True while the announced cold start lasts.
+[[nodiscard]] bool isCold(const AdmissionState &State, TimePoint Now);
+
 // The backend server refused a connection or broke one off while a request was
 // in flight: it may have restarted, so the ramp starts again. The request
 // itself ends with complete.
--- a/packages/policy/src/policy/admission/fwd.h
+++ b/packages/policy/src/policy/admission/fwd.h
@@ -10,6 +10,7 @@
 struct AdmissionOptions;
 struct AdmissionQuery;
 struct AdmissionState;
+struct ArrivalWindow;
 struct Completion;
 struct Expiry;
 struct Waiter;
--- a/packages/policy/src/policy/admission/internal/ramp.cpp
+++ b/packages/policy/src/policy/admission/internal/ramp.cpp
@@ -65,7 +65,13 @@
 } // namespace
 
 std::uint32_t warmLimit(const AdmissionState &State) {
-  return std::max(1U, std::min(State.Options.Slots, State.Options.Connections));
+  const auto Usable = static_cast<std::uint32_t>(
+      static_cast<double>(State.Options.Slots) * State.Options.UsableShare);
+  return std::max(1U, std::min(Usable, State.Options.Connections));
+}
+
+bool isRamping(const AdmissionState &State) {
+  return !State.Options.AnnouncesCold && State.Ramp < warmLimit(State);
 }
 
 void resetRamp(AdmissionState &State, TimePoint Now) {
@@ -103,7 +109,10 @@
       return;
     }
   }
-  if (State.Ramp < warmLimit(State)) {
+  if (State.Options.AnnouncesCold) {
+    return;
+  }
+  if (isRamping(State)) {
     growRamp(State, Ended.Failed, Now);
   } else {
     adapt(State);
--- a/packages/policy/src/policy/admission/internal/ramp.h
+++ b/packages/policy/src/policy/admission/internal/ramp.h
@@ -17,6 +17,9 @@
 // Learns from the end of a request: latency, ramp and adaptive limit.
 void learn(AdmissionState &State, const Completion &Ended, TimePoint Now);
 
+// True where the ramp of a cold start holds the limit down.
+[[nodiscard]] bool isRamping(const AdmissionState &State);
+
 // Slots that a warm backend server has.
 [[nodiscard]] std::uint32_t warmLimit(const AdmissionState &State);
 
--- /dev/null
+++ b/packages/policy/src/policy/announce/accept_report.cpp
@@ -0,0 +1,82 @@
+#include "policy/announce/accept_report.h"
+
+#include <algorithm>
+
+namespace magnolia::policy {
+
+namespace {
+
+bool sameLifetime(const BackendReport &Known, const BackendReport &Report) {
+  return Known.Instance == Report.Instance &&
+         (Known.Born == Report.Born || Report.Born == 0 || Known.Born == 0);
+}
+
+bool isForeign(const AnnounceState &State, const BackendReport &Report) {
+  return Report.Stage != BackendStage::Left && State.Port != 0 &&
+         (Report.Address != State.Address || Report.Port != State.Port);
+}
+
+// A farewell has no sequence: it is the last report of its lifetime.
+bool isOvertaken(const BackendReport &Known, const BackendReport &Report) {
+  return Report.Stage != BackendStage::Left &&
+         Report.Sequence <= Known.Sequence;
+}
+
+bool isLeaving(const AnnounceState &State, const BackendReport &Report) {
+  return !State.LeavingInstance.empty() &&
+         State.LeavingInstance == Report.Instance &&
+         (State.LeavingBorn == 0 || State.LeavingBorn == Report.Born);
+}
+
+// A farewell names the instance only; the rest is what was known of it.
+void leave(AnnounceState &State, const BackendReport &Report) {
+  if (State.Known && sameLifetime(*State.Known, Report)) {
+    State.Known->Stage = BackendStage::Left;
+  }
+  noteLeaving(State, Report.Instance, Report.Born);
+}
+
+} // namespace
+
+ReportVerdict acceptReport(AnnounceState &State, const BackendReport &Report,
+                           TimePoint Now) {
+  if (isForeign(State, Report)) {
+    return ReportVerdict::Foreign;
+  }
+  if (State.Known) {
+    const BackendReport &Known = *State.Known;
+    const bool Same = sameLifetime(Known, Report);
+    const bool Older = !Same && Report.Born != 0 && Report.Born < Known.Born;
+    if (Older || (Same && isOvertaken(Known, Report))) {
+      return ReportVerdict::Stale;
+    }
+    if (!Same && Report.Stage == BackendStage::Left) {
+      return ReportVerdict::Stale;
+    }
+  }
+  State.HeardAt = Now;
+  if (Report.Stage == BackendStage::Left) {
+    leave(State, Report);
+    return ReportVerdict::Accepted;
+  }
+  BackendReport Next = Report;
+  if (State.Known && sameLifetime(*State.Known, Report)) {
+    Next.Stage = std::max(Next.Stage, State.Known->Stage);
+  }
+  if (isLeaving(State, Report)) {
+    Next.Stage = std::max(Next.Stage, BackendStage::Draining);
+  }
+  State.Known = std::move(Next);
+  return ReportVerdict::Accepted;
+}
+
+void noteLeaving(AnnounceState &State, std::string_view Instance,
+                 Incarnation Born) {
+  State.LeavingInstance = Instance;
+  State.LeavingBorn = Born;
+  if (State.Known && isLeaving(State, *State.Known)) {
+    State.Known->Stage = std::max(State.Known->Stage, BackendStage::Draining);
+  }
+}
+
+} // namespace magnolia::policy
--- /dev/null
+++ b/packages/policy/src/policy/announce/backend_report.h
@@ -0,0 +1,33 @@
+#ifndef POLICY_ANNOUNCE_BACKEND_REPORT_H
+#define POLICY_ANNOUNCE_BACKEND_REPORT_H
+
+#include "policy/core/types.h"
+
+#include <cstdint>
+#include <string>
+
+namespace magnolia::policy {
+
+enum class BackendStage : std::uint8_t { Ready, Draining, Left };
+
+// Heartbeat of a backend server, or its farewell, which names the instance
+// only.
+struct BackendReport {
+  std::string Instance;
+  std::string Service;
+  std::string Version;
+  std::string Address;
+  std::uint16_t Port = 0;
+  std::uint32_t Slots = 1;
+  BackendStage Stage = BackendStage::Ready;
+  // Rest of a cold start.
+  Duration ColdLeft{0};
+  // Higher in each report of one lifetime.
+  std::uint64_t Sequence = 0;
+  // Start of the lifetime; a later start has a higher value. 0: not stated.
+  Incarnation Born = 0;
+};
+
+} // namespace magnolia::policy
+
+#endif
--- a/packages/policy/src/policy/fleet/serving.cpp
+++ b/packages/policy/src/policy/fleet/serving.cpp
@@ -34,14 +34,17 @@
   if (Move == nullptr) {
     return ServiceVersion.empty() || Version == ServiceVersion;
   }
+  // Where the service names no version, only those are shut out that a move
+  // has shut out.
+  const bool AnyOther = ServiceVersion.empty();
   switch (Move->Phase) {
   case MovePhase::Planned:
   case MovePhase::TakenBack:
-    return Version == Move->FromVersion;
+    return AnyOther ? Version != Move->ToVersion : Version == Move->FromVersion;
   case MovePhase::Shifting:
     return Version == Move->FromVersion || Version == Move->ToVersion;
   case MovePhase::Done:
-    return Version == Move->ToVersion;
+    return AnyOther ? Version != Move->FromVersion : Version == Move->ToVersion;
   }
   return false;
 }
@@ -59,7 +62,9 @@
     planMove(Plan, *Query.Move, WallNow);
   }
   for (const Member *const Record : Query.Members) {
-    if (isLive(*Record) &&
+    const bool IsOrdered =
+        !Query.Ordered.empty() && Record->Version == Query.Ordered;
+    if (isLive(*Record) && !IsOrdered &&
         mayServe(Record->Version, Query.Version, Query.Move)) {
       Plan.Members.push_back(
           {.Record = Record, .Distance = distance(Query, *Record)});
--- a/packages/policy/src/policy/fleet/serving_query.h
+++ b/packages/policy/src/policy/fleet/serving_query.h
@@ -18,6 +18,8 @@
   std::span<const Member *const> Members;
   // Version that serves while no move is recorded; empty lets all serve.
   std::string_view Version;
+  // Version of an order whose move has not begun; empty where there is none.
+  std::string_view Ordered;
   // Record of the last move; null where there was none.
   const MoveRecord *Move = nullptr;
   // Cost of a request to another zone of the region, and to another region.
--- a/packages/policy/src/policy/move/advance.cpp
+++ b/packages/policy/src/policy/move/advance.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-constexpr auto &Shares = MoveOptions::Shares;
-constexpr std::size_t LastStep = Shares.size() - 1;
+std::size_t lastStep(const MoveOptions &Options) {
+  return Options.Steps.size() - 1;
+}
 
 // True where the evidence of the present step suffices for the next one: the
 // new version as a whole, and every route that callers use much.
@@ -23,10 +24,11 @@
     New += Route.New.Requests;
     Old += Route.Old.Requests;
   }
-  const std::size_t Step = std::min<std::size_t>(Record.Step, LastStep);
+  const std::size_t Step =
+      std::min<std::size_t>(Record.Step, lastStep(Options));
   // The first step leads to no more than 5%, which needs no single route.
-  if (New < MoveOptions::MinRequests[Step] || Step == 0) {
-    return New >= MoveOptions::MinRequests[Step];
+  if (New < Options.Steps[Step].MinRequests || Step == 0) {
+    return New >= Options.Steps[Step].MinRequests;
   }
   const double Total = static_cast<double>(New + Old);
   return std::all_of(Evidence.Routes.begin(), Evidence.Routes.end(),
@@ -38,17 +40,19 @@
                      });
 }
 
-MoveRecord atStep(MoveRecord Record, std::uint32_t Step, TimePoint Now) {
+MoveRecord atStep(MoveRecord Record, std::uint32_t Step, TimePoint Now,
+                  const MoveOptions &Options) {
   Record.Phase = MovePhase::Shifting;
   Record.Step = Step;
-  Record.Share = Shares[Step];
+  Record.Share = Options.Steps[Step].Share;
   Record.StepSince = Now;
   return Record;
 }
 
 // Least time that the steps from this one on take.
 Duration leastTime(std::size_t Step, const MoveOptions &Options) {
-  return Options.MinSoak * static_cast<std::int64_t>(Shares.size() - Step);
+  return Options.MinSoak *
+         static_cast<std::int64_t>(Options.Steps.size() - Step);
 }
 
 std::optional<MoveRecord> start(const MoveRecord &Record, TimePoint Now,
@@ -59,7 +63,7 @@
   if (Now < Record.Start) {
     return std::nullopt;
   }
-  return atStep(Record, 0, Now);
+  return atStep(Record, 0, Now, Options);
 }
 
 std::uint64_t rankOf(std::string_view MoveId, NodeId Node) {
@@ -73,8 +77,9 @@
 }
 
 Duration soakOf(const MoveRecord &Record, const MoveOptions &Options) {
-  const std::size_t Step = std::min<std::size_t>(Record.Step, LastStep);
-  const auto StepsLeft = static_cast<std::int64_t>(Shares.size() - Step);
+  const std::size_t Step =
+      std::min<std::size_t>(Record.Step, lastStep(Options));
+  const auto StepsLeft = static_cast<std::int64_t>(Options.Steps.size() - Step);
   // Half of an even division: the rest is left for steps that have to wait for
   // evidence, for the store and for a change of driver.
   const Duration Fitted =
@@ -101,8 +106,8 @@
       !isEarned(Record, Evidence, Options)) {
     return std::nullopt;
   }
-  if (Record.Step < LastStep) {
-    return atStep(Record, Record.Step + 1, Now);
+  if (Record.Step < lastStep(Options)) {
+    return atStep(Record, Record.Step + 1, Now, Options);
   }
   MoveRecord Next = Record;
   Next.Phase = MovePhase::Done;
--- a/packages/policy/src/policy/move/fwd.h
+++ b/packages/policy/src/policy/move/fwd.h
@@ -15,6 +15,8 @@
 struct LocalBrake;
 struct MoveEvidence;
 struct MoveOptions;
+struct MoveOrder;
+struct MoveStep;
 struct MoveRecord;
 struct RouteEvidence;
 struct Verdict;
--- a/packages/policy/src/policy/move/move_options.h
+++ b/packages/policy/src/policy/move/move_options.h
@@ -7,19 +7,36 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <span>
 
 namespace magnolia::policy {
 
+struct MoveRecord;
+
+// Share of the traffic that the new version gets in a step, and its answers
+// that the step needs before the next one.
+struct MoveStep {
+  double Share = 0;
+  std::uint64_t MinRequests = 0;
+};
+
 // Schedule and thresholds of moves.
 struct MoveOptions {
   // The last step leaves a few requests to the old version, so that the two
-  // can be compared at the same time up to the end.
-  static constexpr std::array<double, 6> Shares = {0.02, 0.05, 0.10,
-                                                   0.25, 0.50, 0.90};
-  // Answers of the new version that a step needs before the next one. The
-  // second value guards the way above 5% of the traffic.
-  static constexpr std::array<std::uint64_t, 6> MinRequests = {5,  20, 30,
-                                                               30, 30, 30};
+  // can be compared at the same time up to the end. The second step guards the
+  // way above 5% of the traffic.
+  static constexpr std::array<MoveStep, 6> FullSteps = {
+      {{0.02, 5}, {0.05, 20}, {0.10, 30}, {0.25, 30}, {0.50, 30}, {0.90, 30}}};
+  // For windows of seconds. The last two steps leave the old version time to
+  // end its requests, as its servers stop when the move is done.
+  static constexpr std::array<MoveStep, 7> ShortSteps = {{{0.10, 8},
+                                                          {0.10, 10},
+                                                          {0.15, 12},
+                                                          {0.35, 15},
+                                                          {0.70, 15},
+                                                          {1.00, 0},
+                                                          {1.00, 0}}};
+  std::span<const MoveStep> Steps = FullSteps;
   // Time for a configuration to take effect everywhere: Done is written at
   // least this long before the deadline.
   Duration DoneMargin = std::chrono::seconds{15};
@@ -36,6 +53,9 @@
   Duration TakeoverDelay = std::chrono::seconds{3};
 };
 
+// Schedule that fits the window of the move.
+[[nodiscard]] MoveOptions optionsFor(const MoveRecord &Record);
+
 } // namespace magnolia::policy
 
 #endif
--- a/packages/policy/src/policy/retry/attempt_state.h
+++ b/packages/policy/src/policy/retry/attempt_state.h
@@ -10,6 +10,10 @@
   bool Idempotent = false;
   // Attempts sent so far, hedges included.
   std::uint32_t Attempts = 0;
+  // Attempts that reached a backend server, and the most that may; 0: as many
+  // as attempts.
+  std::uint32_t Runs = 0;
+  std::uint32_t MaxRuns = 0;
   // Attempts without a result.
   std::uint32_t Open = 0;
   // Hops of the call chain, this one included.
--- a/packages/policy/src/policy/retry/outcome.h
+++ b/packages/policy/src/policy/retry/outcome.h
@@ -26,6 +26,8 @@
   ErrorKind Kind = ErrorKind::Internal;
   // The answer carries Magnolia-Retry: exhausted.
   bool RetriesExhausted = false;
+  // The attempt was sent to a backend server, whether it ran or not.
+  bool Reached = false;
 };
 
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/retry/plan_next.cpp
+++ b/packages/policy/src/policy/retry/plan_next.cpp
@@ -41,6 +41,7 @@
 bool mayAttempt(const AttemptState &State, const RetryBudget &Budget,
                 TimePoint Now) {
   return !State.RetriesExhausted &&
+         (State.MaxRuns == 0 || State.Runs < State.MaxRuns) &&
          State.Attempts < Budget.Options.MaxAttempts &&
          State.Deadline - Now >= Budget.Options.MinRemaining;
 }
@@ -172,8 +173,10 @@
   }
   State.MayHaveRun |= mayHaveRun(Result);
   const bool Repeatable = Safe || (State.Idempotent && isRepeatable(Result));
+  State.Runs += Result.Reached || mayHaveRun(Result) ? 1 : 0;
+  const bool Free = Budget.Options.FreeRejections && State.Runs == 0;
   if (Repeatable && !Result.RetriesExhausted && State.Open == 0 &&
-      mayAttempt(State, Budget, Now) && takeToken(Budget, Now)) {
+      mayAttempt(State, Budget, Now) && (Free || takeToken(Budget, Now))) {
     ++Budget.Retries;
     return {.Action = RetryAction::RetryElsewhere};
   }
--- a/packages/policy/src/policy/retry/retry_budget.h
+++ b/packages/policy/src/policy/retry/retry_budget.h
@@ -15,6 +15,9 @@
   double Cap = 20.0;
   // Attempts of one request, the first and hedges included.
   std::uint32_t MaxAttempts = 3;
+  // True where a retry after a rejection by a sidecar, which cost no backend
+  // server anything, is not charged to the budget.
+  bool FreeRejections = false;
   // No attempt starts with less time than this left.
   Duration MinRemaining = std::chrono::milliseconds(2);
 };
--- a/packages/settings/src/settings/node/internal/parse_value.cpp
+++ b/packages/settings/src/settings/node/internal/parse_value.cpp
@@ -117,6 +117,10 @@
   case SettingType::Contacts:
     Valid = parseContacts(Entry, Text, Value);
     break;
+  case SettingType::Endpoint:
+    Valid = Text.empty() ||
+            (parseContacts(Entry, Text, Value) && Value.Contacts.size() == 1);
+    break;
   }
   return Valid ? std::optional(std::move(Value)) : std::nullopt;
 }
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -40,7 +40,24 @@
   std::uint16_t GossipPort = 0;
   std::string Region;
   std::string Zone;
+  // Empty where the key is kept in the store.
   std::string ClusterKeyFile;
+  // Which interfaces callers, backend servers and the store speak: native or
+  // platform.
+  std::string Interface;
+
+  // Addresses to listen on for callers, for announcements of the backend
+  // server beside the node, for readiness checks and for metrics. Port 0: all
+  // of these are served on HttpPort.
+  HostPort Callers;
+  HostPort Announcements;
+  HostPort Readiness;
+  HostPort Metrics;
+
+  // Service and address of the backend server beside the node where it
+  // announces itself; empty where any may.
+  std::string LocalService;
+  HostPort LocalBackend;
 
   // True where the file has a [backend] section.
   bool HasBackend = false;
@@ -55,6 +72,8 @@
 
   // Port 0 where the file has no [store] section.
   HostPort Store;
+  // Address and port in one key; port 0: the keys of Store hold.
+  HostPort StoreEndpoint;
   std::vector<HostPort> Contacts;
   std::vector<StaticEndpoint> Static;
 
@@ -81,6 +100,14 @@
   Milliseconds LoadPoll{};
   Milliseconds ShutdownAnnounce{};
   Milliseconds ShutdownTimeout{};
+  Milliseconds SilentAfter{};
+  Milliseconds JoinDelay{};
+  std::uint32_t UsablePercent = 100;
+  std::uint32_t RepeatPercent = 0;
+  std::uint32_t RepeatSlack = 0;
+  // Retries of one entry node and service: saved up, and per 100 seconds.
+  std::uint32_t RetryBurst = 0;
+  std::uint32_t RetryFloor = 0;
 
   std::string LogLevel;
   std::string LogFile;
--- a/packages/settings/src/settings/node/read_settings.cpp
+++ b/packages/settings/src/settings/node/read_settings.cpp
@@ -46,8 +46,8 @@
   }
   if (Known.empty()) {
     return place(Section, Key) +
-           ": no such section; accepted: node, backend, store, contacts, "
-           "static, limits, log";
+           ": no such section; accepted: node, listen, local, backend, store, "
+           "contacts, static, limits, log";
   }
   return place(Section, Key) + ": no such key; accepted: " + Known;
 }
@@ -98,6 +98,26 @@
       [Section](const auto &Seen) { return Seen.first == Section; });
 }
 
+// Joins and checks what no key shows alone.
+bool checkTogether(Reading &State) {
+  NodeSettings &Result = State.Result;
+  if (Result.StoreEndpoint.Port != 0) {
+    Result.Store = Result.StoreEndpoint;
+  }
+  if (Result.HttpPort == 0 && Result.Callers.Port == 0) {
+    State.Fault = place("node", "http_port") +
+                  ": missing; accepted: 1 to 65535, or an address in [listen] "
+                  "callers";
+    return false;
+  }
+  if (Result.ClusterKeyFile.empty() && Result.Store.Port == 0) {
+    State.Fault = place("node", "cluster_key_file") +
+                  ": missing; accepted: a file, or a store that keeps the key";
+    return false;
+  }
+  return true;
+}
+
 // A required key of an optional section is required only where the section is
 // there at all.
 bool fillDefaults(Reading &State) {
@@ -121,7 +141,7 @@
     }
   }
   State.Result.HasBackend = hasSection(State, "backend");
-  return true;
+  return checkTogether(State);
 }
 
 int onKey(void *User, const char *Section, const char *Key, const char *Text) {
--- a/packages/settings/src/settings/node/setting_entry.h
+++ b/packages/settings/src/settings/node/setting_entry.h
@@ -20,6 +20,8 @@
   Choice,
   // List of address:port, separated by commas; Maximum bounds its length.
   Contacts,
+  // One address:port, or empty.
+  Endpoint,
 };
 
 // Checked value of one key.
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -85,6 +85,25 @@
           .Type = Type::Address};
 }
 
+template <auto Member>
+constexpr SettingEntry endpoint(std::string_view Section, std::string_view Key,
+                                std::string_view Meaning) {
+  return {.Section = Section,
+          .Key = Key,
+          .Default = {},
+          .Unit = {},
+          .Choices = {},
+          .Meaning = Meaning,
+          .Maximum = 1,
+          .Store =
+              [](NodeSettings &S, SettingValue &&V) {
+                if (!V.Contacts.empty()) {
+                  S.*Member = V.Contacts.front();
+                }
+              },
+          .Type = Type::Endpoint};
+}
+
 using N = NodeSettings;
 constexpr std::string_view Limits = "limits";
 
@@ -93,8 +112,9 @@
                      "IP address on which the node listens and under which "
                      "other nodes reach it.",
                      store<&N::Address>)),
-    required(number<&N::HttpPort>("node", "http_port", {}, 1, Port, {},
-                                  "TCP port for callers.")),
+    number<&N::HttpPort>("node", "http_port", "0", 0, Port, {},
+                         "TCP port for callers; 0: [listen] callers says where "
+                         "they are served."),
     required(number<&N::PeerPort>(
         "node", "peer_port", {}, 1, Port, {},
         "TCP port for other nodes; the node's identity is the hash of address "
@@ -107,10 +127,35 @@
                      "Region of the node."),
     text<&N::Zone>("node", "zone", "default", 1, NameBytes,
                    "Availability zone of the node."),
-    required(text<&N::ClusterKeyFile>(
-        "node", "cluster_key_file", {}, 1, PathBytes,
+    text<&N::ClusterKeyFile>(
+        "node", "cluster_key_file", "", 0, PathBytes,
         "File with the key that authenticates the nodes to each other; 16 to "
-        "4096 bytes.")),
+        "4096 bytes. Empty: the first node makes the key and keeps it in the "
+        "store."),
+    {.Section = "node",
+     .Key = "interface",
+     .Default = "native",
+     .Unit = {},
+     .Choices = "native|platform",
+     .Meaning = "What callers, backend servers and the store speak.",
+     .Store = store<&N::Interface>,
+     .Type = Type::Choice},
+    endpoint<&N::Callers>("listen", "callers",
+                          "Where callers are served; empty: http_port."),
+    endpoint<&N::Announcements>(
+        "listen", "announcements",
+        "Where the backend server announces itself; empty: http_port."),
+    endpoint<&N::Readiness>("listen", "readiness",
+                            "Where the node says whether it is ready; empty: "
+                            "http_port."),
+    endpoint<&N::Metrics>("listen", "metrics",
+                          "Where metrics and the dump are served; empty: "
+                          "http_port."),
+    text<&N::LocalService>("local", "service", "", 0, NameBytes,
+                           "Service of the backend server beside the node "
+                           "where it announces itself; empty: any."),
+    endpoint<&N::LocalBackend>(
+        "local", "backend", "Its address; empty: the one that it announces."),
     address("backend", "address", "127.0.0.1",
             "IP address of the node's own backend server.",
             store<&N::BackendAddress>),
@@ -140,6 +185,10 @@
            [](NodeSettings &S, SettingValue &&V) {
              S.Store.Port = static_cast<std::uint16_t>(V.Number);
            }),
+    endpoint<&N::StoreEndpoint>(
+        "store", "endpoint",
+        "Address and port of the store, in place of the two "
+        "keys above."),
     {.Section = "contacts",
      .Key = "nodes",
      .Default = {},
@@ -217,6 +266,30 @@
     number<&N::ShutdownTimeout>(
         Limits, "shutdown_timeout_ms", "15000", 1, HourMs, "ms",
         "Longest wait for requests in flight at a stop."),
+    number<&N::SilentAfter>(
+        Limits, "silent_after_ms", "5000", 100, HourMs, "ms",
+        "Time without a report after which a backend server that announces "
+        "itself counts as gone."),
+    number<&N::JoinDelay>(
+        Limits, "join_delay_ms", "1000", 10, 60'000, "ms",
+        "Time after the first contact with the fleet until a node watches the "
+        "store; alone it waits three times as long. Short in small fleets, "
+        "long where thousands of nodes may start together."),
+    number<&N::UsablePercent>(
+        Limits, "usable_slots_percent", "100", 10, 100, "percent",
+        "Part of the backend server's slots that is used at the same time."),
+    number<&N::RepeatPercent>(
+        Limits, "repeat_percent", "0", 0, 100, "percent",
+        "Repeats of requests that reached a server before, as a part of the "
+        "requests of ten seconds, that the sidecar lets through; 0 with "
+        "repeat_slack 0: all."),
+    number<&N::RepeatSlack>(Limits, "repeat_slack", "0", 0, 100'000, "requests",
+                            "Repeats on top of that part."),
+    number<&N::RetryBurst>(Limits, "retry_burst", "20", 0, 100'000, "retries",
+                           "Retries of one service that a node may save up."),
+    number<&N::RetryFloor>(
+        Limits, "retry_floor", "1000", 0, 1'000'000, "retries per 100 s",
+        "Retries of one service that a node may send whatever the traffic."),
     {.Section = "log",
      .Key = "level",
      .Default = "info",
@@ -251,6 +324,8 @@
     }
     return "one of " + Words;
   }
+  case SettingType::Endpoint:
+    return "address:port, or empty";
   case SettingType::Contacts:
     return "up to " + std::to_string(Entry.Maximum) +
            " address:port, separated by commas";
--- a/packages/settings/src/settings/record/fwd.h
+++ b/packages/settings/src/settings/record/fwd.h
@@ -3,8 +3,14 @@
 
 namespace magnolia::settings {
 
+struct CallerLimits;
 struct ContactRecord;
+struct HostRoute;
+struct MoveOrder;
 struct RouteRecord;
+struct RouteTarget;
+struct RoutingRecord;
+struct ServiceLimits;
 struct ServiceRecord;
 struct StoredMove;
 struct ZoneRecord;
--- a/packages/settings/src/settings/record/internal/field_reader.cpp
+++ b/packages/settings/src/settings/record/internal/field_reader.cpp
@@ -17,10 +17,11 @@
 
 } // namespace
 
-FieldReader::FieldReader(std::string_view What, std::string_view Value)
+FieldReader::FieldReader(std::string_view What, std::string_view Value,
+                         std::size_t MaxSize)
     : What(What) {
-  if (Value.size() > MaxRecordSize) {
-    failWith("the value has more than 262144 bytes");
+  if (Value.size() > MaxSize) {
+    failWith("the value has more than " + std::to_string(MaxSize) + " bytes");
   } else {
     Object = Json::parse(Value, nullptr, false);
     if (!Object.is_object()) {
@@ -143,6 +144,11 @@
   return Field;
 }
 
+Json FieldReader::object(const char *Name) {
+  const Json *Field = find(Name);
+  return Field == nullptr ? Json::object() : *Field;
+}
+
 void FieldReader::fail(std::string_view Name, std::string_view Expected) {
   failWith("field \"" + std::string(Name) +
            "\": missing or out of range; expected " + std::string(Expected));
--- a/packages/settings/src/settings/record/internal/field_reader.h
+++ b/packages/settings/src/settings/record/internal/field_reader.h
@@ -3,6 +3,8 @@
 
 #include "policy/core/error.h"
 
+#include "settings/record/limits.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
@@ -18,7 +20,8 @@
 class FieldReader {
 public:
   // Parses the value of a key; What names the record in messages.
-  FieldReader(std::string_view What, std::string_view Value);
+  FieldReader(std::string_view What, std::string_view Value,
+              std::size_t MaxSize = MaxRecordSize);
   FieldReader(std::string_view What, nlohmann::json Object);
 
   std::string text(const char *Name, std::size_t MaxSize);
@@ -35,6 +38,8 @@
   std::optional<bool> optionalFlag(const char *Name);
   // Null where the field is absent.
   const nlohmann::json *array(const char *Name, std::size_t MaxSize);
+  // Empty where the field is absent.
+  nlohmann::json object(const char *Name);
 
   void fail(std::string_view Name, std::string_view Expected);
   void failWith(std::string Message);
--- a/packages/settings/src/settings/record/limits.h
+++ b/packages/settings/src/settings/record/limits.h
@@ -25,6 +25,13 @@
 inline constexpr double MaxProbeFloor = 1000.0;
 // Milliseconds since the Unix epoch, at the end of the year 9999.
 inline constexpr std::uint64_t MaxTimeMs = 253'402'300'799'999;
+// Routing table of a deployment: its size and what it may hold.
+inline constexpr std::size_t MaxRoutingSize = 4UL * 1024 * 1024;
+inline constexpr std::size_t MaxHostRoutes = 20'000;
+inline constexpr std::size_t MaxTargets = 64;
+inline constexpr double MaxWeight = 1e6;
+inline constexpr std::uint64_t MaxSmallNumber = 1'000'000;
+inline constexpr std::uint64_t MaxOrderMs = 86'400'000;
 inline constexpr std::uint64_t MaxPort = 65'535;
 
 } // namespace magnolia::settings
--- a/packages/settings/src/settings/record/record_key.cpp
+++ b/packages/settings/src/settings/record/record_key.cpp
@@ -32,6 +32,10 @@
   return join(MovePrefix, Service);
 }
 
+std::string orderKey(std::string_view Service) {
+  return join(OrderPrefix, Service);
+}
+
 std::string contactKey(std::string_view Zone, std::uint32_t Slot) {
   return join(ContactPrefix, Zone) + "/" + std::to_string(Slot);
 }
--- /dev/null
+++ b/packages/settings/src/settings/record/routing_json.h
@@ -0,0 +1,26 @@
+#ifndef SETTINGS_RECORD_ROUTING_JSON_H
+#define SETTINGS_RECORD_ROUTING_JSON_H
+
+#include "policy/core/error.h"
+#include "settings/record/move_order.h"
+#include "settings/record/routing_record.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace magnolia::settings {
+
+// JSON values of routing/table and orders/<service>. Reading checks every field
+// against its range; the error names the field and the range.
+[[nodiscard]] std::string formatRouting(const RoutingRecord &Routing);
+[[nodiscard]] std::optional<RoutingRecord>
+parseRouting(std::string_view Value, policy::Error &LastError);
+
+[[nodiscard]] std::string formatOrder(const MoveOrder &Order);
+[[nodiscard]] std::optional<MoveOrder> parseOrder(std::string_view Value,
+                                                  policy::Error &LastError);
+
+} // namespace magnolia::settings
+
+#endif
--- a/packages/settings/src/settings/service/move_deadline.cpp
+++ b/packages/settings/src/settings/service/move_deadline.cpp
@@ -80,8 +80,7 @@
   constexpr policy::Duration StartAllowance = std::chrono::seconds(10);
   const policy::MoveOptions Options;
   return Options.DoneMargin + Options.WriteAllowance + StartAllowance +
-         Options.MinSoak *
-             static_cast<std::int64_t>(policy::MoveOptions::Shares.size());
+         Options.MinSoak * static_cast<std::int64_t>(Options.Steps.size());
 }
 
 } // namespace magnolia::settings
--- a/packages/store/src/store/client/internal/base64.cpp
+++ b/packages/store/src/store/client/base64.cpp
@@ -1,11 +1,11 @@
-#include "store/client/internal/base64.h"
+#include "store/client/base64.h"
 
 #include <openssl/evp.h>
 
 #include <climits>
 #include <cstddef>
 
-namespace magnolia::store::internal {
+namespace magnolia::store {
 namespace {
 
 constexpr std::size_t GroupBytes = 3;
@@ -46,4 +46,4 @@
   return Bytes;
 }
 
-} // namespace magnolia::store::internal
+} // namespace magnolia::store
--- a/packages/store/src/store/client/internal/http_call.cpp
+++ b/packages/store/src/store/client/http_call.cpp
@@ -1,13 +1,11 @@
-#include "store/client/internal/http_call.h"
-
-#include "store/client/internal/codec.h"
+#include "store/client/http_call.h"
 
 #include <httplib.h>
 
 #include <algorithm>
 #include <utility>
 
-namespace magnolia::store::internal {
+namespace magnolia::store {
 namespace {
 
 using Clock = std::chrono::steady_clock;
@@ -90,6 +88,7 @@
   case 404:
     return OnLease ? StoreErrorKind::LeaseExpired : StoreErrorKind::NotFound;
   case 409:
+  case 412:
     return StoreErrorKind::Conflict;
   case 410:
     return StoreErrorKind::LeaseExpired;
@@ -116,7 +115,8 @@
   const StoreErrorKind Kind = kindOfStatus(Call, Result.Status);
   const std::string Detail = "status " + std::to_string(Result.Status);
   if (Kind == StoreErrorKind::Conflict) {
-    const auto Current = parseRevision(Result.Body);
+    const auto Current =
+        Call.ReadConflict ? Call.ReadConflict(Result.Body) : std::nullopt;
     if (!Current) {
       reportMalformed(State, Call, LastError);
       return std::nullopt;
@@ -166,6 +166,23 @@
   return judge(State, Call, std::move(Result), LastError);
 }
 
+bool isValid(const PutRequest &Request, std::size_t MaxKeySize,
+             StoreError &LastError) {
+  if (Request.Key.empty() || Request.Key.size() > MaxKeySize) {
+    LastError = {StoreErrorKind::Malformed,
+                 "a key has 1 to " + std::to_string(MaxKeySize) + " bytes"};
+    return false;
+  }
+  if (Request.Value.size() > MaxValueSize) {
+    LastError = {StoreErrorKind::TooLarge,
+                 "key " + Request.Key + ": the value has " +
+                     std::to_string(Request.Value.size()) + " bytes; at most " +
+                     std::to_string(MaxValueSize) + " are allowed"};
+    return false;
+  }
+  return true;
+}
+
 void reportMalformed(HttpStoreState &State, const HttpCall &Call,
                      StoreError &LastError) {
   fail(State, Call,
@@ -174,4 +191,4 @@
        "the response does not follow the protocol", LastError);
 }
 
-} // namespace magnolia::store::internal
+} // namespace magnolia::store
--- /dev/null
+++ b/packages/store/src/store/client/http_call.h
@@ -0,0 +1,75 @@
+#ifndef STORE_CLIENT_HTTP_CALL_H
+#define STORE_CLIENT_HTTP_CALL_H
+
+#include "store/client/http_store.h"
+#include "store/client/internal/connection_pool.h"
+
+#include "store/core/call_counts.h"
+#include "store/core/entry.h"
+#include "store/core/put_request.h"
+#include "store/core/store_error.h"
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace magnolia::store {
+
+// State shared by the operations of one client.
+struct HttpStoreState {
+  HttpStoreOptions Options;
+  internal::ConnectionPool Pool;
+  std::shared_ptr<CallCounts> Counts = std::make_shared<CallCounts>();
+};
+
+// One call to the store.
+struct HttpCall {
+  CallKind Kind;
+  std::string Method;
+  std::string Path;
+  std::multimap<std::string, std::string> Query;
+  std::string Body;
+  // True if a lost response leaves the outcome open.
+  bool HasEffect = false;
+  // Reads the present revision of the key from the response to a failed
+  // condition; empty for a response that does not follow the protocol.
+  std::function<std::optional<Revision>(std::string_view Body)> ReadConflict =
+      {};
+};
+
+// Body of a response with status 200. Every other outcome is mapped to the
+// closed list of errors and counted.
+[[nodiscard]] std::optional<std::string>
+callStore(HttpStoreState &State, const HttpCall &Call,
+          std::chrono::milliseconds Timeout, StoreError &LastError);
+
+// Counts a response with status 200 that does not follow the protocol. The
+// call itself may have taken effect.
+void reportMalformed(HttpStoreState &State, const HttpCall &Call,
+                     StoreError &LastError);
+
+// Sends the call and parses the body of its response.
+template <typename Parse>
+auto callAndParse(HttpStoreState &State, const HttpCall &Call,
+                  std::chrono::milliseconds Timeout, StoreError &LastError,
+                  Parse &&Parser) -> decltype(Parser(std::string_view())) {
+  const auto Body = callStore(State, Call, Timeout, LastError);
+  if (!Body)
+    return std::nullopt;
+  auto Parsed = Parser(*Body);
+  if (!Parsed)
+    reportMalformed(State, Call, LastError);
+  return Parsed;
+}
+
+// Reasons to reject a write before it is sent.
+[[nodiscard]] bool isValid(const PutRequest &Request, std::size_t MaxKeySize,
+                           StoreError &LastError);
+
+} // namespace magnolia::store
+
+#endif
--- a/packages/store/src/store/client/http_store.cpp
+++ b/packages/store/src/store/client/http_store.cpp
@@ -1,51 +1,18 @@
 #include "store/client/http_store.h"
 
+#include "store/client/http_call.h"
 #include "store/client/internal/codec.h"
-#include "store/client/internal/http_call.h"
 
 #include <utility>
 
 namespace magnolia::store {
 namespace {
 
-using internal::HttpCall;
-using internal::HttpStoreState;
 using Milliseconds = std::chrono::milliseconds;
 using StatePointer = std::shared_ptr<HttpStoreState>;
 
 constexpr std::size_t MaxKeySize = 1024;
 
-// Sends the call and parses the body of its response.
-template <typename Parse>
-auto callAndParse(HttpStoreState &State, const HttpCall &Call,
-                  Milliseconds Timeout, StoreError &LastError, Parse &&Parser)
-    -> decltype(Parser(std::string_view())) {
-  const auto Body = internal::callStore(State, Call, Timeout, LastError);
-  if (!Body)
-    return std::nullopt;
-  auto Parsed = Parser(*Body);
-  if (!Parsed)
-    internal::reportMalformed(State, Call, LastError);
-  return Parsed;
-}
-
-// Reasons to reject a write before it is sent.
-bool isValid(const PutRequest &Request, StoreError &LastError) {
-  if (Request.Key.empty() || Request.Key.size() > MaxKeySize) {
-    LastError = {StoreErrorKind::Malformed,
-                 "a key has 1 to " + std::to_string(MaxKeySize) + " bytes"};
-    return false;
-  }
-  if (Request.Value.size() > MaxValueSize) {
-    LastError = {StoreErrorKind::TooLarge,
-                 "key " + Request.Key + ": the value has " +
-                     std::to_string(Request.Value.size()) + " bytes; at most " +
-                     std::to_string(MaxValueSize) + " are allowed"};
-    return false;
-  }
-  return true;
-}
-
 void addReads(StoreOperations &Store, const StatePointer &State) {
   Store.Read = [State](std::string_view Key, Milliseconds Timeout,
                        StoreError &LastError) {
@@ -83,14 +50,15 @@
 void addWrites(StoreOperations &Store, const StatePointer &State) {
   Store.Put = [State](const PutRequest &Request, Milliseconds Timeout,
                       StoreError &LastError) -> std::optional<Revision> {
-    if (!isValid(Request, LastError))
+    if (!isValid(Request, MaxKeySize, LastError))
       return std::nullopt;
     const HttpCall Call{.Kind = CallKind::Put,
                         .Method = "PUT",
                         .Path = "/v1/kv",
                         .Query = {},
                         .Body = internal::formatPut(Request),
-                        .HasEffect = true};
+                        .HasEffect = true,
+                        .ReadConflict = internal::parseRevision};
     return callAndParse(*State, Call, Timeout, LastError,
                         internal::parseRevision);
   };
@@ -103,7 +71,8 @@
         .Query = {{"key", std::string(Key)},
                   {"expected_revision", std::to_string(Expected)}},
         .Body = {},
-        .HasEffect = true};
+        .HasEffect = true,
+        .ReadConflict = internal::parseRevision};
     return callAndParse(*State, Call, Timeout, LastError,
                         internal::parseRevision);
   };
@@ -128,7 +97,7 @@
                         .Path = "/v1/leases/keepalive",
                         .Query = {},
                         .Body = internal::formatLease(Lease)};
-    return internal::callStore(*State, Call, Timeout, LastError).has_value();
+    return callStore(*State, Call, Timeout, LastError).has_value();
   };
   Store.RevokeLease = [State](LeaseId Lease, Milliseconds Timeout,
                               StoreError &LastError) {
@@ -138,7 +107,7 @@
                         .Query = {{"lease", std::to_string(Lease)}},
                         .Body = {},
                         .HasEffect = true};
-    return internal::callStore(*State, Call, Timeout, LastError).has_value();
+    return callStore(*State, Call, Timeout, LastError).has_value();
   };
 }
 
--- a/packages/store/src/store/client/internal/codec.cpp
+++ b/packages/store/src/store/client/internal/codec.cpp
@@ -1,6 +1,6 @@
 #include "store/client/internal/codec.h"
 
-#include "store/client/internal/base64.h"
+#include "store/client/base64.h"
 
 #include <nlohmann/json.hpp>
 
--- a/packages/store/src/store/client/internal/connection_pool.cpp
+++ b/packages/store/src/store/client/internal/connection_pool.cpp
@@ -1,6 +1,7 @@
 #include "store/client/internal/connection_pool.h"
 
 #include <httplib.h>
+#include <netinet/tcp.h>
 
 #include <algorithm>
 #include <chrono>
@@ -8,6 +9,24 @@
 namespace magnolia::store::internal {
 namespace {
 
+// Time after which an idle connection is checked, between checks, and checks
+// without an answer after which it counts as dead. A connection may go silent
+// for good without a reset, also under a watch that waits.
+constexpr int CheckAfterSeconds = 1;
+constexpr int CheckEverySeconds = 1;
+constexpr int CheckCount = 2;
+
+void setOption(socket_t Socket, int Level, int Name, int Value) {
+  setsockopt(Socket, Level, Name, &Value, sizeof Value);
+}
+
+void setLiveness(socket_t Socket) {
+  setOption(Socket, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPIDLE, CheckAfterSeconds);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPINTVL, CheckEverySeconds);
+  setOption(Socket, IPPROTO_TCP, TCP_KEEPCNT, CheckCount);
+}
+
 // A call that has taken its connection but not yet connected cannot be
 // stopped; close() tries again after this time.
 constexpr std::chrono::milliseconds StopInterval{5};
@@ -29,6 +48,7 @@
     Connection = std::make_shared<httplib::Client>(Address, Port);
     Connection->set_tcp_nodelay(true);
     Connection->set_keep_alive(true);
+    Connection->set_socket_options(setLiveness);
   } else {
     Connection = std::move(Idle.back());
     Idle.pop_back();
