Pass requests on from servers that are slow now

Cause: a quarter of the time a noisy neighbour makes a server four times slower; requests that meet it miss their objective although other servers are at their usual speed. Entry nodes hear of it too late (a report every half second, spells of 300 ms). Change: the sidecar reads the present work time from each answer and from a poll every 100 ms, and rejects a request that has a choice while work takes twice the usual time. The rejection costs no arrival. Service times are kept without this factor.

--- a/packages/daemon/src/daemon/dialect/dialect.h
+++ b/packages/daemon/src/daemon/dialect/dialect.h
@@ -43,6 +43,10 @@
       ReadReport;
   std::function<std::optional<BackendHealth>(const HttpResponse &Response)>
       ReadHealth;
+  // Time that work takes on the instance of the backend server, in percent of
+  // the usual, where an answer states it; null: no answer does.
+  std::optional<std::uint32_t> (*ReadWorkTime)(const HttpResponse &Response) =
+      nullptr;
   // Status of an error answer of the system.
   std::uint16_t (*StatusOf)(policy::ErrorKind Kind) = nullptr;
   store::StoreOperations (*OpenStore)(const store::HttpStoreOptions &Options) =
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -25,6 +25,9 @@
 // A connection that was idle for longer is checked with the request itself.
 constexpr policy::Duration CheckAfterIdle = std::chrono::seconds(1);
 
+// Attempts that a slow backend server may reject in favour of another one.
+constexpr std::uint32_t ChoiceAttempts = 2;
+
 constexpr std::uint16_t FirstServerError = 500;
 
 } // namespace
@@ -133,6 +136,7 @@
 std::optional<policy::Outcome> EntryCall::dispatch(Attempt &Made) {
   Call.Request.Version = Made.Version;
   Call.Request.Repeat = State.Runs > 0;
+  Call.Request.HasChoice = State.Attempts <= ChoiceAttempts;
   if (Made.Peer.Node == Owner.Options.Node) {
     Owner.Use.Counts.count(Counter::LocalAttempts);
     Call.Request.SidecarRun = Owner.Options.Run;
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -40,6 +40,7 @@
           .ConnectTimeout = Settings.ConnectTimeout,
           .MaxWaiting = Settings.WaitQueue,
           .UsableShare = Settings.UsablePercent / Percent,
+          .SlowPercent = Settings.SlowPercent,
           .RepeatRatio = Settings.RepeatPercent / Percent,
           .RepeatSlack = static_cast<double>(Settings.RepeatSlack),
           .LedgerEntries = Settings.LedgerEntries};
--- a/packages/daemon/src/daemon/peer/call.h
+++ b/packages/daemon/src/daemon/peer/call.h
@@ -35,6 +35,8 @@
   // An earlier attempt has reached a backend server, so that this one counts
   // against the budget for repeats.
   bool Repeat = false;
+  // The entry node can offer the request to another sidecar.
+  bool HasChoice = false;
 };
 
 // Answer of a backend server, or an error of the system where Kind is set.
--- a/packages/daemon/src/daemon/peer/call_frames.cpp
+++ b/packages/daemon/src/daemon/peer/call_frames.cpp
@@ -98,6 +98,7 @@
     Message.set_remaining_objective_ms(remainingMs(Request.Objective, Now));
   }
   Message.set_repeat(Request.Repeat);
+  Message.set_has_choice(Request.HasChoice);
   const std::string_view Body = Request.Body;
   Message.set_body(std::string(Body.substr(0, BodyChunkBytes)));
   Message.set_body_continues(Body.size() > BodyChunkBytes);
@@ -168,6 +169,7 @@
         Now + std::chrono::milliseconds(Message.remaining_objective_ms());
   }
   Request.Repeat = Message.repeat();
+  Request.HasChoice = Message.has_choice();
   return readHeaders(Message, Request.Headers) && isPlain(Request.Method) &&
          isPlain(Request.Target);
 }
--- a/packages/daemon/src/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.cpp
@@ -143,6 +143,11 @@
     Owner.onOtherInstance();
     return;
   }
+  if (Owner.dialect().ReadWorkTime) {
+    if (const auto Percent = Owner.dialect().ReadWorkTime(Response)) {
+      Owner.onWorkTime(*Percent, now());
+    }
+  }
   if (Health->ColdLeft) {
     Owner.onColdLeft(*Health->ColdLeft, now());
   }
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -24,6 +24,7 @@
   Admitted.Options.MaxWaiting = Options.MaxWaiting;
   Admitted.Options.AnnouncesCold = dialect().ReportsColdStart;
   Admitted.Options.UsableShare = Options.UsableShare;
+  Admitted.Options.SlowPercent = Options.SlowPercent;
   Admitted.Options.RepeatRatio = Options.RepeatRatio;
   Admitted.Options.RepeatSlack = Options.RepeatSlack;
 }
@@ -51,7 +52,8 @@
                     {.Deadline = Request.Deadline,
                      .Objective = Request.Objective,
                      .Priority = Request.Priority,
-                     .Repeat = Request.Repeat},
+                     .Repeat = Request.Repeat,
+                     .HasChoice = Request.HasChoice},
                     Now);
   switch (Decision.Action) {
   case policy::AdmissionAction::Run:
@@ -193,6 +195,11 @@
   Backend.setDraining(true);
 }
 
+void Sidecar::onWorkTime(std::uint32_t Percent, policy::TimePoint Now) {
+  const std::lock_guard Lock(Mutex);
+  policy::onWorkTime(Admitted, Percent, Now);
+}
+
 void Sidecar::onColdLeft(policy::Duration Left, policy::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   policy::onColdLeft(Admitted, Left, Now);
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -37,6 +37,7 @@
   std::uint32_t MaxWaiting = 16;
   // See policy::AdmissionOptions.
   double UsableShare = 1.0;
+  std::uint32_t SlowPercent = 0;
   double RepeatRatio = 0;
   double RepeatSlack = 0;
   std::size_t LedgerEntries = 262'144;
@@ -100,6 +101,7 @@
   void onConnectFailure(policy::TimePoint Now);
   void onBackendDraining();
   void onColdLeft(policy::Duration Left, policy::TimePoint Now);
+  void onWorkTime(std::uint32_t Percent, policy::TimePoint Now);
   // Takes over what the configuration says a backend server of the service
   // bears; 0 leaves a value as it is.
   void setCapacity(std::uint32_t Connections, double ColdPerSecond);
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -299,6 +299,11 @@
   }
   Connection.reset();
   const Dialect &Speaks = Owner.dialect();
+  if (Speaks.ReadWorkTime) {
+    if (const auto Percent = Speaks.ReadWorkTime(Response)) {
+      Owner.onWorkTime(*Percent, Now);
+    }
+  }
   Owner.onBackendIncarnation(incarnationOf(Speaks, Response.Headers), Now);
   if (const auto Refusal = refusalIn(Response)) {
     Owner.metrics().count(Counter::BackendSheds);
--- a/packages/policy/src/policy/admission/admission_options.h
+++ b/packages/policy/src/policy/admission/admission_options.h
@@ -22,6 +22,11 @@
   // here.
   double RepeatRatio = 0;
   double RepeatSlack = 0;
+  // A server on which work takes this percentage of the usual time or more
+  // rejects requests that have a choice, while what it knows of itself is not
+  // older than WorkTimeFresh. 0: never.
+  std::uint32_t SlowPercent = 0;
+  Duration WorkTimeFresh = std::chrono::milliseconds(150);
   // Part of the time left until the latency objective that a request may wait
   // for a slot, where it has an objective.
   double ObjectiveWaitShare = 0.33;
--- a/packages/policy/src/policy/admission/admission_state.h
+++ b/packages/policy/src/policy/admission/admission_state.h
@@ -42,6 +42,9 @@
   // Fast and slow moving averages of the service time.
   Duration Latency{0};
   Duration Baseline{0};
+  // Time that work takes now, in percent of the usual, and when it was heard.
+  std::uint32_t WorkTimePercent = 0;
+  TimePoint WorkTimeAt{};
   // End of the cold start that the backend server announced.
   TimePoint ColdUntil{};
   ArrivalWindow Arrivals;
--- a/packages/policy/src/policy/admission/admit.cpp
+++ b/packages/policy/src/policy/admission/admit.cpp
@@ -71,6 +71,13 @@
                    Now);
 }
 
+// True where another server probably answers sooner.
+bool isSlowNow(const AdmissionState &State, TimePoint Now) {
+  return State.Options.SlowPercent != 0 &&
+         State.WorkTimePercent >= State.Options.SlowPercent &&
+         Now - State.WorkTimeAt <= State.Options.WorkTimeFresh;
+}
+
 // Makes room in a full queue by ending the wait of the last request, where the
 // new one is more urgent. The next call of expire rejects it.
 bool displace(AdmissionState &State, std::uint32_t Priority, TimePoint Now) {
@@ -107,6 +114,9 @@
   if (isColdFull(State, Now)) {
     return refuse(State, ErrorKind::ColdStart);
   }
+  if (Query.HasChoice && isSlowNow(State, Now)) {
+    return refuse(State, ErrorKind::Overloaded);
+  }
   if (!isRepeatAllowed(State, Query, Now)) {
     return refuse(State, ErrorKind::Overloaded);
   }
@@ -195,6 +205,11 @@
   internal::resetRamp(State, Now);
 }
 
+void onWorkTime(AdmissionState &State, std::uint32_t Percent, TimePoint Now) {
+  State.WorkTimePercent = Percent;
+  State.WorkTimeAt = Now;
+}
+
 void onColdLeft(AdmissionState &State, Duration Left, TimePoint Now) {
   State.ColdUntil = Now + Left;
 }
@@ -221,6 +236,7 @@
           .Limit = limit(State),
           .Waiting = static_cast<std::uint32_t>(State.Waiting.size()),
           .Latency = State.Latency,
+          .WorkTimePercent = State.WorkTimePercent,
           .Run = State.Backend,
           .Draining = State.Draining,
           .ColdStart = internal::isRamping(State)};
--- a/packages/policy/src/policy/admission/admit.h
+++ b/packages/policy/src/policy/admission/admit.h
@@ -16,6 +16,8 @@
   std::uint32_t Priority = 0;
   // An earlier attempt of the request has reached a backend server.
   bool Repeat = false;
+  // The entry node can offer the request to another sidecar.
+  bool HasChoice = false;
 };
 
 enum class AdmissionAction : std::uint8_t { Run, Wait, Refuse };
@@ -67,6 +69,10 @@
 void onBackendIncarnation(AdmissionState &State, Incarnation Run,
                           TimePoint Now);
 
+// The backend server says how long work takes on its instance now, in percent
+// of the usual.
+void onWorkTime(AdmissionState &State, std::uint32_t Percent, TimePoint Now);
+
 // The backend server says how much longer it is cold; zero: it is warm.
 void onColdLeft(AdmissionState &State, Duration Left, TimePoint Now);
 
--- a/packages/policy/src/policy/admission/internal/ramp.cpp
+++ b/packages/policy/src/policy/admission/internal/ramp.cpp
@@ -94,8 +94,13 @@
 void learn(AdmissionState &State, const Completion &Ended, TimePoint Now) {
   if (!Ended.Failed) {
     ++State.Responses;
-    State.Latency = movingAverage(State.Latency, Ended.Latency, State.Responses,
-                                  FastWeight);
+    constexpr std::uint32_t UsualPercent = 100;
+    const Duration Own =
+        State.WorkTimePercent > UsualPercent
+            ? Ended.Latency * UsualPercent / State.WorkTimePercent
+            : Ended.Latency;
+    State.Latency =
+        movingAverage(State.Latency, Own, State.Responses, FastWeight);
     // The baseline must not follow a jump before the jump is noticed.
     const Duration Usual = State.Responses <= State.Options.JumpResponses
                                ? Ended.Latency
--- a/packages/policy/src/policy/load/load_report.h
+++ b/packages/policy/src/policy/load/load_report.h
@@ -14,6 +14,9 @@
   std::uint32_t Waiting = 0;
   // Moving average of the service time; 0 means unknown.
   Duration Latency{0};
+  // Time that work takes on its instance now, in percent of the usual; 0 means
+  // unknown. Latency is without this factor where it is known.
+  std::uint32_t WorkTimePercent = 0;
   // Run of the backend server, so that an entry node sees its restart.
   Incarnation Run = 0;
   bool Draining = false;
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -278,6 +278,10 @@
     number<&N::UsablePercent>(
         Limits, "usable_slots_percent", "100", 10, 100, "percent",
         "Part of the backend server's slots that is used at the same time."),
+    number<&N::SlowPercent>(
+        Limits, "slow_percent", "0", 0, 100'000, "percent",
+        "A backend server on whose instance work takes this percentage of the "
+        "usual time passes requests on to others; 0: none does."),
     number<&N::RepeatPercent>(
         Limits, "repeat_percent", "0", 0, 100, "percent",
         "Repeats of requests that reached a server before, as a part of the "
--- a/packages/wire/src/wire/convert/convert.cpp
+++ b/packages/wire/src/wire/convert/convert.cpp
@@ -12,6 +12,7 @@
 // Longer latencies from the wire are cut, so that no arithmetic on them
 // overflows.
 constexpr std::uint64_t LatencyMaximumUs = 3'600'000'000;
+constexpr std::uint32_t WorkTimeMaximum = 100'000;
 
 } // namespace
 
@@ -21,6 +22,8 @@
           .Waiting = Message.waiting(),
           .Latency = std::chrono::microseconds(
               std::min<std::uint64_t>(Message.latency_us(), LatencyMaximumUs)),
+          .WorkTimePercent =
+              std::min(Message.work_time_percent(), WorkTimeMaximum),
           .Run = Message.incarnation(),
           .Draining = Message.draining(),
           .ColdStart = Message.cold_start()};
@@ -33,6 +36,7 @@
   Message.set_latency_us(static_cast<std::uint64_t>(
       std::chrono::duration_cast<std::chrono::microseconds>(Report.Latency)
           .count()));
+  Message.set_work_time_percent(Report.WorkTimePercent);
   Message.set_incarnation(Report.Run);
   Message.set_draining(Report.Draining);
   Message.set_cold_start(Report.ColdStart);
