Hold the first steps of a short move under a tenth

Change: the first three steps of the short schedule stay under a tenth, with fewer answers asked. A test replays the loss of evidence and fails with the former shares.

--- a/packages/daemon/src/daemon/entry/service_runtime.cpp
+++ b/packages/daemon/src/daemon/entry/service_runtime.cpp
@@ -82,6 +82,7 @@
   auto Made = std::make_shared<ServiceRuntime>();
   Made->Retries.Options = Initial.Retry;
   Made->Overload.Options = Initial.Overload;
+  Made->Route.Options = Initial.Route;
   return Made;
 }
 
--- a/packages/daemon/src/daemon/entry/service_runtime.h
+++ b/packages/daemon/src/daemon/entry/service_runtime.h
@@ -62,6 +62,7 @@
   struct Options {
     policy::RetryOptions Retry;
     policy::OverloadOptions Overload;
+    policy::RouteOptions Route;
   };
 
   ServiceTable() = default;
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -52,6 +52,7 @@
 ServiceTable::Options serviceOptions(const settings::NodeSettings &Settings,
                                      const Dialect &Speaks) {
   ServiceTable::Options Options;
+  Options.Route.FarFactor = Settings.FarPercent / Percent;
   Options.Retry.Cap = Settings.RetryBurst;
   Options.Retry.FloorPerSecond = Settings.RetryFloor / Percent;
   if (Speaks.RoutesByHost) {
--- a/packages/policy/src/policy/move/move_options.h
+++ b/packages/policy/src/policy/move/move_options.h
@@ -27,12 +27,14 @@
   // way above 5% of the traffic.
   static constexpr std::array<MoveStep, 6> FullSteps = {
       {{0.02, 5}, {0.05, 20}, {0.10, 30}, {0.25, 30}, {0.50, 30}, {0.90, 30}}};
-  // For windows of seconds. The last two steps leave the old version time to
-  // end its requests, as its servers stop when the move is done.
-  static constexpr std::array<MoveStep, 7> ShortSteps = {{{0.10, 8},
-                                                          {0.10, 10},
-                                                          {0.15, 12},
-                                                          {0.35, 15},
+  // For windows of seconds. The first three steps stay under a tenth of the
+  // traffic, as a move may have to wait there for evidence until it is taken
+  // back. The last two leave the old version time to end its requests, as its
+  // servers stop when the move is done.
+  static constexpr std::array<MoveStep, 7> ShortSteps = {{{0.08, 5},
+                                                          {0.09, 6},
+                                                          {0.09, 8},
+                                                          {0.30, 12},
                                                           {0.70, 15},
                                                           {1.00, 0},
                                                           {1.00, 0}}};
--- a/packages/policy/src/policy/route/internal/score.cpp
+++ b/packages/policy/src/policy/route/internal/score.cpp
@@ -73,7 +73,8 @@
   // Noisy neighbours hurt most where many slots are taken, so the load counts
   // by its square: half a load is cheap, the last slots are not.
   const double Load = InFlight / Limit;
-  return {.Cost = Latency * (1 + Load * Load + Queue) + Distance,
+  const double Far = Distance > 0 ? State.Options.FarFactor : 1.0;
+  return {.Cost = Latency * (1 + Load * Load + Queue) * Far + Distance,
           .Full = InFlight + 1 > Limit + 0.5};
 }
 
--- a/packages/policy/src/policy/route/route_options.h
+++ b/packages/policy/src/policy/route/route_options.h
@@ -23,6 +23,10 @@
   Duration ReportDecay = std::chrono::milliseconds(100);
   // Age at which a measured latency has lost two thirds of its weight.
   Duration LatencyDecay = std::chrono::milliseconds(500);
+  // Factor on the expected time of candidates in other zones. Above 1 it keeps
+  // requests in the own zone while its servers bear them: bytes between zones
+  // cost more than some waiting.
+  double FarFactor = 1.0;
   // Time for which the share of a new or returned candidate grows.
   Duration Ramp = std::chrono::seconds(2);
   OutlierOptions Outlier;
--- /dev/null
+++ b/packages/policy/test/policy/move/order.cpp
@@ -0,0 +1,96 @@
+#include "policy/move/order.h"
+
+#include "policy/move/advance.h"
+#include "policy/move/move_evidence.h"
+#include "policy/move/move_options.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace magnolia::policy {
+namespace {
+
+constexpr TimePoint Start{std::chrono::hours(1)};
+constexpr Duration Window = std::chrono::seconds(14);
+constexpr Duration Tick = std::chrono::milliseconds(50);
+
+MoveOrder order() {
+  return {
+      .Service = "stock", .ToVersion = "v2", .Window = Window, .Revision = 7};
+}
+
+Member member(NodeId Node, const char *Version) {
+  return {.Node = Node, .Service = "stock", .Version = Version};
+}
+
+// Plays the move to its end; each tick the new version gets this many answers
+// for each unit of share. Returns the traffic that it got, in parts of the
+// traffic of the whole window.
+double play(MoveRecord &Record, double AnswersPerTick) {
+  const MoveOptions Options = optionsFor(Record);
+  MoveEvidence Evidence;
+  double Answers = 0;
+  double Exposed = 0;
+  for (TimePoint Now = Record.Start; Now <= Record.Deadline; Now += Tick) {
+    if (Evidence.MoveId != Record.Id || Evidence.Step != Record.Step) {
+      Answers = 0;
+    }
+    Evidence.MoveId = Record.Id;
+    Evidence.Step = Record.Step;
+    Answers += AnswersPerTick * Record.Share;
+    Evidence.Routes.assign(1, {});
+    Evidence.Routes[0].New.Requests = static_cast<std::uint64_t>(Answers);
+    Exposed += Record.Share *
+               static_cast<double>(Tick / std::chrono::milliseconds(1)) /
+               static_cast<double>(Window / std::chrono::milliseconds(1));
+    if (auto Next = advance(Record, Evidence, Now, Options)) {
+      Record = *Next;
+    }
+  }
+  return Exposed;
+}
+
+// Guards against a move of seconds whose schedule does not fit its window at
+// the traffic of a calm day.
+TEST(PlanOrder, ShortMoveEndsInItsWindow) {
+  const std::vector<Member> Fleet = {member(1, "v1"), member(2, "v1"),
+                                     member(3, "v2")};
+  auto Record = planOrder(order(), nullptr, Fleet, Start);
+  ASSERT_TRUE(Record);
+  EXPECT_EQ(Record->FromVersion, "v1");
+  constexpr double CalmAnswersPerTick = 1.5;
+  (void)play(*Record, CalmAnswersPerTick);
+  EXPECT_EQ(Record->Phase, MovePhase::Done);
+  EXPECT_LE(Record->EndedAt, Start + Window);
+}
+
+// Guards against a bad version that shows itself late and meanwhile gets more
+// than a tenth of the traffic because the move waits for evidence: with nodes
+// restarted one after the other, the collected answers are lost each time.
+TEST(PlanOrder, MoveWithoutEvidenceExposesUnderATenth) {
+  const std::vector<Member> Fleet = {member(1, "v1"), member(3, "v2")};
+  auto Record = planOrder(order(), nullptr, Fleet, Start);
+  ASSERT_TRUE(Record);
+  constexpr double TooFewPerTick = 0.2;
+  const double Exposed = play(*Record, TooFewPerTick);
+  EXPECT_EQ(Record->Phase, MovePhase::TakenBack);
+  EXPECT_LT(Exposed, 0.1);
+}
+
+// Guards against a second move for one order, and against a move from a
+// version that nobody serves.
+TEST(PlanOrder, OneMoveForAnOrder) {
+  const std::vector<Member> Fleet = {member(1, "v1"), member(3, "v2")};
+  const auto Record = planOrder(order(), nullptr, Fleet, Start);
+  ASSERT_TRUE(Record);
+  EXPECT_FALSE(planOrder(order(), &*Record, Fleet, Start));
+  MoveOrder Later = order();
+  Later.Revision = 9;
+  EXPECT_TRUE(planOrder(Later, &*Record, Fleet, Start));
+  const std::vector<Member> OnlyNew = {member(3, "v2")};
+  EXPECT_FALSE(planOrder(order(), nullptr, OnlyNew, Start));
+}
+
+} // namespace
+} // namespace magnolia::policy
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -278,6 +278,10 @@
     number<&N::UsablePercent>(
         Limits, "usable_slots_percent", "100", 10, 100, "percent",
         "Part of the backend server's slots that is used at the same time."),
+    number<&N::FarPercent>(
+        Limits, "far_percent", "100", 100, 100'000, "percent",
+        "Factor on the expected time of backend servers in other zones; above "
+        "100 requests stay in the own zone longer."),
     number<&N::SlowPercent>(
         Limits, "slow_percent", "0", 0, 100'000, "percent",
         "A backend server on whose instance work takes this percentage of the "
