Serve through a planned stop and go on from the kept report

The last report of a backend server is kept in the store, under a lease; a restarted node takes it over and believes it once the health endpoint names the same instance. It replaces the record of leaving servers.

--- a/packages/daemon/src/daemon/announce/announcer.cpp
+++ b/packages/daemon/src/daemon/announce/announcer.cpp
@@ -26,6 +26,18 @@
   return "left";
 }
 
+void describe(const BackendReport &Known, LocalBackendState &State) {
+  State.Service = Known.Service;
+  State.Version = Known.Version;
+  State.Instance = Known.Instance;
+  State.Address = Known.Address;
+  State.Port = Known.Port;
+  State.Slots = Known.Slots;
+  State.Connections = 0;
+  State.Run = Known.Born;
+  State.Draining = Known.Stage != BackendStage::Ready;
+}
+
 HttpResponse acknowledge() {
   HttpResponse Response;
   Response.Headers = {{"Content-Type", "application/json"}};
@@ -62,10 +74,9 @@
   case ReportVerdict::Stale:
     break;
   }
-  // The sidecar refuses new work already; the acknowledgement is given once a
+  // The sidecar refuses new work already; a farewell is acknowledged once a
   // restarted node would refuse it as well.
-  if (Report->Stage != BackendStage::Ready && Given.KeepLeaving &&
-      !Given.KeepLeaving(*Report)) {
+  if (!keep() && Report->Stage != BackendStage::Ready) {
     return errorResponse(Speaks, policy::ErrorKind::Shutdown,
                          "the farewell could not be kept", false);
   }
@@ -90,15 +101,7 @@
 void Announcer::apply(const BackendReport &Known, policy::TimePoint Now) {
   const LocalBackendState Before = Backend.state();
   LocalBackendState Next = Before;
-  Next.Service = Known.Service;
-  Next.Version = Known.Version;
-  Next.Instance = Known.Instance;
-  Next.Address = Known.Address;
-  Next.Port = Known.Port;
-  Next.Slots = Known.Slots;
-  Next.Connections = 0;
-  Next.Run = Known.Born;
-  Next.Draining = Known.Stage != BackendStage::Ready;
+  describe(Known, Next);
   Next.Present = Known.Stage != BackendStage::Left;
   if (Before.Instance != Next.Instance || Before.Run != Next.Run) {
     Own.pool().closeAll();
@@ -128,13 +131,48 @@
   }
 }
 
-void Announcer::noteLeaving(std::string_view Instance,
-                            policy::Incarnation Born) {
+void Announcer::restore(const BackendReport &Before) {
+  const std::lock_guard Lock(Mutex);
+  if (!policy::restore(State, Before)) {
+    return;
+  }
+  log(LogLevel::Info, "backend server restored",
+      {{"instance", std::string_view(Before.Instance)},
+       {"stage", stageName(Before.Stage)}});
+  Kept = Before;
+  LocalBackendState Next = Backend.state();
+  describe(Before, Next);
+  Next.Present = false;
+  Own.apply(Next, now());
+  Backend.update(Next);
+}
+
+void Announcer::onHealth(const BackendHealth &Health, policy::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
-  policy::noteLeaving(State, Instance, Born);
-  if (State.Known) {
-    apply(*State.Known, now());
+  if (Health.Healthy && policy::confirm(State, Health.Instance, Now)) {
+    apply(*State.Known, Now);
   }
 }
 
+bool Announcer::keep() {
+  std::optional<BackendReport> Known;
+  {
+    const std::lock_guard Lock(Mutex);
+    Known = State.Known;
+    const bool Same =
+        Known && Kept && Kept->Instance == Known->Instance &&
+        Kept->Born == Known->Born && Kept->Stage == Known->Stage &&
+        Kept->Version == Known->Version && Kept->Service == Known->Service;
+    if (!Known || Same || !Given.Keep) {
+      return true;
+    }
+  }
+  if (!Given.Keep(*Known)) {
+    return false;
+  }
+  const std::lock_guard Lock(Mutex);
+  Kept = Known;
+  return true;
+}
+
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/announce/announcer.h
+++ b/packages/daemon/src/daemon/announce/announcer.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -22,9 +23,9 @@
   policy::Duration SilentAfter{};
   // True where the configuration has the service, or is not known yet.
   std::function<bool(std::string_view Service)> IsKnown;
-  // Keeps that a lifetime leaves, so that a restarted node knows it; false
-  // where that failed. Called before the report is acknowledged.
-  std::function<bool(const policy::BackendReport &Report)> KeepLeaving;
+  // Keeps what the backend server said, so that a restarted node goes on from
+  // it; false where that failed. A farewell is acknowledged only once kept.
+  std::function<bool(const policy::BackendReport &Report)> Keep;
 };
 
 // Takes the reports of the backend server beside the node and tells the
@@ -40,11 +41,15 @@
                                            policy::TimePoint Now);
   // Takes the backend server out of service where it is silent.
   void checkSilence(policy::TimePoint Now);
-  // A lifetime has said before a restart of this node that it leaves.
-  void noteLeaving(std::string_view Instance, policy::Incarnation Born);
+  // Takes over what was known before a restart of this node.
+  void restore(const policy::BackendReport &Kept);
+  // The backend server has answered on its health endpoint.
+  void onHealth(const BackendHealth &Health, policy::TimePoint Now);
 
 private:
   void apply(const policy::BackendReport &Known, policy::TimePoint Now);
+  // False where a change of what is known could not be kept.
+  [[nodiscard]] bool keep();
 
   const AnnouncerOptions Given;
   const Dialect &Speaks;
@@ -53,6 +58,8 @@
   // Held while a report is applied, so that reports take effect in order.
   std::mutex Mutex;
   policy::AnnounceState State;
+  // Last report that Keep took.
+  std::optional<policy::BackendReport> Kept;
 };
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/control_options.h
+++ b/packages/daemon/src/daemon/control/control_options.h
@@ -35,9 +35,10 @@
   store::StoreOperations (*OpenStore)(const store::HttpStoreOptions &Options) =
       store::httpStore;
   policy::JoinOptions Join;
-  // Called with each backend server that the store says is leaving.
-  std::function<void(std::string_view Instance, policy::Incarnation Born)>
-      OnLeaving;
+  // Address of the backend server beside the node, and what takes the record
+  // that the store has of it.
+  std::string BackendKey;
+  std::function<void(std::string_view Value)> OnBackendRecord;
 };
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -14,7 +14,6 @@
 #include "store/client/http_store.h"
 
 #include <algorithm>
-#include <charconv>
 #include <chrono>
 #include <optional>
 #include <utility>
@@ -124,7 +123,8 @@
 }
 
 // A watch shows the contacts that other nodes write, so that a new node finds
-// the fleet with its first read, and who is leaving.
+// the fleet with its first read, and what the backend server beside the node
+// said before a restart.
 void ControlCore::takeContacts(const store::WatchResult &Result) {
   std::vector<policy::Contact> Contacts;
   policy::Error LastError;
@@ -138,11 +138,8 @@
         Contacts.push_back(
             {.Address = Read->Address, .GossipPort = Read->GossipPort});
       }
-    } else if (Key.starts_with(settings::LeavingPrefix) && Options.OnLeaving) {
-      policy::Incarnation Born = 0;
-      std::from_chars(Event.Value.data(),
-                      Event.Value.data() + Event.Value.size(), Born);
-      Options.OnLeaving(Key.substr(settings::LeavingPrefix.size()), Born);
+    } else if (Key == Options.BackendKey && Options.OnBackendRecord) {
+      Options.OnBackendRecord(Event.Value);
     }
   }
   if (!Contacts.empty()) {
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -3,8 +3,10 @@
 #include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
+#include "settings/record/backend_record.h"
 #include "settings/record/record_key.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
 #include <utility>
@@ -27,7 +29,7 @@
 // Calls to the store that a backend server waits for, which gives up after a
 // second.
 constexpr std::chrono::milliseconds KeepTimeout{350};
-constexpr std::chrono::milliseconds LeavingLease{60'000};
+constexpr std::chrono::milliseconds ReportLease{600'000};
 
 constexpr double Percent = 100.0;
 
@@ -93,13 +95,17 @@
   return Options;
 }
 
+// Contacts change rarely and each check of them is a call to the store.
+constexpr policy::Duration ShortestContactPeriod = std::chrono::seconds(10);
+
 policy::JoinOptions joinOptions(const settings::NodeSettings &Settings) {
   const policy::Duration Delay = Settings.JoinDelay;
   return {.SettleTime = Delay,
           .AloneTime = 3 * Delay,
           .Spread = 2 * Delay,
           .ContactReadPeriod = 3 * Delay,
-          .ContactWritePeriod = 30 * Delay};
+          .ContactWritePeriod =
+              std::max<policy::Duration>(30 * Delay, ShortestContactPeriod)};
 }
 
 settings::HostPort callersOf(const settings::NodeSettings &Settings) {
@@ -146,9 +152,9 @@
                    [this](std::string_view Service) {
                      return isKnownService(Service);
                    },
-               .KeepLeaving =
+               .Keep =
                    [this](const policy::BackendReport &Report) {
-                     return keepLeaving(Report);
+                     return keepReport(Report);
                    }},
               Speaks, Own, Backend),
       Calls(entryOptions(Settings, Speaks, Id, Run), {.Views = Views,
@@ -283,28 +289,42 @@
 }
 
 // Without a store there is nothing that a restarted node could read.
-bool Node::keepLeaving(const policy::BackendReport &Report) {
+bool Node::keepReport(const policy::BackendReport &Report) {
   if (!Store.Put) {
     return true;
   }
   store::StoreError LastError;
-  const auto Lease = Store.GrantLease(LeavingLease, KeepTimeout, LastError);
-  const bool Kept =
-      Lease &&
-      Store.Put({.Key = std::string(settings::LeavingPrefix) + Report.Instance,
-                 .Value = std::to_string(Report.Born),
-                 .Expected = 0,
-                 .Lease = *Lease},
-                KeepTimeout, LastError);
-  if (Kept || LastError.Kind == store::StoreErrorKind::Conflict) {
-    return true;
+  store::PutRequest Request = {
+      .Key = settings::backendKey(Report.Address, Report.Port),
+      .Value = settings::formatBackend(Report)};
+  const auto Lease = Store.GrantLease(ReportLease, KeepTimeout, LastError);
+  if (Lease) {
+    Request.Lease = *Lease;
+    bool Kept = Store.Put(Request, KeepTimeout, LastError).has_value();
+    if (!Kept && LastError.Kind == store::StoreErrorKind::Conflict) {
+      Request.Expected = LastError.Current;
+      Kept = Store.Put(Request, KeepTimeout, LastError).has_value();
+    }
+    if (Kept) {
+      return true;
+    }
   }
-  log(LogLevel::Warning, "farewell of the backend server not kept",
+  log(LogLevel::Warning, "report of the backend server not kept",
       {{"instance", std::string_view(Report.Instance)},
        {"reason", std::string_view(LastError.Detail)}});
   return false;
 }
 
+void Node::restoreReport(std::string_view Value) {
+  policy::Error LastError;
+  if (const auto Kept = settings::parseBackend(Value, LastError)) {
+    Reports.restore(*Kept);
+  } else {
+    log(LogLevel::Warning, "record of the backend server not read",
+        {{"reason", std::string_view(LastError.Detail)}});
+  }
+}
+
 std::string Node::healthPath() const {
   if (Settings.HasBackend) {
     return Settings.BackendLoadPath;
@@ -336,8 +356,10 @@
       .Seed = Id ^ Run,
       .OpenStore = Speaks.OpenStore,
       .Join = joinOptions(Settings),
-      .OnLeaving = [this](std::string_view Instance, policy::Incarnation Born) {
-        Reports.noteLeaving(Instance, Born);
+      .BackendKey = settings::backendKey(Settings.LocalBackend.Address,
+                                         Settings.LocalBackend.Port),
+      .OnBackendRecord = [this](std::string_view Value) {
+        restoreReport(Value);
       }};
   for (const settings::HostPort &Contact : Settings.Contacts) {
     Options.Contacts.push_back(
@@ -397,12 +419,15 @@
 
 void Node::beginStop() {
   Stopping = true;
+  CallerSide.beginClose();
+}
+
+void Node::beginDrain() {
   Own.drain();
   Backend.setDraining(true);
   if (Control) {
     Control->announceDraining();
   }
-  CallerSide.beginClose();
 }
 
 bool Node::finishStop() {
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -41,9 +41,11 @@
 
   [[nodiscard]] bool start(policy::Error &LastError);
 
+  // Tells callers to leave; everything is still served.
+  void beginStop();
   // Announces that the node leaves. It still serves callers, but its backend
   // server takes no new work.
-  void beginStop();
+  void beginDrain();
   // Ends new work and waits for the requests in flight. False where some did
   // not end in time.
   [[nodiscard]] bool finishStop();
@@ -81,7 +83,8 @@
                                policy::Error &LastError);
   [[nodiscard]] HttpResponse answerReadiness(const HttpRequest &Request) const;
   [[nodiscard]] bool isKnownService(std::string_view Service) const;
-  [[nodiscard]] bool keepLeaving(const policy::BackendReport &Report);
+  [[nodiscard]] bool keepReport(const policy::BackendReport &Report);
+  void restoreReport(std::string_view Value);
   [[nodiscard]] std::string healthPath() const;
   void publishStatic();
   [[nodiscard]] bool startControl(policy::Error &LastError);
--- a/packages/daemon/src/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.cpp
@@ -151,6 +151,9 @@
   if (Health->ColdLeft) {
     Owner.onColdLeft(*Health->ColdLeft, now());
   }
+  if (Given.OnHealth) {
+    Given.OnHealth(*Health, now());
+  }
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/sidecar/backend_watch.h
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.h
@@ -26,6 +26,9 @@
     // True where the settings name the backend server: it counts as present
     // while it accepts connections. One that announced itself stays present.
     bool FromSettings = false;
+    // Called with each answer of the health endpoint; may be empty.
+    std::function<void(const BackendHealth &Health, policy::TimePoint Now)>
+        OnHealth;
     // Called after each check; may be empty.
     std::function<void(policy::TimePoint Now)> AfterCheck;
   };
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -132,7 +132,10 @@
   daemon::log(daemon::LogLevel::Info, "stopping",
               {{"signal", static_cast<std::uint64_t>(Signal)}});
   Node.beginStop();
-  std::this_thread::sleep_for(Node.Settings.ShutdownAnnounce);
+  std::this_thread::sleep_for(Node.Settings.ShutdownAnnounce -
+                              Node.Settings.ShutdownDrain);
+  Node.beginDrain();
+  std::this_thread::sleep_for(Node.Settings.ShutdownDrain);
   const bool Whole = Node.finishStop();
   daemon::log(Whole ? daemon::LogLevel::Info : daemon::LogLevel::Warning,
               "stopped", {{"all_requests_ended", Whole}});
--- a/packages/daemon/test/daemon/entry/whole_path.cpp
+++ b/packages/daemon/test/daemon/entry/whole_path.cpp
@@ -223,6 +223,7 @@
       sendAll(Slow.fd(), request("POST", "/slow"), {}, now() + Patience));
   Reached.get_future().wait();
   Beside->Running.beginStop();
+  Beside->Running.beginDrain();
   EXPECT_THAT(Caller->ask(request("POST", "/new")),
               HasSubstr("Magnolia-Error: Draining"));
   std::future<bool> Stopped = std::async(
--- a/packages/policy/src/policy/announce/accept_report.cpp
+++ b/packages/policy/src/policy/announce/accept_report.cpp
@@ -22,18 +22,11 @@
          Report.Sequence <= Known.Sequence;
 }
 
-bool isLeaving(const AnnounceState &State, const BackendReport &Report) {
-  return !State.LeavingInstance.empty() &&
-         State.LeavingInstance == Report.Instance &&
-         (State.LeavingBorn == 0 || State.LeavingBorn == Report.Born);
-}
-
 // A farewell names the instance only; the rest is what was known of it.
 void leave(AnnounceState &State, const BackendReport &Report) {
   if (State.Known && sameLifetime(*State.Known, Report)) {
     State.Known->Stage = BackendStage::Left;
   }
-  noteLeaving(State, Report.Instance, Report.Born);
 }
 
 } // namespace
@@ -55,6 +48,7 @@
     }
   }
   State.HeardAt = Now;
+  State.Restored = false;
   if (Report.Stage == BackendStage::Left) {
     leave(State, Report);
     return ReportVerdict::Accepted;
@@ -63,20 +57,27 @@
   if (State.Known && sameLifetime(*State.Known, Report)) {
     Next.Stage = std::max(Next.Stage, State.Known->Stage);
   }
-  if (isLeaving(State, Report)) {
-    Next.Stage = std::max(Next.Stage, BackendStage::Draining);
-  }
   State.Known = std::move(Next);
   return ReportVerdict::Accepted;
 }
 
-void noteLeaving(AnnounceState &State, std::string_view Instance,
-                 Incarnation Born) {
-  State.LeavingInstance = Instance;
-  State.LeavingBorn = Born;
-  if (State.Known && isLeaving(State, *State.Known)) {
-    State.Known->Stage = std::max(State.Known->Stage, BackendStage::Draining);
+bool restore(AnnounceState &State, const BackendReport &Kept) {
+  if (State.Known || isForeign(State, Kept)) {
+    return false;
   }
+  State.Known = Kept;
+  State.Restored = true;
+  return true;
+}
+
+bool confirm(AnnounceState &State, std::string_view Instance, TimePoint Now) {
+  if (!State.Known || State.Known->Instance != Instance) {
+    return false;
+  }
+  State.HeardAt = Now;
+  const bool Confirms = State.Restored;
+  State.Restored = false;
+  return Confirms;
 }
 
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/announce/accept_report.h
+++ b/packages/policy/src/policy/announce/accept_report.h
@@ -21,9 +21,13 @@
 [[nodiscard]] ReportVerdict
 acceptReport(AnnounceState &State, const BackendReport &Report, TimePoint Now);
 
-// Takes over from the store that a lifetime has said that it leaves.
-void noteLeaving(AnnounceState &State, std::string_view Instance,
-                 Incarnation Born);
+// Takes over what was known before a restart of this node, unless a report has
+// come since. False where it is not of use.
+bool restore(AnnounceState &State, const BackendReport &Kept);
+
+// The backend server says on its health endpoint which instance it is. True
+// where this confirms what was restored.
+bool confirm(AnnounceState &State, std::string_view Instance, TimePoint Now);
 
 } // namespace magnolia::policy
 
--- a/packages/policy/src/policy/announce/announce_state.h
+++ b/packages/policy/src/policy/announce/announce_state.h
@@ -15,9 +15,9 @@
   std::uint16_t Port = 0;
   // Last report that was accepted. Its stage never goes back within a lifetime.
   std::optional<BackendReport> Known;
-  // Lifetime that had said before a restart of this node that it leaves.
-  std::string LeavingInstance;
-  Incarnation LeavingBorn = 0;
+  // True where Known comes from before a restart of this node and the backend
+  // server has not been heard since.
+  bool Restored = false;
   TimePoint HeardAt{};
 };
 
--- a/packages/policy/test/policy/announce/accept_report.cpp
+++ b/packages/policy/test/policy/announce/accept_report.cpp
@@ -90,13 +90,34 @@
 // between the acknowledgement and a heartbeat that was under way.
 TEST(AcceptReport, LeavingOutlivesTheNode) {
   AnnounceState State;
-  noteLeaving(State, "i-1", 7);
-  ASSERT_EQ(acceptReport(State, report(1, Ready), Start), Accepted);
+  ASSERT_TRUE(restore(State, report(4, Draining, 7)));
+  EXPECT_EQ(acceptReport(State, report(3, Ready, 7), Start), Stale);
+  ASSERT_EQ(acceptReport(State, report(5, Ready, 7), Start), Accepted);
   EXPECT_EQ(State.Known->Stage, Draining);
   // Another lifetime under the same id is not affected.
   ASSERT_EQ(acceptReport(State, report(1, Ready, 9), Start), Accepted);
   EXPECT_EQ(State.Known->Stage, Ready);
 }
 
+// Guards against requests for a server that is gone or another one at the
+// address of the one that was known before the restart.
+TEST(AcceptReport, RestoredServerIsConfirmedOnce) {
+  AnnounceState State;
+  EXPECT_FALSE(confirm(State, "i-1", Start));
+  ASSERT_TRUE(restore(State, report(4, Ready)));
+  EXPECT_TRUE(State.Restored);
+  EXPECT_FALSE(confirm(State, "i-2", Start));
+  EXPECT_TRUE(confirm(State, "i-1", Start));
+  EXPECT_FALSE(confirm(State, "i-1", Start));
+}
+
+// Guards against an old record that replaces a report.
+TEST(AcceptReport, ReportGoesBeforeRecord) {
+  AnnounceState State;
+  ASSERT_EQ(acceptReport(State, report(1, Ready, 9), Start), Accepted);
+  EXPECT_FALSE(restore(State, report(9, Draining, 7)));
+  EXPECT_EQ(State.Known->Stage, Ready);
+}
+
 } // namespace
 } // namespace magnolia::policy
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -99,6 +99,7 @@
   Milliseconds FenceTimeout{};
   Milliseconds LoadPoll{};
   Milliseconds ShutdownAnnounce{};
+  Milliseconds ShutdownDrain{};
   Milliseconds ShutdownTimeout{};
   Milliseconds SilentAfter{};
   Milliseconds JoinDelay{};
--- a/packages/settings/src/settings/node/read_settings.cpp
+++ b/packages/settings/src/settings/node/read_settings.cpp
@@ -104,6 +104,12 @@
   if (Result.StoreEndpoint.Port != 0) {
     Result.Store = Result.StoreEndpoint;
   }
+  if (Result.ShutdownDrain > Result.ShutdownAnnounce) {
+    State.Fault = place("limits", "shutdown_drain_ms") +
+                  ": over shutdown_announce_ms; accepted: up to " +
+                  std::to_string(Result.ShutdownAnnounce.count()) + " ms";
+    return false;
+  }
   if (Result.HttpPort == 0 && Result.Callers.Port == 0) {
     State.Fault = place("node", "http_port") +
                   ": missing; accepted: 1 to 65535, or an address in [listen] "
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -263,6 +263,10 @@
         Limits, "shutdown_announce_ms", "1000", 0, 60'000, "ms",
         "Time for which a stopping node still accepts work, so that the other "
         "nodes learn that it leaves."),
+    number<&N::ShutdownDrain>(
+        Limits, "shutdown_drain_ms", "1000", 0, 60'000, "ms",
+        "Last part of that time, in which the backend server takes no new "
+        "work; at most shutdown_announce_ms."),
     number<&N::ShutdownTimeout>(
         Limits, "shutdown_timeout_ms", "15000", 1, HourMs, "ms",
         "Longest wait for requests in flight at a stop."),
--- a/packages/settings/src/settings/record/record_key.cpp
+++ b/packages/settings/src/settings/record/record_key.cpp
@@ -36,6 +36,10 @@
   return join(OrderPrefix, Service);
 }
 
+std::string backendKey(std::string_view Address, std::uint16_t Port) {
+  return join(BackendPrefix, Address) + ":" + std::to_string(Port);
+}
+
 std::string contactKey(std::string_view Zone, std::uint32_t Slot) {
   return join(ContactPrefix, Zone) + "/" + std::to_string(Slot);
 }
--- a/packages/settings/src/settings/record/record_key.h
+++ b/packages/settings/src/settings/record/record_key.h
@@ -15,13 +15,15 @@
 inline constexpr std::string_view OrderPrefix = "orders/";
 inline constexpr std::string_view RoutingKey = "routing/table";
 inline constexpr std::string_view ClusterKeyKey = "cluster/key";
-// Backend servers that have said that they leave, by their instance.
-inline constexpr std::string_view LeavingPrefix = "leaving/";
+// What a backend server last said of itself, by its address.
+inline constexpr std::string_view BackendPrefix = "backends/";
 
 [[nodiscard]] std::string serviceKey(std::string_view Service);
 [[nodiscard]] std::string zoneKey(std::string_view Zone);
 [[nodiscard]] std::string moveKey(std::string_view Service);
 [[nodiscard]] std::string orderKey(std::string_view Service);
+[[nodiscard]] std::string backendKey(std::string_view Address,
+                                     std::uint16_t Port);
 [[nodiscard]] std::string contactKey(std::string_view Zone, std::uint32_t Slot);
 
 // True for the name of a service, zone or version: 1 to 64 letters, digits,
