Let calls of running requests go first and requests wait longer

Change: a call whose id names a request that runs on the node's own backend server goes before new requests in the sidecar's queue. A request may wait for 0.55 of the time left to its objective instead of 0.33.

--- a/packages/daemon/src/daemon/dialect/dialect.h
+++ b/packages/daemon/src/daemon/dialect/dialect.h
@@ -43,6 +43,9 @@
       ReadReport;
   std::function<std::optional<BackendHealth>(const HttpResponse &Response)>
       ReadHealth;
+  // Id of the request by which a backend server was running when it made the
+  // call with this id, where the id shows it, else empty; null: no id does.
+  std::string_view (*ParentOf)(std::string_view RequestId) = nullptr;
   // Time that work takes on the instance of the backend server, in percent of
   // the usual, where an answer states it; null: no answer does.
   std::optional<std::uint32_t> (*ReadWorkTime)(const HttpResponse &Response) =
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -123,6 +123,20 @@
   Call.Request.Body = std::move(Request.Body);
 }
 
+// Calls of requests that run already go before new requests: a rejected call
+// wastes the work that its parent has done.
+constexpr std::uint32_t CallPriority = 0;
+
+// True where the backend server beside this node makes the call for a request
+// that it is running.
+bool isCallOfRunning(Entry &Owner, const Dialect &Speaks,
+                     const HttpRequest &Request) {
+  const std::string *Id = findHeader(Request.Headers, Speaks.Headers.RequestId);
+  const std::string_view Parent =
+      Id && Speaks.ParentOf ? Speaks.ParentOf(*Id) : std::string_view();
+  return !Parent.empty() && Owner.Use.Own.running().has(Parent);
+}
+
 // Call of a request whose service the routing table knows.
 std::optional<EntryCall::Given> parseRouted(Entry &Owner, HttpRequest Request,
                                             policy::TimePoint Now,
@@ -152,8 +166,10 @@
   Call.Request.Id = Owner.nextId();
   Call.Request.Service = Target.Service;
   Call.Request.Idempotent = Route->Idempotent;
-  Call.Request.Priority = Route->Priority;
   const Dialect &Speaks = Owner.dialect();
+  Call.Request.Priority = isCallOfRunning(Owner, Speaks, Request)
+                              ? CallPriority
+                              : Route->Priority + CallPriority + 1;
   setTimes(Call, *Route, deadlineOf(Speaks, Request), Owner.Options, Now);
   takeMessage(Call, std::move(Request));
   if (!Speaks.Headers.CallerService.empty()) {
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -7,6 +7,7 @@
 #include "daemon/peer/call.h"
 #include "daemon/sidecar/backend_pool.h"
 #include "daemon/sidecar/lingering.h"
+#include "daemon/sidecar/running_requests.h"
 #include "daemon/view/local_backend.h"
 #include "policy/admission/admission_state.h"
 #include "policy/core/error.h"
@@ -127,6 +128,7 @@
   [[nodiscard]] LedgerCounts ledgerCounts() const;
   [[nodiscard]] BackendPool &pool() { return Pool; }
   [[nodiscard]] Metrics &metrics() { return Counts; }
+  [[nodiscard]] RunningRequests &running() { return Running; }
   [[nodiscard]] const SidecarOptions &options() const { return Options; }
   [[nodiscard]] const Dialect &dialect() const {
     return Options.Speaks ? *Options.Speaks : nativeDialect();
@@ -148,6 +150,7 @@
   LocalBackend &Backend;
   Metrics &Counts;
   BackendPool Pool;
+  RunningRequests Running;
   std::atomic<bool> ZoneOut = false;
   mutable std::mutex Mutex;
   policy::AdmissionState Admitted;
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -194,6 +194,10 @@
   Head = requestHead(backendRequest(Now), Request.Service, Request.Body.size());
   HeadLeft = Head;
   BodyLeft = Request.Body;
+  if (!Registered) {
+    Registered = true;
+    Owner.running().begin(SentId);
+  }
   sendMore();
 }
 
@@ -399,6 +403,9 @@
 
 void SidecarCall::finish(CallAnswer Ended) {
   Step = Stage::Done;
+  if (Registered) {
+    Owner.running().end(SentId);
+  }
   Answer = std::move(Ended);
   Answer.Reached = Sent != policy::TimePoint{};
   Answer.Load = Owner.load();
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -74,6 +74,8 @@
   std::string_view HeadLeft;
   std::string_view BodyLeft;
   bool HeardBackend = false;
+  // True while the request is among those that the backend server runs.
+  bool Registered = false;
   policy::TimePoint Arrived{};
   policy::TimePoint Sent{};
   CallAnswer Answer;
--- a/packages/policy/src/policy/admission/admission_options.h
+++ b/packages/policy/src/policy/admission/admission_options.h
@@ -29,7 +29,7 @@
   Duration WorkTimeFresh = std::chrono::milliseconds(150);
   // Part of the time left until the latency objective that a request may wait
   // for a slot, where it has an objective.
-  double ObjectiveWaitShare = 0.33;
+  double ObjectiveWaitShare = 0.55;
   // Requests that may wait for a slot, and for how long.
   std::uint32_t MaxWaiting = 12;
   Duration MaxWait = std::chrono::milliseconds(20);
