Log each decision on a request, within a budget, to the standard output

Cause: an engineer on call could not tell from the logs why a request was rejected, where it was tried and what the sidecar knew then. The log never waits for its reader; lost lines are counted. Result: tests replay a burst and a reader that stopped.

--- a/packages/daemon/src/daemon/control/store_worker.cpp
+++ b/packages/daemon/src/daemon/control/store_worker.cpp
@@ -1,5 +1,7 @@
 #include "daemon/control/store_worker.h"
 
+#include "daemon/log/log.h"
+
 #include "policy/fleet/join.h"
 
 #include <chrono>
@@ -71,8 +73,11 @@
   std::optional<store::Revision> After;
   int Failures = 0;
   while (waitUntilWatching()) {
-    StoreUp = watchOnce(After);
-    if (StoreUp) {
+    store::StoreError LastError;
+    const bool Up = watchOnce(After, LastError);
+    logChange(Up, Failures, LastError);
+    StoreUp = Up;
+    if (Up) {
       Failures = 0;
       continue;
     }
@@ -82,8 +87,20 @@
   }
 }
 
-bool StoreWorker::watchOnce(std::optional<store::Revision> &After) {
-  store::StoreError LastError;
+void StoreWorker::logChange(bool Up, int Failures,
+                            const store::StoreError &Reason) const {
+  if (Up && Failures > 0) {
+    log(LogLevel::Info, "store regained",
+        {{"failures", static_cast<std::uint64_t>(Failures)}});
+  } else if (!Up && Failures == 0) {
+    log(LogLevel::Warning, "store lost",
+        {{"kind", store::toString(Reason.Kind)},
+         {"reason", std::string_view(Reason.Detail)}});
+  }
+}
+
+bool StoreWorker::watchOnce(std::optional<store::Revision> &After,
+                            store::StoreError &LastError) {
   if (!After) {
     std::optional<store::RangeResult> Range =
         Store.Range(AllKeys, CallTimeout, LastError);
--- a/packages/daemon/src/daemon/control/store_worker.h
+++ b/packages/daemon/src/daemon/control/store_worker.h
@@ -49,7 +49,9 @@
   void watchLoop();
   void jobLoop();
   // One watch or, after a failure, one full read. False where it failed.
-  bool watchOnce(std::optional<store::Revision> &After);
+  bool watchOnce(std::optional<store::Revision> &After,
+                 store::StoreError &LastError);
+  void logChange(bool Up, int Failures, const store::StoreError &Reason) const;
   bool waitUntilWatching();
   void pauseAfterFailure(int Failures);
 
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry/entry_call.h"
 
+#include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
 #include "daemon/net/spin_gate.h"
@@ -43,7 +44,9 @@
 
 CallAnswer EntryCall::run() {
   if (const auto Refusal = refusalAtOnce()) {
-    return errorAnswer(*Refusal, "refused by the entry node");
+    Result = errorAnswer(*Refusal, "refused by the entry node");
+    logEnd(now());
+    return std::move(*Result);
   }
   if (const auto Ended = startAttempt()) {
     resolve(*Ended, nullptr);
@@ -54,6 +57,7 @@
   }
   const policy::TimePoint End = now();
   cancelOpen(End);
+  logEnd(End);
   const bool Accepted =
       !Result->Kind || !policy::isCapacityRejection(*Result->Kind);
   const std::lock_guard Lock(Call.Runtime->Mutex);
@@ -61,6 +65,55 @@
   return std::move(*Result);
 }
 
+void EntryCall::logEnd(policy::TimePoint Now) const {
+  const auto Left =
+      std::chrono::duration<double, std::milli>(State.Deadline - Now);
+  if (!Result->Kind) {
+    log(LogLevel::Info, "request answered",
+        {{"request", callerId()},
+         {"service", std::string_view(Call.Request.Service)},
+         {"status", std::uint64_t{Result->Status}},
+         {"attempts", std::uint64_t{State.Attempts}},
+         {"left_ms", Left.count()}});
+    return;
+  }
+  const policy::ErrorEntry &Entry = policy::errorEntry(*Result->Kind);
+  log(LogLevel::Warning,
+      Entry.Run == policy::RunOutcome::No ? "request rejected"
+                                          : "request failed",
+      {{"request", callerId()},
+       {"service", std::string_view(Call.Request.Service)},
+       {"route", std::string_view(Call.Route)},
+       {"kind", Entry.Name},
+       {"run", policy::toString(Entry.Run)},
+       {"detail", std::string_view(Result->Detail)},
+       {"attempts", std::uint64_t{State.Attempts}},
+       {"runs", std::uint64_t{State.Runs}},
+       {"view", Call.Runtime->ViewSequence},
+       {"left_ms", Left.count()}});
+}
+
+std::string_view EntryCall::callerId() const {
+  const std::string_view Name = Owner.dialect().Headers.RequestId;
+  const std::string *Id = findHeader(Call.Request.Headers, Name);
+  return Id ? std::string_view(*Id) : std::string_view();
+}
+
+void EntryCall::logAttempt(const Attempt &Made, ErrorKind Kind,
+                           std::string_view Detail) const {
+  log(LogLevel::Info, "attempt ended",
+      {{"request", callerId()},
+       {"service", std::string_view(Call.Request.Service)},
+       {"sidecar", std::string_view(Made.Peer.Address)},
+       {"version", std::string_view(Made.Version)},
+       {"kind", policy::errorEntry(Kind).Name},
+       {"detail", Detail},
+       {"attempt", std::uint64_t{State.Attempts}},
+       {"after_ms",
+        std::chrono::duration<double, std::milli>(now() - Made.Sent.Start)
+            .count()}});
+}
+
 std::optional<ErrorKind> EntryCall::refusalAtOnce() {
   const policy::TimePoint Now = now();
   if (State.Hops > Owner.Options.Hops) {
@@ -162,6 +215,7 @@
 }
 
 policy::Outcome EntryCall::notSent(const Attempt &Made, std::string Reason) {
+  logAttempt(Made, ErrorKind::BackendConnectFailed, Reason);
   {
     const std::lock_guard Lock(Call.Runtime->Mutex);
     policy::onFailure(Call.Runtime->Route, Made.Sent,
@@ -265,6 +319,7 @@
 void EntryCall::failed(std::list<Attempt>::iterator Place, CallAnswer Answer,
                        policy::TimePoint Now) {
   const ErrorKind Kind = *Answer.Kind;
+  logAttempt(*Place, Kind, Answer.Detail);
   const bool Reached = Answer.Reached;
   const bool NotRun = policy::errorEntry(Kind).Run == policy::RunOutcome::No;
   {
@@ -309,6 +364,7 @@
   }
   const Attempt Ended = std::move(*Place);
   Open.erase(Place);
+  logAttempt(Ended, ErrorKind::OutcomeUnknown, "no answer from the sidecar");
   LastError = errorAnswer(ErrorKind::OutcomeUnknown,
                           "the sidecar gave no answer to the request");
   resolve({.Event = OutcomeEvent::Lost, .Kind = ErrorKind::OutcomeUnknown},
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -80,6 +80,11 @@
   [[nodiscard]] policy::Outcome fence(const Attempt &Lost);
   void giveUp(const policy::RetryDecision &Decision);
 
+  // Id that the caller gave the request, or empty.
+  [[nodiscard]] std::string_view callerId() const;
+  void logEnd(policy::TimePoint Now) const;
+  void logAttempt(const Attempt &Made, policy::ErrorKind Kind,
+                  std::string_view Detail) const;
   void cancelOpen(policy::TimePoint Now);
   void record(const Attempt &Ended, bool Failed, policy::TimePoint Now);
 
--- a/packages/daemon/src/daemon/entry/entry_call_outcomes.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call_outcomes.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry/entry_call.h"
 
+#include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "policy/retry/plan_next.h"
 
@@ -55,6 +56,11 @@
                                                          : FenceResult::Started;
   }
   policy::onAttemptEnd(State);
+  log(LogLevel::Warning, "request fenced",
+      {{"request", callerId()},
+       {"sidecar", std::string_view(Lost.Peer.Address)},
+       {"never_run", Fenced == FenceResult::NeverRun},
+       {"silent", Fenced == FenceResult::Silent}});
   switch (Fenced) {
   case FenceResult::NeverRun:
     Counts.count(Counter::FencesNeverRun);
--- a/packages/daemon/src/daemon/entry/http_service.cpp
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -3,6 +3,7 @@
 #include "daemon/entry/entry_call.h"
 #include "daemon/entry/local_endpoints.h"
 #include "daemon/entry/parse_call.h"
+#include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
 
@@ -143,9 +144,18 @@
   Metrics &Counts = Owner.Use.Counts;
   Counts.count(Counter::Requests);
   policy::Error LastError;
+  const std::string *Named =
+      findHeader(Request.Headers, Speaks.Headers.RequestId);
+  const std::string Id = Named ? *Named : std::string();
   auto Call = parseCall(Owner, std::move(Request), now(), LastError);
   if (!Call) {
     Counts.countError(LastError.Kind);
+    log(LogLevel::Warning, "request rejected",
+        {{"request", std::string_view(Id)},
+         {"kind", policy::errorEntry(LastError.Kind).Name},
+         {"run", "no"},
+         {"detail", std::string_view(LastError.Detail)},
+         {"view", Owner.Use.Views.current()->Sequence}});
     return errorResponse(Speaks, LastError.Kind, LastError.Detail, false);
   }
   Call->CallerFd = Fd;
--- a/packages/daemon/src/daemon/log/log.cpp
+++ b/packages/daemon/src/daemon/log/log.cpp
@@ -1,5 +1,8 @@
 #include "daemon/log/log.h"
 
+#include "daemon/log/log_budget.h"
+#include "daemon/net/clock.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
@@ -10,9 +13,13 @@
 #include <boost/smart_ptr/shared_ptr.hpp>
 #include <nlohmann/json.hpp>
 
+#include <poll.h>
+#include <unistd.h>
+
 #include <array>
 #include <atomic>
 #include <chrono>
+#include <climits>
 #include <ctime>
 #include <fstream>
 #include <iostream>
@@ -35,7 +42,37 @@
   return Shared;
 }
 
-void ignoreDelete(std::ostream *) {}
+LogBudget &budget() {
+  static LogBudget Shared;
+  return Shared;
+}
+
+std::mutex &budgetMutex() {
+  static std::mutex Shared;
+  return Shared;
+}
+
+std::atomic<std::uint64_t> LostLines = 0;
+
+// Writes lines to the standard output only while that does not block. A pipe
+// that is writable takes PIPE_BUF bytes at once; longer lines are cut.
+class StandardOutput : public blog::sinks::basic_formatted_sink_backend<char> {
+public:
+  // The name that Boost.Log calls.
+  // NOLINTNEXTLINE(readability-identifier-naming)
+  static void consume(const blog::record_view &, const std::string &Line) {
+    pollfd Poll{.fd = STDOUT_FILENO, .events = POLLOUT, .revents = 0};
+    if (::poll(&Poll, 1, 0) <= 0 || (Poll.revents & POLLOUT) == 0) {
+      ++LostLines;
+      return;
+    }
+    std::string Whole = Line.substr(0, PIPE_BUF - 1);
+    Whole.push_back('\n');
+    if (::write(STDOUT_FILENO, Whole.data(), Whole.size()) < 0) {
+      ++LostLines;
+    }
+  }
+};
 
 std::string timeText() {
   const auto Now = std::chrono::system_clock::now();
@@ -65,29 +102,36 @@
 
 bool startLog(LogLevel Lowest, const std::string &File) {
   LowestLevel = Lowest;
-  auto Backend = boost::make_shared<blog::sinks::text_ostream_backend>();
+  const auto Format = blog::expressions::stream << blog::expressions::smessage;
+  boost::shared_ptr<blog::sinks::sink> Front;
   if (File.empty()) {
-    Backend->add_stream(
-        boost::shared_ptr<std::ostream>(&std::cerr, ignoreDelete));
+    auto Made =
+        boost::make_shared<blog::sinks::synchronous_sink<StandardOutput>>();
+    Made->set_formatter(Format);
+    Front = Made;
   } else {
     auto Stream = boost::make_shared<std::ofstream>(File, std::ios::app);
     if (!Stream->is_open()) {
       return false;
     }
+    auto Backend = boost::make_shared<blog::sinks::text_ostream_backend>();
     Backend->add_stream(Stream);
+    Backend->auto_flush(true);
+    auto Made = boost::make_shared<Sink>(Backend);
+    Made->set_formatter(Format);
+    Front = Made;
   }
-  Backend->auto_flush(true);
-  auto Front = boost::make_shared<Sink>(Backend);
-  Front->set_formatter(blog::expressions::stream
-                       << blog::expressions::smessage);
   blog::core::get()->remove_all_sinks();
   blog::core::get()->add_sink(Front);
   return true;
 }
 
+std::uint64_t lostLogLines() { return LostLines; }
+
 std::string logLine(std::string_view Time, LogLevel Level,
                     std::string_view Event,
-                    std::initializer_list<LogField> Fields) {
+                    std::initializer_list<LogField> Fields,
+                    std::uint64_t Dropped) {
   nlohmann::ordered_json Line;
   Line["time"] = Time;
   Line["level"] = LevelNames[static_cast<std::size_t>(Level)];
@@ -97,6 +141,9 @@
         [&](const auto &Value) { Line[std::string(Field.Name)] = Value; },
         Field.Value);
   }
+  if (Dropped > 0) {
+    Line["dropped"] = Dropped;
+  }
   // Bytes that are not UTF-8 are replaced, so that every line is valid JSON.
   return Line.dump(-1, ' ', false,
                    nlohmann::ordered_json::error_handler_t::replace);
@@ -107,8 +154,15 @@
   if (Level < LowestLevel) {
     return;
   }
+  std::uint64_t Dropped = 0;
+  {
+    const std::lock_guard Lock(budgetMutex());
+    if (!takeLine(budget(), Event, now(), Dropped)) {
+      return;
+    }
+  }
   BOOST_LOG_SEV(logger(), static_cast<int>(Level))
-      << logLine(timeText(), Level, Event, Fields);
+      << logLine(timeText(), Level, Event, Fields, Dropped);
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/log/log.h
+++ b/packages/daemon/src/daemon/log/log.h
@@ -20,18 +20,25 @@
 // Level of that name; Info for any other text.
 [[nodiscard]] LogLevel logLevelOf(std::string_view Name);
 
-// Sends lines of the level and above to a file, or to stderr where the path is
-// empty. False where the file cannot be opened.
+// Sends lines of the level and above to a file, or to the standard output where
+// the path is empty. False where the file cannot be opened. A reader that does
+// not keep up loses lines; the process never waits for it.
 [[nodiscard]] bool startLog(LogLevel Lowest, const std::string &File);
 
-// Writes one JSON line with the time, the level, the event and the fields.
+// Writes one JSON line with the time, the level, the event and the fields,
+// within the budget of the event. A line after lines that were left out states
+// their number as "dropped".
 void log(LogLevel Level, std::string_view Event,
          std::initializer_list<LogField> Fields = {});
 
-// The line itself, without a line end.
+// Lines that the reader of the standard output did not take in time.
+[[nodiscard]] std::uint64_t lostLogLines();
+
+// The line itself, without a line end. Dropped is left out where it is 0.
 [[nodiscard]] std::string logLine(std::string_view Time, LogLevel Level,
                                   std::string_view Event,
-                                  std::initializer_list<LogField> Fields);
+                                  std::initializer_list<LogField> Fields,
+                                  std::uint64_t Dropped = 0);
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -60,6 +60,7 @@
   void refuseBeforeRun(policy::ErrorKind Kind, std::string Detail,
                        policy::TimePoint Now);
   void finish(CallAnswer Ended);
+  void logRefusal(policy::ErrorKind Kind) const;
   [[nodiscard]] HttpRequest backendRequest(policy::TimePoint Now);
 
   Sidecar &Owner;
--- a/packages/daemon/test/daemon/log/log.cpp
+++ b/packages/daemon/test/daemon/log/log.cpp
@@ -1,8 +1,15 @@
 #include "daemon/log/log.h"
 
+#include "daemon/log/log_budget.h"
+
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
 namespace magnolia::daemon {
 namespace {
 
@@ -21,5 +28,45 @@
   EXPECT_EQ(Json["yes"], true);
 }
 
+// Guards against a burst of one event that fills the log or hides another one,
+// and against lines that go missing without a word.
+TEST(LogBudget, BoundsEachEventAndCountsWhatIsLeftOut) {
+  constexpr policy::TimePoint Start{std::chrono::hours(1)};
+  LogBudget Budget{.Burst = 3, .PerSecond = 2};
+  std::uint64_t Dropped = 0;
+  int Written = 0;
+  for (int I = 0; I < 100; ++I) {
+    Written += takeLine(Budget, "request rejected", Start, Dropped) ? 1 : 0;
+  }
+  EXPECT_EQ(Written, 3);
+  EXPECT_EQ(Dropped, 0U);
+  EXPECT_TRUE(takeLine(Budget, "store lost", Start, Dropped));
+  const policy::TimePoint Later = Start + std::chrono::milliseconds(500);
+  EXPECT_TRUE(takeLine(Budget, "request rejected", Later, Dropped));
+  EXPECT_EQ(Dropped, 97U);
+  EXPECT_FALSE(takeLine(Budget, "request rejected", Later, Dropped));
+}
+
+// Guards against a process that waits for a reader of its log that has stopped
+// reading, and against lost lines that nobody counts.
+TEST(Log, StoppedReaderBlocksNothing) {
+  std::array<int, 2> Pipe{};
+  ASSERT_EQ(::pipe(Pipe.data()), 0);
+  const int Kept = ::dup(STDOUT_FILENO);
+  ASSERT_TRUE(startLog(LogLevel::Info, {}));
+  ::dup2(Pipe[1], STDOUT_FILENO);
+  constexpr int Events = 2000;
+  for (int I = 0; I < Events; ++I) {
+    log(LogLevel::Info, "event " + std::to_string(I),
+        {{"text",
+          std::string_view("0123456789012345678901234567890123456789")}});
+  }
+  ::dup2(Kept, STDOUT_FILENO);
+  EXPECT_GT(lostLogLines(), 0U);
+  ::close(Pipe[0]);
+  ::close(Pipe[1]);
+  ::close(Kept);
+}
+
 } // namespace
 } // namespace magnolia::daemon
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -310,8 +310,9 @@
      .Meaning = "Lowest level that is logged.",
      .Store = store<&N::LogLevel>,
      .Type = Type::Choice},
-    text<&N::LogFile>("log", "file", "", 0, PathBytes,
-                      "File that the log is appended to; empty: stderr."),
+    text<&N::LogFile>(
+        "log", "file", "", 0, PathBytes,
+        "File that the log is appended to; empty: standard output."),
 };
 
 } // namespace
