--- a/packages/daemon/src/daemon/control/store_worker.cpp
+++ b/packages/daemon/src/daemon/control/store_worker.cpp
@@ -14,10 +14,12 @@
 using std::chrono::milliseconds;
 
 constexpr std::size_t MaximumJobs = 64;
-constexpr milliseconds WatchWait{10000};
+constexpr milliseconds WatchWait{25000};
 constexpr milliseconds CallTimeout{2000};
 constexpr milliseconds JobPoll{200};
-// Every key: one waiting watch per watcher covers services, zones and moves.
+// Every key: the read at the start brings contacts and records as well. The
+// watch shows what operators write; the records that nodes write they push to
+// each other, so that no write wakes all watchers.
 constexpr std::string_view AllKeys;
 
 store::WatchResult asWatchResult(store::RangeResult Range) {
@@ -111,9 +113,12 @@
     Handler(asWatchResult(*std::move(Range)));
     return true;
   }
-  std::optional<store::WatchResult> Result = Store.Watch(
-      {.Prefix = std::string(AllKeys), .After = *After, .Wait = WatchWait},
-      CallTimeout, LastError);
+  std::optional<store::WatchResult> Result =
+      Store.Watch({.Prefix = std::string(AllKeys),
+                   .After = *After,
+                   .OperatorOnly = true,
+                   .Wait = WatchWait},
+                  CallTimeout, LastError);
   if (!Result || Result->StoreRevision < *After) {
     return false;
   }
--- a/packages/daemon/src/daemon/control/view_builder.cpp
+++ b/packages/daemon/src/daemon/control/view_builder.cpp
@@ -15,6 +15,10 @@
 
 namespace {
 
+// Probes a second of a service from the routing table. Its sidecars reject by
+// what they know at that moment, so that old reports of them cost little.
+constexpr double RoutedProbeFloor = 0.2;
+
 using ServiceMembers =
     std::map<std::string_view, std::vector<const policy::Member *>>;
 
@@ -85,8 +89,9 @@
   if (View.Routing) {
     for (const auto &[Name, Limits] : View.Routing->Services) {
       if (!View.Services.contains(Name)) {
-        View.Services[Name] = std::make_shared<const ServiceView>(
-            buildService({.Service = Name}, Members, Input));
+        View.Services[Name] = std::make_shared<const ServiceView>(buildService(
+            {.Service = Name, .ProbeRatio = 0, .ProbeFloor = RoutedProbeFloor},
+            Members, Input));
       }
     }
   }
--- a/packages/store/src/store/core/watch_request.h
+++ b/packages/store/src/store/core/watch_request.h
@@ -12,6 +12,9 @@
   std::string Prefix;
   // Changes up to this revision are known to the caller.
   Revision After = 0;
+  // Only what operators write is wanted. A store that cannot tell it apart
+  // shows everything.
+  bool OperatorOnly = false;
   // The store responds at once when there are changes, and without any after
   // this time.
   std::chrono::milliseconds Wait{0};
