--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -257,7 +257,7 @@
         Limits, "fence_timeout_ms", "300", 1, 60'000, "ms",
         "Longest wait for the result of a fence; then the outcome is unknown."),
     number<&N::LoadPoll>(
-        Limits, "load_poll_ms", "1000", 100, HourMs, "ms",
+        Limits, "load_poll_ms", "1000", 20, HourMs, "ms",
         "Interval at which the load endpoint of the backend server is read."),
     number<&N::ShutdownAnnounce>(
         Limits, "shutdown_announce_ms", "1000", 0, 60'000, "ms",
