--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -154,6 +154,8 @@
   const BackendEndpoint &Target = Runtime.Endpoints.at(*Node);
   Attempt Made;
   Made.Sent = policy::onDispatch(Runtime.Route, *Node, Now);
+  Made.HasChoice = State.Attempts < ChoiceAttempts &&
+                   policy::hasChoice(Runtime.Route, Query, *Node);
   Made.Peer = {
       .Node = *Node, .Address = Target.Address, .Port = Target.PeerPort};
   Made.Version = Target.Version;
@@ -189,7 +191,7 @@
 std::optional<policy::Outcome> EntryCall::dispatch(Attempt &Made) {
   Call.Request.Version = Made.Version;
   Call.Request.Repeat = State.Runs > 0;
-  Call.Request.HasChoice = State.Attempts <= ChoiceAttempts;
+  Call.Request.HasChoice = Made.HasChoice;
   if (Made.Peer.Node == Owner.Options.Node) {
     Owner.Use.Counts.count(Counter::LocalAttempts);
     Call.Request.SidecarRun = Owner.Options.Run;
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -49,6 +49,8 @@
   // One copy of the request at one sidecar; one of Remote and Local is set.
   struct Attempt {
     policy::Dispatch Sent;
+    // Another sidecar could take the request instead.
+    bool HasChoice = false;
     PeerAddress Peer;
     std::string Version;
     policy::Incarnation SentTo = 0;
--- a/packages/policy/src/policy/route/choose.cpp
+++ b/packages/policy/src/policy/route/choose.cpp
@@ -217,4 +217,22 @@
   return Found.Best->Spec.Node;
 }
 
+bool hasChoice(const RouteState &State, const RouteQuery &Query,
+               NodeId Chosen) {
+  return std::any_of(
+      State.Active.begin(), State.Active.end(), [&](std::uint32_t At) {
+        const Candidate &Next = State.Candidates[At];
+        const bool Served =
+            Query.Versions.empty() ||
+            std::any_of(Query.Versions.begin(), Query.Versions.end(),
+                        [&Next](const VersionShare &Entry) {
+                          return Entry.Version == Next.Spec.Version &&
+                                 Entry.Share > 0;
+                        });
+        return Next.Spec.Node != Chosen && Served && !Next.Report.Draining &&
+               Next.Health.Phase == HealthPhase::Healthy &&
+               !isExcluded(Query, Next.Spec.Node);
+      });
+}
+
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/route/choose.h
+++ b/packages/policy/src/policy/route/choose.h
@@ -17,6 +17,12 @@
                                            TimePoint Now, RandomEngine &Random,
                                            Error &LastError);
 
+// True where a candidate that is neither chosen, excluded nor ejected is left:
+// a server that would rather pass the request on may do so. Without it a
+// request that every server passes on would end rejected with servers free.
+[[nodiscard]] bool hasChoice(const RouteState &State, const RouteQuery &Query,
+                             NodeId Chosen);
+
 } // namespace magnolia::policy
 
 #endif
--- a/packages/policy/test/policy/route/choose.cpp
+++ b/packages/policy/test/policy/route/choose.cpp
@@ -303,5 +303,23 @@
   EXPECT_EQ(LastError.Kind, ErrorKind::ZoneOut);
 }
 
+// Guards against a request that every server passes on because it is slow now,
+// and that ends rejected with slots free: the last one has to take it.
+TEST(HasChoice, LastServerHasToTakeTheRequest) {
+  Fixture Two;
+  const std::vector<CandidateSpec> Specs = {{.Node = 1, .Run = 1},
+                                            {.Node = 2, .Run = 1}};
+  updateCandidates(Two.State, Specs, Two.Now);
+  EXPECT_TRUE(hasChoice(Two.State, {}, 1));
+  const std::vector<NodeId> Tried = {1};
+  EXPECT_FALSE(hasChoice(Two.State, {.Excluded = Tried}, 2));
+  // A version without a share is no choice.
+  Fixture Four;
+  const std::vector<VersionShare> Old = {{.Version = OldVersion, .Share = 1}};
+  const std::vector<NodeId> OldTried = {1, 2};
+  EXPECT_FALSE(
+      hasChoice(Four.State, {.Excluded = OldTried, .Versions = Old}, 3));
+}
+
 } // namespace
 } // namespace magnolia::policy
