--- a/packages/policy/src/policy/admission/admit.cpp
+++ b/packages/policy/src/policy/admission/admit.cpp
@@ -34,9 +34,21 @@
       [Priority](const Waiter &Next) { return Next.Priority <= Priority; }));
 }
 
+// Percentage of the usual time that work takes now, as far as it is known.
+std::uint32_t workTimeNow(const AdmissionState &State, TimePoint Now) {
+  constexpr std::uint32_t Usual = 100;
+  const bool Fresh = State.WorkTimePercent != 0 &&
+                     Now - State.WorkTimeAt <= State.Options.WorkTimeFresh;
+  return Fresh ? State.WorkTimePercent : Usual;
+}
+
 // Time until a request of this priority gets a slot.
-Duration expectedWait(const AdmissionState &State, std::uint32_t Priority) {
-  return State.Latency * (waitingBefore(State, Priority) + 1) / limit(State);
+Duration expectedWait(const AdmissionState &State, std::uint32_t Priority,
+                      TimePoint Now) {
+  constexpr std::uint32_t Usual = 100;
+  const Duration PerSlot =
+      State.Latency * workTimeNow(State, Now) / (Usual * limit(State));
+  return PerSlot * (waitingBefore(State, Priority) + 1);
 }
 
 // A request with an objective waits for a part of the time that is left, since
@@ -74,8 +86,7 @@
 // True where another server probably answers sooner.
 bool isSlowNow(const AdmissionState &State, TimePoint Now) {
   return State.Options.SlowPercent != 0 &&
-         State.WorkTimePercent >= State.Options.SlowPercent &&
-         Now - State.WorkTimeAt <= State.Options.WorkTimeFresh;
+         workTimeNow(State, Now) >= State.Options.SlowPercent;
 }
 
 // Makes room in a full queue by ending the wait of the last request, where the
@@ -126,7 +137,7 @@
     return {.Action = AdmissionAction::Run};
   }
   State.StepFull = true;
-  const Duration Wait = expectedWait(State, Query.Priority);
+  const Duration Wait = expectedWait(State, Query.Priority, Now);
   const Duration Longest = longestWait(State, Query, Now);
   const bool Full = State.Waiting.size() >= State.Options.MaxWaiting;
   if (Wait > Longest || Now + Wait >= Query.Deadline ||
