--- a/packages/policy/src/policy/move/advance.cpp
+++ b/packages/policy/src/policy/move/advance.cpp
@@ -55,6 +55,20 @@
          static_cast<std::int64_t>(Options.Steps.size() - Step);
 }
 
+// Earliest end of a move that shifts, if every step from now on takes its least
+// time. Waiting on with a large share, where it can no longer end in time,
+// would only expose callers to the new version.
+TimePoint earliestDone(const MoveRecord &Record, TimePoint Now,
+                       const MoveOptions &Options) {
+  if (Record.Phase != MovePhase::Shifting) {
+    return Now;
+  }
+  const std::size_t Step =
+      std::min<std::size_t>(Record.Step, lastStep(Options));
+  const TimePoint StepEnd = std::max(Now, Record.StepSince + Options.MinSoak);
+  return StepEnd + leastTime(Step + 1, Options);
+}
+
 std::optional<MoveRecord> start(const MoveRecord &Record, TimePoint Now,
                                 const MoveOptions &Options) {
   if (Now + leastTime(0, Options) > lastDone(Record, Options)) {
@@ -96,7 +110,7 @@
   if (Evidence.MoveId == Record.Id && Evidence.Held.Kind == VerdictKind::Bad) {
     return takeBack(Record, Evidence.Held.Reason, Now);
   }
-  if (Now > lastDone(Record, Options)) {
+  if (earliestDone(Record, Now, Options) > lastDone(Record, Options)) {
     return takeBack(Record, "not complete in time before the deadline", Now);
   }
   if (Record.Phase == MovePhase::Planned) {
--- a/packages/policy/test/policy/move/order.cpp
+++ b/packages/policy/test/policy/move/order.cpp
@@ -78,6 +78,31 @@
   EXPECT_LT(Exposed, 0.1);
 }
 
+// Guards against a large share that is held although the move can no longer end
+// in time: the driver was restarted in the middle of the fourth step and its
+// evidence was lost.
+TEST(PlanOrder, MoveThatCannotEndInTimeIsTakenBackAtOnce) {
+  const std::vector<Member> Fleet = {member(1, "v1"), member(3, "v2")};
+  auto Record = planOrder(order(), nullptr, Fleet, Start);
+  ASSERT_TRUE(Record);
+  const MoveOptions Options = optionsFor(*Record);
+  Record->Phase = MovePhase::Shifting;
+  Record->Step = 3;
+  Record->Share = Options.Steps[3].Share;
+  Record->StepSince = Start + std::chrono::seconds(7);
+  const MoveEvidence None;
+  TimePoint Now = Record->StepSince;
+  std::optional<MoveRecord> Next;
+  while (!Next && Now < Record->Deadline) {
+    Now += Tick;
+    Next = advance(*Record, None, Now, Options);
+  }
+  ASSERT_TRUE(Next);
+  EXPECT_EQ(Next->Phase, MovePhase::TakenBack);
+  // The three steps behind it no longer fit.
+  EXPECT_LE(Now, lastDone(*Record, Options) - 3 * Options.MinSoak + Tick);
+}
+
 // Guards against a second move for one order, and against a move from a
 // version that nobody serves.
 TEST(PlanOrder, OneMoveForAnOrder) {
