Draw the version of a request once

Change: further attempts go to the version with the largest share. Result: a test with every old server full fails before and passes now.

--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -143,7 +143,10 @@
     Query.Key = policy::hashOf(Call.Request.IdempotencyKey);
   }
   const std::lock_guard Lock(Runtime.Mutex);
-  const auto Shares = versionShares(Runtime, Owner.Use.Cuts);
+  auto Shares = versionShares(Runtime, Owner.Use.Cuts);
+  if (!Tried.empty()) {
+    Shares = policy::sharesForRetry(Shares);
+  }
   Query.Versions = Shares;
   const policy::TimePoint Now = now();
   const auto Node =
--- a/packages/policy/src/policy/route/choose.cpp
+++ b/packages/policy/src/policy/route/choose.cpp
@@ -217,6 +217,17 @@
   return Found.Best->Spec.Node;
 }
 
+std::vector<VersionShare> sharesForRetry(std::span<const VersionShare> Shares) {
+  const auto Largest = std::max_element(
+      Shares.begin(), Shares.end(), [](const auto &Left, const auto &Right) {
+        return Left.Share < Right.Share;
+      });
+  if (Largest == Shares.end()) {
+    return {};
+  }
+  return {{.Version = Largest->Version, .Share = 1}};
+}
+
 bool hasChoice(const RouteState &State, const RouteQuery &Query,
                NodeId Chosen) {
   return std::any_of(
--- a/packages/policy/src/policy/route/choose.h
+++ b/packages/policy/src/policy/route/choose.h
@@ -6,6 +6,8 @@
 #include "policy/route/route_state.h"
 
 #include <optional>
+#include <span>
+#include <vector>
 
 namespace magnolia::policy {
 
@@ -17,6 +19,12 @@
                                            TimePoint Now, RandomEngine &Random,
                                            Error &LastError);
 
+// Shares for another attempt of a request: all of it to the version with the
+// largest one. Drawing again for each attempt would raise the share of a small
+// version with every server of the large one that is full.
+[[nodiscard]] std::vector<VersionShare>
+sharesForRetry(std::span<const VersionShare> Shares);
+
 // True where a candidate that is neither chosen, excluded nor ejected is left:
 // a server that would rather pass the request on may do so. Without it a
 // request that every server passes on would end rejected with servers free.
--- a/packages/policy/test/policy/route/choose.cpp
+++ b/packages/policy/test/policy/route/choose.cpp
@@ -321,5 +321,32 @@
       hasChoice(Four.State, {.Excluded = OldTried, .Versions = Old}, 3));
 }
 
+// Guards against a bad version that gets more than its share because the old
+// one is full: with three attempts, 9% became 25%.
+TEST(SharesForRetry, FullServersDoNotRaiseASmallShare) {
+  const std::vector<VersionShare> Shares = {
+      {.Version = OldVersion, .Share = 0.91},
+      {.Version = NewVersion, .Share = 0.09}};
+  Fixture F;
+  constexpr int Requests = 4000;
+  constexpr int Attempts = 3;
+  int New = 0;
+  for (int I = 0; I < Requests; ++I) {
+    std::vector<NodeId> Tried;
+    while (Tried.size() < Attempts) {
+      const auto Left = Tried.empty() ? Shares : sharesForRetry(Shares);
+      const auto Node = F.pick({.Excluded = Tried, .Versions = Left});
+      ASSERT_TRUE(Node);
+      if (*Node == 4) {
+        ++New;
+        break;
+      }
+      // Every server of the old version is full.
+      Tried.push_back(*Node);
+    }
+  }
+  EXPECT_LT(New, Requests * 0.11);
+}
+
 } // namespace
 } // namespace magnolia::policy
