Complete a short move only with a healthy new version

It fails a tenth of its requests under load, which shows at 70% only; 40 answers are no verdict, and at 100% the old version has none to compare with. Change: a step of a short move also needs that the new version's failure rate is at most twice the old one's of the whole move plus 3%; from 25% of the traffic on, a move that misses this is taken back.

--- a/packages/policy/src/policy/move/advance.cpp
+++ b/packages/policy/src/policy/move/advance.cpp
@@ -40,6 +40,27 @@
                      });
 }
 
+double failureRate(const VersionCounts &Counts) {
+  return Counts.Requests == 0 ? 0
+                              : static_cast<double>(Counts.Failures) /
+                                    static_cast<double>(Counts.Requests);
+}
+
+// True where the new version's answers of this step fail no more often than the
+// old version's of the whole move, but for the margin.
+bool isHealthy(const MoveEvidence &Evidence, const MoveOptions &Options) {
+  if (Options.FailureMargin <= 0) {
+    return true;
+  }
+  VersionCounts New;
+  for (const RouteEvidence &Route : Evidence.Routes) {
+    New.Requests += Route.New.Requests;
+    New.Failures += Route.New.Failures;
+  }
+  return failureRate(New) <=
+         2 * failureRate(Evidence.OldOfMove) + Options.FailureMargin;
+}
+
 MoveRecord atStep(MoveRecord Record, std::uint32_t Step, TimePoint Now,
                   const MoveOptions &Options) {
   Record.Phase = MovePhase::Shifting;
@@ -120,6 +141,11 @@
       !isEarned(Record, Evidence, Options)) {
     return std::nullopt;
   }
+  if (!isHealthy(Evidence, Options)) {
+    return Record.Share < Options.LargeShare
+               ? std::nullopt
+               : takeBack(Record, "the new version fails more often", Now);
+  }
   if (Record.Step < lastStep(Options)) {
     return atStep(Record, Record.Step + 1, Now, Options);
   }
--- a/packages/policy/src/policy/move/move_evidence.cpp
+++ b/packages/policy/src/policy/move/move_evidence.cpp
@@ -73,6 +73,7 @@
     addCounts(Window->New, Added.New);
     addCounts(Window->Old, Added.Old);
   }
+  addCounts(Evidence.OldOfMove, Added.Old);
   // Answers of an earlier step say nothing of the load of this one.
   if (OfThisStep) {
     addCounts(Evidence.Routes[Index].New, Added.New);
--- a/packages/policy/src/policy/move/move_evidence.h
+++ b/packages/policy/src/policy/move/move_evidence.h
@@ -32,6 +32,9 @@
   // The last seconds of the same routes. A fault that shows late would drown in
   // the sums of a long step.
   std::vector<AnswerRing> Rings;
+  // Answers of the old version since this driver began, over all routes: what
+  // the new one is compared with once the old one gets nothing any more.
+  VersionCounts OldOfMove;
   Verdict Held;
   // Incarnation and number of the last report of each entry node.
   std::unordered_map<NodeId, std::pair<Incarnation, std::uint64_t>> Reporters;
--- a/packages/policy/src/policy/move/move_options.cpp
+++ b/packages/policy/src/policy/move/move_options.cpp
@@ -18,6 +18,8 @@
 constexpr int SoakParts = 16;
 constexpr int TakeoverParts = 8;
 
+constexpr double ShortFailureMargin = 0.03;
+
 } // namespace
 
 MoveOptions optionsFor(const MoveRecord &Record) {
@@ -27,6 +29,7 @@
     return Options;
   }
   Options.Steps = MoveOptions::ShortSteps;
+  Options.FailureMargin = ShortFailureMargin;
   Options.DoneMargin = Window / MarginParts;
   Options.WriteAllowance = Window / AllowanceParts;
   Options.MinSoak = Window / SoakParts;
--- a/packages/policy/src/policy/move/move_options.h
+++ b/packages/policy/src/policy/move/move_options.h
@@ -36,8 +36,8 @@
                                                           {0.09, 8},
                                                           {0.30, 12},
                                                           {0.70, 15},
-                                                          {1.00, 0},
-                                                          {1.00, 0}}};
+                                                          {1.00, 15},
+                                                          {1.00, 15}}};
   std::span<const MoveStep> Steps = FullSteps;
   // Time for a configuration to take effect everywhere: Done is written at
   // least this long before the deadline.
@@ -51,6 +51,14 @@
   // of the service's traffic below which a route isn't waited for.
   std::uint64_t MinRouteRequests = 3;
   double MinRouteShare = 0.05;
+  // A step also needs that the new version's failure rate is at most twice the
+  // old one's plus this. In windows of seconds there are too few answers for a
+  // verdict on a version that fails a tenth of them, as under load. 0: only a
+  // verdict counts.
+  double FailureMargin = 0;
+  // From this share on a move whose new version fails more than that is taken
+  // back; below it waits for more answers.
+  double LargeShare = 0.25;
   // A driver of the next rank takes over after this time without progress.
   Duration TakeoverDelay = std::chrono::seconds{3};
 };
--- a/packages/policy/test/policy/move/order.cpp
+++ b/packages/policy/test/policy/move/order.cpp
@@ -103,6 +103,44 @@
   EXPECT_LE(Now, lastDone(*Record, Options) - 3 * Options.MinSoak + Tick);
 }
 
+// Guards against a version that fails a tenth of its requests under load: few
+// answers are no verdict, and at the whole share the old one has none to
+// compare with.
+TEST(PlanOrder, LargeShareNeedsAHealthyNewVersion) {
+  struct Row {
+    std::uint32_t Step;
+    std::uint64_t Failures;
+    MovePhase Phase;
+    std::uint32_t NextStep;
+  };
+  constexpr std::uint64_t Answers = 40;
+  const Row Rows[] = {{4, 4, MovePhase::TakenBack, 4},
+                      {5, 4, MovePhase::TakenBack, 5},
+                      {4, 1, MovePhase::Shifting, 5},
+                      {6, 1, MovePhase::Done, 6}};
+  const std::vector<Member> Fleet = {member(1, "v1"), member(3, "v2")};
+  for (const Row &Next : Rows) {
+    auto Record = planOrder(order(), nullptr, Fleet, Start);
+    ASSERT_TRUE(Record);
+    const MoveOptions Options = optionsFor(*Record);
+    Record->Phase = MovePhase::Shifting;
+    Record->Step = Next.Step;
+    Record->Share = Options.Steps[Next.Step].Share;
+    Record->StepSince = Start + std::chrono::seconds(5);
+    MoveEvidence Evidence;
+    Evidence.MoveId = Record->Id;
+    Evidence.Step = Next.Step;
+    Evidence.OldOfMove = {.Requests = 400, .Failures = 8};
+    Evidence.Routes.assign(1, {});
+    Evidence.Routes[0].New = {.Requests = Answers, .Failures = Next.Failures};
+    const auto After = advance(*Record, Evidence,
+                               Record->StepSince + Options.MinSoak, Options);
+    ASSERT_TRUE(After);
+    EXPECT_EQ(After->Phase, Next.Phase);
+    EXPECT_EQ(After->Step, Next.NextStep);
+  }
+}
+
 // Guards against a second move for one order, and against a move from a
 // version that nobody serves.
 TEST(PlanOrder, OneMoveForAnOrder) {
