--- a/packages/policy/test/policy/route/choose.cpp
+++ b/packages/policy/test/policy/route/choose.cpp
@@ -348,5 +348,21 @@
   EXPECT_LT(New, Requests * 0.11);
 }
 
+// Guards against bytes between zones while the own zone bears the work, and
+// against a full own zone that keeps requests from free servers elsewhere.
+TEST(FarFactor, OwnZoneFirstWhileItBearsTheWork) {
+  Fixture F;
+  F.State.Options.FarFactor = 6;
+  const std::vector<CandidateSpec> Specs = {
+      {.Node = 1, .Run = 1},
+      {.Node = 2, .Run = 1, .Zone = 1, .Distance = milliseconds(2)}};
+  updateCandidates(F.State, Specs, F.Now);
+  onReport(F.State, 1, {.InFlight = 5, .Limit = 8}, F.Now);
+  onReport(F.State, 2, {.InFlight = 0, .Limit = 8}, F.Now);
+  EXPECT_EQ(F.spread(20)[1], 20);
+  onReport(F.State, 1, {.InFlight = 8, .Limit = 8}, F.Now);
+  EXPECT_EQ(F.spread(20)[2], 20);
+}
+
 } // namespace
 } // namespace magnolia::policy
--- a/packages/store/src/store/client/http_call.cpp
+++ b/packages/store/src/store/client/http_call.cpp
@@ -83,7 +83,8 @@
 StoreErrorKind kindOfStatus(const HttpCall &Call, int Status) {
   constexpr int FirstServerError = 500;
   const bool OnLease = Call.Kind == CallKind::LeaseKeepalive ||
-                       Call.Kind == CallKind::LeaseRevoke;
+                       Call.Kind == CallKind::LeaseRevoke ||
+                       Call.Kind == CallKind::Put;
   switch (Status) {
   case 404:
     return OnLease ? StoreErrorKind::LeaseExpired : StoreErrorKind::NotFound;
