--- /dev/null
+++ b/packages/daemon/src/daemon/node/node_options.cpp
@@ -0,0 +1,128 @@
+#include "daemon/node/node_options.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace magnolia::daemon {
+
+namespace {
+
+// Sidecars that one request is offered to at most.
+constexpr std::uint32_t RoutedAttempts = 4;
+
+constexpr double Percent = 100.0;
+
+// Where sidecars reject by priority, an early rejection at the entry node that
+// does not know it would hit urgent requests, and retries elsewhere cost no
+// backend server anything.
+ServiceTable::Options serviceOptions(const settings::NodeSettings &Settings,
+                                     const Dialect &Speaks) {
+  ServiceTable::Options Options;
+  Options.Route.FarFactor = Settings.FarPercent / Percent;
+  Options.Retry.Cap = Settings.RetryBurst;
+  Options.Retry.FloorPerSecond = Settings.RetryFloor / Percent;
+  if (Speaks.RoutesByHost) {
+    Options.Retry.FreeRejections = true;
+    Options.Retry.MaxAttempts = RoutedAttempts;
+    Options.Overload.MaxShed = 0;
+  }
+  return Options;
+}
+
+// Contacts change rarely and each check of them is a call to the store.
+constexpr policy::Duration ShortestContactPeriod = std::chrono::seconds(10);
+
+} // namespace
+
+PeerPool::Options poolOptions(const settings::NodeSettings &Settings,
+                              const PeerIdentity &Own) {
+  return {.Own = Own,
+          .IdleMaximum = Settings.IdlePeerConnections,
+          .IdleTimeout = Settings.PeerIdle,
+          .ConnectTimeout = Settings.ConnectTimeout};
+}
+
+SidecarOptions sidecarOptions(const settings::NodeSettings &Settings,
+                              const Dialect &Speaks, policy::Incarnation Run) {
+  return {.Run = Run,
+          .Speaks = &Speaks,
+          .AnswerLimits = {.HeadBytes = Settings.HeaderBytes,
+                           .BodyBytes = Settings.AnswerBytes},
+          .ConnectTimeout = Settings.ConnectTimeout,
+          .MaxWaiting = Settings.WaitQueue,
+          .UsableShare = Settings.UsablePercent / Percent,
+          .SlowPercent = Settings.SlowPercent,
+          .RepeatRatio = Settings.RepeatPercent / Percent,
+          .RepeatSlack = static_cast<double>(Settings.RepeatSlack),
+          .LedgerEntries = Settings.LedgerEntries};
+}
+
+EntryOptions entryOptions(const settings::NodeSettings &Settings,
+                          const Dialect &Speaks, policy::NodeId Id,
+                          policy::Incarnation Run) {
+  return {.Node = Id,
+          .Run = Run,
+          .Spin = Settings.Spin,
+          .Deadline = Settings.Deadline,
+          .DeadlineMaximum = Settings.DeadlineMaximum,
+          .FenceTimeout = Settings.FenceTimeout,
+          .Hops = Settings.Hops,
+          .Speaks = &Speaks,
+          .LocalService = Settings.LocalService,
+          .Services = serviceOptions(Settings, Speaks),
+          .Exchange = {.AnswerBytes = Settings.AnswerBytes,
+                       .PingAfter = Settings.PingAfter,
+                       .PingTimeout = Settings.PingTimeout}};
+}
+
+PeerServiceOptions peerOptions(const settings::NodeSettings &Settings,
+                               const PeerIdentity &Own) {
+  PeerServiceOptions Options;
+  Options.Own = Own;
+  Options.BodyBytes = Settings.BodyBytes;
+  Options.ReadTimeout = Settings.CallerRead;
+  constexpr int IdleFactor = 3;
+  Options.IdleTimeout = Settings.PeerIdle * IdleFactor;
+  Options.Spin = Settings.Spin;
+  return Options;
+}
+
+policy::JoinOptions joinOptions(const settings::NodeSettings &Settings) {
+  const policy::Duration Delay = Settings.JoinDelay;
+  return {.SettleTime = Delay,
+          .AloneTime = 3 * Delay,
+          .Spread = 2 * Delay,
+          .ContactReadPeriod = 3 * Delay,
+          .ContactWritePeriod =
+              std::max<policy::Duration>(30 * Delay, ShortestContactPeriod)};
+}
+
+settings::HostPort callersOf(const settings::NodeSettings &Settings) {
+  return Settings.Callers.Port != 0
+             ? Settings.Callers
+             : settings::HostPort{.Address = Settings.Address,
+                                  .Port = Settings.HttpPort};
+}
+
+store::StoreOperations openStore(const settings::NodeSettings &Settings,
+                                 const Dialect &Speaks) {
+  if (Settings.Store.Port == 0) {
+    return {};
+  }
+  return Speaks.OpenStore(
+      {.Address = Settings.Store.Address, .Port = Settings.Store.Port});
+}
+
+LocalBackendState backendFromSettings(const settings::NodeSettings &Settings) {
+  return {.Service = Settings.BackendService,
+          .Version = Settings.BackendVersion,
+          .Address = Settings.BackendAddress,
+          .Port = Settings.BackendPort,
+          .Slots = Settings.BackendSlots,
+          .Connections = Settings.BackendConnections,
+          .Run = 0,
+          .Draining = false,
+          .Present = false};
+}
+
+} // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -1,5 +1,7 @@
 #include "daemon/sidecar/sidecar_call.h"
 
+#include "daemon/sidecar/backend_headers.h"
+
 #include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
@@ -7,7 +9,6 @@
 #include "policy/chain/chain_headers.h"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace magnolia::daemon {
@@ -28,42 +29,6 @@
 // and whether such a request ran could not be told.
 constexpr policy::Duration SureIdle = std::chrono::milliseconds(300);
 
-// Headers by which the system itself makes statements to callers. A backend
-// server that copies them from a call of its own must not make such a
-// statement about the request at hand.
-bool isSystemStatement(const Dialect &Speaks, const HttpHeader &Header) {
-  return equalNames(Header.Name, "Magnolia-Error") ||
-         equalNames(Header.Name, "Magnolia-Run") ||
-         (!Speaks.Headers.Incarnation.empty() &&
-          equalNames(Header.Name, Speaks.Headers.Incarnation));
-}
-
-// True for the headers that the sidecar writes itself.
-bool isOwnHeader(const Dialect &Speaks, const HttpHeader &Header) {
-  const HeaderNames &Names = Speaks.Headers;
-  const auto Is = [&Header](std::string_view Name) {
-    return !Name.empty() && equalNames(Header.Name, Name);
-  };
-  return Is(Names.Deadline) || Is(Names.Hops) || Is(Names.ExpectedInstance) ||
-         Is("Magnolia-Service") ||
-         (!Speaks.KeepsRequestId && Is(Names.RequestId));
-}
-
-const std::string *findNamed(const HttpHeaders &Headers,
-                             std::string_view Name) {
-  return Name.empty() ? nullptr : findHeader(Headers, Name);
-}
-
-policy::Incarnation incarnationOf(const Dialect &Speaks,
-                                  const HttpHeaders &Headers) {
-  const std::string *Text = findNamed(Headers, Speaks.Headers.Incarnation);
-  policy::Incarnation Run = 0;
-  if (Text) {
-    std::from_chars(Text->data(), Text->data() + Text->size(), Run);
-  }
-  return Run;
-}
-
 } // namespace
 
 SidecarCall::SidecarCall(Sidecar &Owner, CallRequest Given)
