--- a/packages/daemon/src/daemon/announce/announcer.cpp
+++ b/packages/daemon/src/daemon/announce/announcer.cpp
@@ -74,11 +74,11 @@
   case ReportVerdict::Stale:
     break;
   }
-  // The sidecar refuses new work already; a farewell is acknowledged once a
+  // The sidecar refuses new work already; a leave report is acknowledged once a
   // restarted node would refuse it as well.
   if (!keep() && Report->Stage != BackendStage::Ready) {
     return errorResponse(Speaks, policy::ErrorKind::Shutdown,
-                         "the farewell could not be kept", false);
+                         "the leave report could not be stored", false);
   }
   return acknowledge();
 }
--- a/packages/daemon/src/daemon/announce/announcer.h
+++ b/packages/daemon/src/daemon/announce/announcer.h
@@ -24,7 +24,7 @@
   // True where the configuration has the service, or is not known yet.
   std::function<bool(std::string_view Service)> IsKnown;
   // Keeps what the backend server said, so that a restarted node goes on from
-  // it; false where that failed. A farewell is acknowledged only once kept.
+  // it; false where that failed. A leave report is acknowledged only once kept.
   std::function<bool(const policy::BackendReport &Report)> Keep;
 };
 
--- a/packages/policy/src/policy/announce/accept_report.cpp
+++ b/packages/policy/src/policy/announce/accept_report.cpp
@@ -16,13 +16,13 @@
          (Report.Address != State.Address || Report.Port != State.Port);
 }
 
-// A farewell has no sequence: it is the last report of its lifetime.
+// A leave report has no sequence: it is the last report of its lifetime.
 bool isOvertaken(const BackendReport &Known, const BackendReport &Report) {
   return Report.Stage != BackendStage::Left &&
          Report.Sequence <= Known.Sequence;
 }
 
-// A farewell names the instance only; the rest is what was known of it.
+// A leave report names the instance only; the rest is what was known of it.
 void leave(AnnounceState &State, const BackendReport &Report) {
   if (State.Known && sameLifetime(*State.Known, Report)) {
     State.Known->Stage = BackendStage::Left;
--- a/packages/policy/src/policy/announce/backend_report.h
+++ b/packages/policy/src/policy/announce/backend_report.h
@@ -10,7 +10,7 @@
 
 enum class BackendStage : std::uint8_t { Ready, Draining, Left };
 
-// Heartbeat of a backend server, or its farewell, which names the instance
+// Heartbeat of a backend server, or its leave report, which names the instance
 // only.
 struct BackendReport {
   std::string Instance;
