Carry requests on fibers of a few loops in place of a thread a connection

Change: FiberLoop runs functions with stacks of their own (Boost.Context) on one thread with epoll; a descriptor stays registered between waits, so a request needs no epoll_ctl on kept connections. The code of the request path is unchanged: waitReady suspends the fiber. Side listeners, whose handlers call the store, keep a thread a connection. New setting traffic_threads. Test nodes take ports below the ephemeral range: a port taken meanwhile by another test program left one test waiting for ever (seen once beside other tests).

--- a/packages/daemon/src/daemon/net/connection_server.cpp
+++ b/packages/daemon/src/daemon/net/connection_server.cpp
@@ -1,6 +1,7 @@
 #include "daemon/net/connection_server.h"
 
 #include "daemon/net/clock.h"
+#include "daemon/net/fiber_pool.h"
 #include "daemon/net/socket.h"
 
 #include <poll.h>
@@ -20,6 +21,9 @@
 // Pause after accept fails for lack of descriptors.
 constexpr auto AcceptPause = std::chrono::milliseconds(10);
 
+// A stop ends the wait for a connection sooner.
+constexpr auto LongestAcceptWait = std::chrono::hours(1);
+
 } // namespace
 
 bool Session::waitForRequest(policy::TimePoint Deadline) const {
@@ -44,16 +48,33 @@
   if (!Listener.valid()) {
     return false;
   }
-  Acceptor = std::thread([this] { acceptLoop(); });
+  Accepting = true;
+  const auto Accept = [this] {
+    acceptLoop();
+    const std::lock_guard Lock(Mutex);
+    Accepting = false;
+    Ended.notify_all();
+  };
+  if (Given.Fibers) {
+    Given.Fibers->spawn(Accept);
+  } else {
+    Acceptor = std::thread(Accept);
+  }
   return true;
 }
 
 void ConnectionServer::stopAccepting() {
-  if (Stopping.exchange(true) || !Acceptor.joinable()) {
+  if (Stopping.exchange(true) || !Listener.valid()) {
     return;
   }
   ::shutdown(Listener.fd(), SHUT_RDWR);
-  Acceptor.join();
+  {
+    std::unique_lock Lock(Mutex);
+    Ended.wait(Lock, [this] { return !Accepting; });
+  }
+  if (Acceptor.joinable()) {
+    Acceptor.join();
+  }
   Listener.reset();
 }
 
@@ -86,11 +107,14 @@
 
 void ConnectionServer::acceptLoop() {
   while (!Stopping) {
-    UniqueFd Fd(::accept4(Listener.fd(), nullptr, nullptr, SOCK_CLOEXEC));
+    UniqueFd Fd(::accept4(Listener.fd(), nullptr, nullptr,
+                          SOCK_CLOEXEC | SOCK_NONBLOCK));
     if (Fd.valid()) {
       accepted(std::move(Fd));
+    } else if (errno == EAGAIN) {
+      (void)waitReadable(Listener.fd(), now() + LongestAcceptWait);
     } else if (!Stopping && errno != EINTR && errno != ECONNABORTED) {
-      std::this_thread::sleep_for(AcceptPause);
+      (void)waitReady({}, now() + AcceptPause, {});
     }
   }
 }
@@ -109,7 +133,7 @@
   const auto Place =
       Sessions.emplace(Sessions.begin(), std::move(Fd), StopFd.fd());
   try {
-    std::thread([this, Place] { serve(Place); }).detach();
+    startServing(Place);
   } catch (const std::system_error &) {
     // No thread to be had: the connection is closed.
     ++Refused;
@@ -117,6 +141,14 @@
   }
 }
 
+void ConnectionServer::startServing(std::list<Session>::iterator Place) {
+  if (Given.Fibers) {
+    Given.Fibers->spawn([this, Place] { serve(Place); });
+  } else {
+    std::thread([this, Place] { serve(Place); }).detach();
+  }
+}
+
 void ConnectionServer::serve(std::list<Session>::iterator Place) {
   try {
     Given.Serve(*Place);
--- a/packages/daemon/src/daemon/net/connection_server.h
+++ b/packages/daemon/src/daemon/net/connection_server.h
@@ -17,7 +17,9 @@
 
 namespace magnolia::daemon {
 
-// One accepted connection, served by one thread.
+class FiberPool;
+
+// One accepted connection, served by one thread or fiber.
 class Session {
 public:
   Session(UniqueFd Accepted, int StopFd)
@@ -26,8 +28,8 @@
   [[nodiscard]] int fd() const { return Socket.fd(); }
 
   // Waits for the first bytes of a request. False: the deadline passed, or the
-  // server stops and no bytes have arrived. Only the thread that serves the
-  // connection ends it, so that a stop cannot cut a request that has just
+  // server stops and no bytes have arrived. Only who serves the connection
+  // ends it, so that a stop cannot cut a request that has just
   // arrived.
   [[nodiscard]] bool waitForRequest(policy::TimePoint Deadline) const;
 
@@ -37,7 +39,8 @@
   int StopFd;
 };
 
-// Accepts connections and gives each a thread of its own, up to a maximum.
+// Accepts connections and gives each a fiber or a thread of its own, up to a
+// maximum.
 class ConnectionServer {
 public:
   struct Options {
@@ -48,6 +51,9 @@
     std::function<void(Session &)> Serve;
     // Tells a connection over the maximum why it is closed; may be empty.
     std::function<void(int Fd)> Refuse;
+    // Runs the fibers and outlives the server. Null: a thread for each
+    // connection, for work that blocks.
+    FiberPool *Fibers = nullptr;
   };
 
   explicit ConnectionServer(Options Given);
@@ -62,9 +68,8 @@
   void stopAccepting();
   // Breaks every connection.
   void breakAll();
-  // Ends the input of each connection once it is idle, so that its thread
-  // closes it, and waits until all are closed. False where some are still
-  // served at the deadline.
+  // Ends each connection once it is idle and waits until all are closed. False
+  // where some are still served at the deadline.
   [[nodiscard]] bool drain(policy::TimePoint Deadline);
 
   [[nodiscard]] std::uint16_t port() const;
@@ -73,6 +78,7 @@
 
 private:
   void acceptLoop();
+  void startServing(std::list<Session>::iterator Place);
   void accepted(UniqueFd Fd);
   void serve(std::list<Session>::iterator Place);
 
@@ -80,6 +86,8 @@
   UniqueFd Listener;
   UniqueFd StopFd;
   std::thread Acceptor;
+  // Guarded by the mutex.
+  bool Accepting = false;
   std::atomic<bool> Stopping = false;
   std::atomic<std::uint64_t> Refused = 0;
   mutable std::mutex Mutex;
--- /dev/null
+++ b/packages/daemon/src/daemon/net/fiber_loop.cpp
@@ -0,0 +1,300 @@
+#include "daemon/net/fiber_loop.h"
+
+#include "daemon/log/log.h"
+#include "daemon/net/clock.h"
+
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <chrono>
+#include <exception>
+#include <string_view>
+#include <utility>
+
+namespace magnolia::daemon {
+
+namespace {
+
+// Events taken from epoll in one call.
+constexpr std::size_t EventBatch = 64;
+
+// Longest sleep without a timer.
+constexpr std::chrono::milliseconds LongestSleep{60'000};
+
+constexpr std::uint32_t Failures = EPOLLERR | EPOLLHUP;
+
+static_assert(EPOLLIN == POLLIN && EPOLLOUT == POLLOUT &&
+                  EPOLLRDHUP == POLLRDHUP && EPOLLERR == POLLERR &&
+                  EPOLLHUP == POLLHUP,
+              "events of poll are handed to epoll as they are");
+
+thread_local FiberLoop *CurrentLoop = nullptr;
+
+// What epoll hands back with an event: the descriptor and the closings of its
+// number, by which an event of an earlier file is recognised.
+constexpr int ClosingsShift = 32;
+
+std::uint64_t tagOf(int Fd, std::uint32_t Closings) {
+  return std::uint64_t{Closings} << ClosingsShift |
+         static_cast<std::uint32_t>(Fd);
+}
+
+// Whoever waits for input later waits for the end of it as well, and the other
+// way round; one registration serves both.
+std::uint32_t registration(short Wanted) {
+  std::uint32_t Events = static_cast<std::uint16_t>(Wanted);
+  if ((Events & (EPOLLIN | EPOLLRDHUP)) != 0) {
+    Events |= EPOLLRDHUP;
+  }
+  return Events;
+}
+
+} // namespace
+
+FiberLoop *FiberLoop::current() {
+  return CurrentLoop && CurrentLoop->Running ? CurrentLoop : nullptr;
+}
+
+FiberLoop::FiberLoop(Options Given)
+    : Given(Given), Stacks(Given.StackBytes),
+      Epoll(::epoll_create1(EPOLL_CLOEXEC)),
+      WakeFd(::eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {
+  epoll_event Event{.events = EPOLLIN,
+                    .data = {.u64 = tagOf(WakeFd.fd(), closings(WakeFd.fd()))}};
+  ::epoll_ctl(Epoll.fd(), EPOLL_CTL_ADD, WakeFd.fd(), &Event);
+  Thread = std::thread([this] { run(); });
+}
+
+FiberLoop::~FiberLoop() {
+  Stopping = true;
+  ::eventfd_write(WakeFd.fd(), 1);
+  Thread.join();
+}
+
+void FiberLoop::spawn(std::function<void()> Work) {
+  {
+    const std::lock_guard Lock(Mutex);
+    Spawned.push_back(std::move(Work));
+  }
+  // The loop looks for new work itself before it sleeps.
+  if (CurrentLoop != this) {
+    ::eventfd_write(WakeFd.fd(), 1);
+  }
+}
+
+void FiberLoop::run() {
+  CurrentLoop = this;
+  std::vector<Fiber *> Batch;
+  while (!Stopping) {
+    startSpawned();
+    Batch.swap(Ready);
+    for (Fiber *Next : Batch) {
+      resume(*Next);
+    }
+    Batch.clear();
+    sleep();
+  }
+}
+
+void FiberLoop::startSpawned() {
+  std::vector<std::function<void()>> New;
+  {
+    const std::lock_guard Lock(Mutex);
+    New.swap(Spawned);
+  }
+  for (std::function<void()> &Work : New) {
+    Fiber &Made = Fibers.emplace_front();
+    Made.Work = std::move(Work);
+    Made.Place = Fibers.begin();
+    Made.Resume = boost::context::fiber(
+        std::allocator_arg, Stacks, [this, &Made](boost::context::fiber &&To) {
+          Scheduler = std::move(To);
+          try {
+            Made.Work();
+          } catch (const std::exception &Reason) {
+            log(LogLevel::Error, "connection ended by an exception",
+                {{"reason", std::string_view(Reason.what())}});
+          }
+          Made.Ended = true;
+          return std::move(Scheduler);
+        });
+    resume(Made);
+  }
+}
+
+void FiberLoop::resume(Fiber &Next) {
+  Running = &Next;
+  Next.Resume = std::move(Next.Resume).resume();
+  Running = nullptr;
+  if (Next.Ended) {
+    Fibers.erase(Next.Place);
+  }
+}
+
+void FiberLoop::suspend() { Scheduler = std::move(Scheduler).resume(); }
+
+int FiberLoop::millisecondsLeft(policy::TimePoint Now) const {
+  if (Deadlines.empty()) {
+    return static_cast<int>(LongestSleep.count());
+  }
+  const auto Left = std::chrono::ceil<std::chrono::milliseconds>(
+      Deadlines.begin()->first - Now);
+  return static_cast<int>(
+      std::clamp(Left, std::chrono::milliseconds{0}, LongestSleep).count());
+}
+
+void FiberLoop::sleep() {
+  {
+    const std::lock_guard Lock(Mutex);
+    if (!Spawned.empty()) {
+      return;
+    }
+  }
+  std::array<epoll_event, EventBatch> Events;
+  const auto Take = [this, &Events](int Milliseconds) {
+    return ::epoll_wait(Epoll.fd(), Events.data(),
+                        static_cast<int>(Events.size()), Milliseconds);
+  };
+  const policy::TimePoint Start = now();
+  const int Longest = millisecondsLeft(Start);
+  int Count = 0;
+  const policy::Duration Spin = Gate.spin(Given.Spin);
+  if (Spin > policy::Duration{0} && Longest > 0) {
+    do {
+      Count = Take(0);
+    } while (Count == 0 && now() < Start + Spin);
+  }
+  if (Count == 0) {
+    Count = Take(Longest);
+  }
+  for (int I = 0; I < Count; ++I) {
+    const epoll_event &Next = Events[static_cast<std::size_t>(I)];
+    dispatch(Next.data.u64, Next.events);
+  }
+  const policy::TimePoint End = now();
+  if (Given.Spin > policy::Duration{0}) {
+    Gate.record(End - Start);
+  }
+  expire(End);
+}
+
+void FiberLoop::dispatch(std::uint64_t Tag, std::uint32_t Events) {
+  const int Fd = static_cast<int>(Tag & UINT32_MAX);
+  if (Fd == WakeFd.fd()) {
+    eventfd_t Ignored = 0;
+    ::eventfd_read(Fd, &Ignored);
+    return;
+  }
+  Descriptor &Known = Descriptors[static_cast<std::size_t>(Fd)];
+  if (Tag != tagOf(Fd, Known.Closings) || Known.Closings != closings(Fd)) {
+    return;
+  }
+  std::uint32_t Wanted = 0;
+  bool Awaited = false;
+  for (const Watcher &Next : Known.Watchers) {
+    const std::uint32_t Interest = registration(Next.Entry->events);
+    Wanted |= Interest;
+    const std::uint32_t Seen =
+        Events & (static_cast<std::uint16_t>(Next.Entry->events) | Failures);
+    if (Seen != 0) {
+      Next.Entry->revents = static_cast<short>(Seen);
+      wake(*Next.Waiting);
+      Awaited = true;
+    }
+  }
+  // Events that nobody waits for would be reported again and again.
+  if (!Awaited) {
+    reregister(Fd, Known, Wanted & ~Events);
+  }
+}
+
+void FiberLoop::expire(policy::TimePoint Now) {
+  while (!Deadlines.empty() && Deadlines.begin()->first <= Now) {
+    Wait &Over = *Deadlines.begin()->second;
+    Deadlines.erase(Over.Timer);
+    Over.Timer = Deadlines.end();
+    if (!Over.Queued) {
+      Over.Queued = true;
+      Ready.push_back(Over.Owner);
+    }
+  }
+}
+
+void FiberLoop::wake(Wait &Ended) {
+  Ended.Fired = true;
+  if (!Ended.Queued) {
+    Ended.Queued = true;
+    Ready.push_back(Ended.Owner);
+  }
+}
+
+bool FiberLoop::wait(std::span<pollfd> Fds, policy::TimePoint Deadline) {
+  Wait Own{.Owner = Running, .Fds = Fds};
+  for (pollfd &Entry : Fds) {
+    watch(Own, Entry);
+  }
+  Own.Timer = Deadlines.emplace(Deadline, &Own);
+  suspend();
+  if (Own.Timer != Deadlines.end()) {
+    Deadlines.erase(Own.Timer);
+  }
+  for (const pollfd &Entry : Fds) {
+    unwatch(Own, Entry);
+  }
+  return Own.Fired;
+}
+
+void FiberLoop::watch(Wait &Waiting, pollfd &Entry) {
+  Entry.revents = 0;
+  if (Entry.fd < 0) {
+    return;
+  }
+  const auto Number = static_cast<std::size_t>(Entry.fd);
+  if (Number >= Descriptors.size()) {
+    Descriptors.resize(Number + 1);
+  }
+  Descriptor &Known = Descriptors[Number];
+  const std::uint32_t Closings = closings(Entry.fd);
+  if (Known.Closings != Closings) {
+    Known.Registered = 0;
+    Known.Closings = Closings;
+  }
+  const std::uint32_t Wanted = registration(Entry.events);
+  if ((Known.Registered & Wanted) != Wanted) {
+    reregister(Entry.fd, Known, Known.Registered | Wanted);
+  }
+  Known.Watchers.push_back({.Waiting = &Waiting, .Entry = &Entry});
+}
+
+void FiberLoop::unwatch(const Wait &Waiting, const pollfd &Entry) {
+  if (Entry.fd < 0) {
+    return;
+  }
+  auto &Watchers = Descriptors[static_cast<std::size_t>(Entry.fd)].Watchers;
+  const auto Place =
+      std::find_if(Watchers.begin(), Watchers.end(), [&](const Watcher &Next) {
+        return Next.Waiting == &Waiting && Next.Entry == &Entry;
+      });
+  std::swap(*Place, Watchers.back());
+  Watchers.pop_back();
+}
+
+void FiberLoop::reregister(int Fd, Descriptor &Known, std::uint32_t Events) {
+  epoll_event Event{.events = Events,
+                    .data = {.u64 = tagOf(Fd, Known.Closings)}};
+  if (Events == 0) {
+    ::epoll_ctl(Epoll.fd(), EPOLL_CTL_DEL, Fd, &Event);
+  } else if (::epoll_ctl(Epoll.fd(),
+                         Known.Registered == 0 ? EPOLL_CTL_ADD : EPOLL_CTL_MOD,
+                         Fd, &Event) != 0) {
+    // The number was used for another file, or that file is still registered.
+    ::epoll_ctl(Epoll.fd(), errno == EEXIST ? EPOLL_CTL_MOD : EPOLL_CTL_ADD, Fd,
+                &Event);
+  }
+  Known.Registered = Events;
+}
+
+} // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/net/fwd.h
+++ b/packages/daemon/src/daemon/net/fwd.h
@@ -4,6 +4,9 @@
 namespace magnolia::daemon {
 
 class ConnectionServer;
+class FiberLoop;
+class FiberPool;
+class FiberStacks;
 class Session;
 class SpinGate;
 class UniqueFd;
--- a/packages/daemon/src/daemon/net/socket.cpp
+++ b/packages/daemon/src/daemon/net/socket.cpp
@@ -1,9 +1,9 @@
 #include "daemon/net/socket.h"
 
 #include "daemon/net/clock.h"
+#include "daemon/net/fiber_loop.h"
 
 #include <arpa/inet.h>
-#include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
@@ -53,7 +53,7 @@
 
 bool waitWritable(int Fd, policy::TimePoint Deadline) {
   pollfd Poll{.fd = Fd, .events = POLLOUT, .revents = 0};
-  return sleepUntilReady({&Poll, 1}, Deadline);
+  return waitReady({&Poll, 1}, Deadline, {});
 }
 
 } // namespace
@@ -63,13 +63,12 @@
   setsockopt(Fd, IPPROTO_TCP, TCP_NODELAY, &On, sizeof On);
   setsockopt(Fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &UserTimeoutMs,
              sizeof UserTimeoutMs);
-  fcntl(Fd, F_SETFL, fcntl(Fd, F_GETFL) | O_NONBLOCK);
 }
 
 UniqueFd connectTcp(const std::string &Address, std::uint16_t Port,
                     policy::TimePoint Deadline) {
   sockaddr_in Target;
-  UniqueFd Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  UniqueFd Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   if (!Fd.valid() || !fillAddress(Address, Port, Target)) {
     return {};
   }
@@ -90,7 +89,7 @@
 UniqueFd listenTcp(const std::string &Address, std::uint16_t Port,
                    policy::Error &LastError) {
   sockaddr_in Own;
-  UniqueFd Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  UniqueFd Fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
   const int On = 1;
   if (Fd.valid() && fillAddress(Address, Port, Own)) {
     setsockopt(Fd.fd(), SOL_SOCKET, SO_REUSEADDR, &On, sizeof On);
@@ -183,6 +182,9 @@
 
 bool waitReady(std::span<pollfd> Fds, policy::TimePoint Deadline,
                policy::Duration Spin) {
+  if (FiberLoop *Loop = FiberLoop::current()) {
+    return Loop->wait(Fds, Deadline);
+  }
   if (Spin > policy::Duration{0}) {
     const policy::TimePoint SpinEnd = std::min(Deadline, now() + Spin);
     do {
--- a/packages/daemon/src/daemon/net/socket.h
+++ b/packages/daemon/src/daemon/net/socket.h
@@ -31,7 +31,8 @@
 // Numeric IPv4 address of the other side.
 [[nodiscard]] std::string remoteAddress(int Fd);
 
-// Prepares a descriptor from accept.
+// Sets the options of a connected socket; one from accept4 has to be
+// non-blocking already.
 void setUpSocket(int Fd);
 
 // Sends head and body whole, both in one system call where the socket takes
@@ -55,9 +56,10 @@
 // True where an idle connection is still open and nothing unexpected is in it.
 [[nodiscard]] bool isUsable(int Fd);
 
-// Waits until one of the descriptors is ready or the deadline passes. Polls
-// without sleeping for the spin time first, because a sleeping thread needs
-// tens of microseconds to wake up.
+// Waits until one of the descriptors is ready or the deadline passes. On a
+// fiber other fibers run meanwhile. A thread polls without sleeping for the
+// spin time first, because a sleeping thread needs tens of microseconds to wake
+// up.
 [[nodiscard]] bool waitReady(std::span<pollfd> Fds, policy::TimePoint Deadline,
                              policy::Duration Spin);
 
--- a/packages/daemon/src/daemon/net/unique_fd.h
+++ b/packages/daemon/src/daemon/net/unique_fd.h
@@ -1,12 +1,18 @@
 #ifndef DAEMON_NET_UNIQUE_FD_H
 #define DAEMON_NET_UNIQUE_FD_H
 
-#include <unistd.h>
-
+#include <cstdint>
 #include <utility>
 
 namespace magnolia::daemon {
 
+// Closes a descriptor and counts the closing of its number.
+void closeDescriptor(int Fd);
+
+// How often a descriptor of this number was closed. A FiberLoop tells by it
+// that a number it has registered belongs to another file now.
+[[nodiscard]] std::uint32_t closings(int Fd);
+
 // Owns a file descriptor.
 class UniqueFd {
 public:
@@ -26,7 +32,7 @@
 
   void reset() {
     if (Fd >= 0) {
-      ::close(std::exchange(Fd, -1));
+      closeDescriptor(std::exchange(Fd, -1));
     }
   }
   [[nodiscard]] int fd() const { return Fd; }
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -69,16 +69,19 @@
                       .BodyBytes = Settings.BodyBytes},
            .Idle = Settings.CallerIdle,
            .Read = Settings.CallerRead}),
+      Traffic(Settings.TrafficThreads, {.Spin = Settings.Spin}),
       PeerServer({.Address = Settings.Address,
                   .Port = Settings.PeerPort,
                   .Maximum = Settings.PeerConnections,
                   .Serve = [this](Session &S) { PeerSide.serve(S); },
-                  .Refuse = {}}),
+                  .Refuse = {},
+                  .Fibers = &Traffic}),
       HttpServer({.Address = callersOf(Settings).Address,
                   .Port = callersOf(Settings).Port,
                   .Maximum = Settings.HeldConnections,
                   .Serve = [this](Session &S) { CallerSide.serve(S); },
-                  .Refuse = [this](int Fd) { CallerSide.refuse(Fd); }}) {
+                  .Refuse = [this](int Fd) { CallerSide.refuse(Fd); },
+                  .Fibers = &Traffic}) {
   State.add("entry", [this] { return dumpEntry(Calls); });
   State.add("sidecar", [this] { return dumpSidecar(Own, Backend); });
   State.add("metrics", [this] { return dumpMetrics(Counts); });
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -11,6 +11,7 @@
 #include "daemon/entry/prober.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/net/connection_server.h"
+#include "daemon/net/fiber_pool.h"
 #include "daemon/peer/peer_pool.h"
 #include "daemon/sidecar/backend_watch.h"
 #include "daemon/sidecar/peer_service.h"
@@ -105,6 +106,7 @@
   PeerService PeerSide;
   LocalEndpoints Endpoints;
   HttpService CallerSide;
+  FiberPool Traffic;
   ConnectionServer PeerServer;
   ConnectionServer HttpServer;
   std::optional<BackendWatch> Watch;
--- a/packages/daemon/src/daemon/peer/peer_connection.cpp
+++ b/packages/daemon/src/daemon/peer/peer_connection.cpp
@@ -18,7 +18,7 @@
 }
 
 bool PeerConnection::flush(policy::TimePoint Deadline) {
-  const bool Sent = sendAll(Socket.fd(), Outgoing, {}, Deadline);
+  const bool Sent = sendAll(Fd, Outgoing, {}, Deadline);
   Outgoing.clear();
   return Sent;
 }
@@ -38,7 +38,7 @@
     case wire::FrameStatus::NeedMore:
       break;
     }
-    const auto Count = receiveSome(Socket.fd(), Incoming.room(ReadBytes));
+    const auto Count = receiveSome(Fd, Incoming.room(ReadBytes));
     if (Count <= 0) {
       return Count == 0 ? ReceiveStatus::Nothing : ReceiveStatus::Broken;
     }
@@ -52,8 +52,7 @@
                                     policy::Duration Spin) {
   for (;;) {
     const ReceiveStatus Status = receive(Frame);
-    if (Status != ReceiveStatus::Nothing ||
-        !waitReadable(Socket.fd(), Deadline, Spin)) {
+    if (Status != ReceiveStatus::Nothing || !waitReadable(Fd, Deadline, Spin)) {
       return Status;
     }
   }
--- a/packages/daemon/src/daemon/peer/peer_connection.h
+++ b/packages/daemon/src/daemon/peer/peer_connection.h
@@ -35,7 +35,10 @@
 class PeerConnection {
 public:
   PeerConnection() = default;
-  explicit PeerConnection(UniqueFd Connected) : Socket(std::move(Connected)) {}
+  explicit PeerConnection(UniqueFd Connected)
+      : Socket(std::move(Connected)), Fd(Socket.fd()) {}
+  // Uses a descriptor that somebody else closes.
+  explicit PeerConnection(int Borrowed) : Fd(Borrowed) {}
 
   // Appends a frame to what the next flush sends. False where it is too long.
   [[nodiscard]] bool queue(const wire::PeerFrame &Frame);
@@ -50,12 +53,10 @@
                                     policy::TimePoint Deadline,
                                     policy::Duration Spin = {});
 
-  [[nodiscard]] int fd() const { return Socket.fd(); }
-  [[nodiscard]] bool valid() const { return Socket.valid(); }
+  [[nodiscard]] int fd() const { return Fd; }
+  [[nodiscard]] bool valid() const { return Fd >= 0; }
   // True where a frame has come in part or whole but was not taken.
   [[nodiscard]] bool hasBytes() const { return !Incoming.empty(); }
-  void close() { Socket.reset(); }
-
   // Time of the last bytes from the other side.
   policy::TimePoint LastHeard{};
   // Set by the handshake.
@@ -63,6 +64,7 @@
 
 private:
   UniqueFd Socket;
+  int Fd = -1;
   wire::FrameBuffer Incoming;
   std::string Outgoing;
 };
--- a/packages/daemon/src/daemon/sidecar/peer_service.cpp
+++ b/packages/daemon/src/daemon/sidecar/peer_service.cpp
@@ -15,7 +15,7 @@
 using policy::ErrorKind;
 
 void PeerService::serve(Session &Accepted) {
-  PeerConnection Connection(UniqueFd(::dup(Accepted.fd())));
+  PeerConnection Connection(Accepted.fd());
   if (!welcome(Connection, Options.Own, now() + Options.HandshakeTimeout)) {
     Owner.metrics().count(Counter::HandshakesRefused);
     return;
--- a/packages/daemon/test/daemon/control/control_server.cpp
+++ b/packages/daemon/test/daemon/control/control_server.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/control_server.h"
 
+#include "../support/test_node.h"
 #include "daemon/control/control_client.h"
 #include "policy/core/error.h"
 
@@ -13,7 +14,7 @@
 namespace magnolia::daemon {
 namespace {
 
-constexpr std::uint16_t Port = 19471;
+const std::uint16_t Port = test::freePort();
 const std::string Key = "a cluster key of the test";
 
 std::optional<wire::ControlBody> callWith(const std::string &ClusterKey) {
--- a/packages/daemon/test/daemon/entry/whole_path.cpp
+++ b/packages/daemon/test/daemon/entry/whole_path.cpp
@@ -153,7 +153,7 @@
   }
 
   void serve(Session &Accepted) {
-    PeerConnection Connection(UniqueFd(::dup(Accepted.fd())));
+    PeerConnection Connection(Accepted.fd());
     if (!welcome(Connection, Own, now() + Patience)) {
       return;
     }
--- /dev/null
+++ b/packages/daemon/test/daemon/net/fiber_loop.cpp
@@ -0,0 +1,162 @@
+#include "daemon/net/fiber_loop.h"
+
+#include "daemon/net/clock.h"
+#include "daemon/net/fiber_pool.h"
+#include "daemon/net/socket.h"
+
+#include <sys/socket.h>
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <chrono>
+#include <future>
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace magnolia::daemon {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+// Long enough that only a wait that is never woken reaches it.
+constexpr policy::Duration Ample = 20s;
+
+struct Pair {
+  UniqueFd Near;
+  UniqueFd Far;
+};
+
+Pair connectedPair() {
+  std::array<int, 2> Fds{};
+  EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Fds.data()),
+            0);
+  return {.Near = UniqueFd(Fds[0]), .Far = UniqueFd(Fds[1])};
+}
+
+// Runs a function on a fiber and returns what it returns.
+template <typename Function> auto onFiber(FiberLoop &Loop, Function Work) {
+  std::promise<decltype(Work())> Result;
+  Loop.spawn([&] { Result.set_value(Work()); });
+  return Result.get_future().get();
+}
+
+std::string readOne(int Fd) {
+  std::array<char, 16> Room{};
+  if (!waitReadable(Fd, now() + Ample)) {
+    return "deadline";
+  }
+  const auto Count = receiveSome(Fd, Room);
+  return Count > 0 ? std::string(Room.data(), static_cast<std::size_t>(Count))
+                   : "nothing";
+}
+
+void write(int Fd, std::string_view Text) {
+  EXPECT_TRUE(sendAll(Fd, Text, {}, now() + Ample));
+}
+
+} // namespace
+
+// Guards against a loop that blocks its thread while one fiber waits.
+TEST(FiberLoop, FibersWaitForEachOther) {
+  FiberLoop Loop({});
+  Pair Link = connectedPair();
+  std::promise<std::string> Heard;
+  Loop.spawn([&] { Heard.set_value(readOne(Link.Near.fd())); });
+  Loop.spawn([&] { write(Link.Far.fd(), "a"); });
+  EXPECT_EQ(Heard.get_future().get(), "a");
+}
+
+// Guards against timers that depend on traffic.
+TEST(FiberLoop, WaitEndsAtItsDeadline) {
+  FiberLoop Loop({});
+  Pair Link = connectedPair();
+  EXPECT_FALSE(
+      onFiber(Loop, [&] { return waitReadable(Link.Near.fd(), now() + 1ms); }));
+  EXPECT_FALSE(onFiber(Loop, [&] { return waitReady({}, now() + 1ms, {}); }));
+}
+
+// Guards against a connection that inherits the registration of an earlier one
+// with the same number, and then never wakes its fiber.
+TEST(FiberLoop, ReusedNumberIsRegisteredAnew) {
+  FiberLoop Loop({});
+  for (int Round = 0; Round < 3; ++Round) {
+    Pair Link = connectedPair();
+    write(Link.Far.fd(), "b");
+    EXPECT_EQ(onFiber(Loop, [&] { return readOne(Link.Near.fd()); }), "b");
+  }
+}
+
+// Guards against a busy loop over an event that nobody waits for, and against
+// losing it for whoever waits later.
+TEST(FiberLoop, EventsBetweenWaitsAreKept) {
+  FiberLoop Loop({});
+  Pair Link = connectedPair();
+  Pair Other = connectedPair();
+  write(Link.Far.fd(), "c");
+  EXPECT_TRUE(onFiber(
+      Loop, [&] { return waitReadable(Link.Near.fd(), now() + Ample); }));
+  // The unread byte is reported while the fiber waits for something else.
+  EXPECT_FALSE(onFiber(
+      Loop, [&] { return waitReadable(Other.Near.fd(), now() + 5ms); }));
+  EXPECT_EQ(onFiber(Loop, [&] { return readOne(Link.Near.fd()); }), "c");
+}
+
+// Guards against a caller whose end goes unnoticed while its request runs.
+TEST(FiberLoop, EndOfAConnectionWakesWhoWaitsForItOnly) {
+  FiberLoop Loop({});
+  Pair Link = connectedPair();
+  write(Link.Far.fd(), "next request");
+  const auto WaitForEnd = [&](policy::TimePoint Deadline) {
+    pollfd Entry{.fd = Link.Near.fd(), .events = POLLRDHUP, .revents = 0};
+    return waitReady({&Entry, 1}, Deadline, {});
+  };
+  EXPECT_FALSE(onFiber(Loop, [&] { return WaitForEnd(now() + 2ms); }));
+  ::shutdown(Link.Far.fd(), SHUT_RDWR);
+  EXPECT_TRUE(onFiber(Loop, [&] { return WaitForEnd(now() + Ample); }));
+}
+
+// Guards against waits on one descriptor that share a wake-up.
+TEST(FiberLoop, EveryWaiterOfADescriptorWakes) {
+  FiberLoop Loop({});
+  Pair Link = connectedPair();
+  constexpr int Waiters = 5;
+  std::array<std::promise<bool>, Waiters> Woken;
+  for (auto &Next : Woken) {
+    Loop.spawn(
+        [&] { Next.set_value(waitReadable(Link.Near.fd(), now() + Ample)); });
+  }
+  write(Link.Far.fd(), "d");
+  for (auto &Next : Woken) {
+    EXPECT_TRUE(Next.get_future().get());
+  }
+}
+
+// Guards against an exception that takes the other connections along.
+TEST(FiberLoop, ExceptionEndsItsFiberOnly) {
+  FiberLoop Loop({});
+  Loop.spawn([] { throw std::runtime_error("no memory"); });
+  EXPECT_TRUE(onFiber(Loop, [] { return FiberLoop::current() != nullptr; }));
+  EXPECT_EQ(FiberLoop::current(), nullptr);
+}
+
+// Guards against stacks that are lost or used twice at once.
+TEST(FiberLoop, ManyFibersAtOnce) {
+  FiberPool Pool(2, {});
+  constexpr std::size_t Fibers = 500;
+  std::vector<std::promise<bool>> Ended(Fibers);
+  for (auto &Next : Ended) {
+    Pool.spawn([&] {
+      const std::array<std::promise<bool> *, 64> Copies{&Next};
+      (void)waitReady({}, now() + 2ms, {});
+      Next.set_value(Copies[0] == &Next);
+    });
+  }
+  for (auto &Next : Ended) {
+    EXPECT_TRUE(Next.get_future().get());
+  }
+}
+
+} // namespace magnolia::daemon
--- a/packages/daemon/test/daemon/support/test_node.h
+++ b/packages/daemon/test/daemon/support/test_node.h
@@ -5,22 +5,42 @@
 
 #include "daemon/node/node.h"
 
+#include <unistd.h>
+
 #include <memory>
+#include <stdexcept>
 #include <string>
 
 namespace magnolia::daemon::test {
 
 inline const wire::ClusterKey Key{.Bytes = "0123456789abcdef"};
 
+// Port that nobody listens on, below the range from which the system takes the
+// local ports of connections: one of that range may be taken by another
+// program between this check and the start of the node.
+inline std::uint16_t freePort() {
+  constexpr unsigned First = 20'000;
+  constexpr unsigned Count = 12'000;
+  constexpr unsigned ProcessStride = 101;
+  static unsigned Tried = 0;
+  for (;;) {
+    const unsigned Offset =
+        static_cast<unsigned>(::getpid()) * ProcessStride + Tried++;
+    const auto Port = static_cast<std::uint16_t>(First + Offset % Count);
+    policy::Error LastError;
+    if (listenTcp("127.0.0.1", Port, LastError).valid()) {
+      return Port;
+    }
+  }
+}
+
 // Settings of a node on free ports of the loopback interface. The peer port
 // has to be known before the start, because it is part of the identity.
 inline settings::NodeSettings nodeSettings() {
   using std::chrono::milliseconds;
-  policy::Error LastError;
-  const UniqueFd Free = listenTcp("127.0.0.1", 0, LastError);
   settings::NodeSettings Made;
   Made.Address = "127.0.0.1";
-  Made.PeerPort = localPort(Free.fd());
+  Made.PeerPort = freePort();
   Made.Zone = "a";
   Made.BodyBytes = Made.AnswerBytes = std::size_t{8} << 20;
   Made.HeaderBytes = 16'384;
@@ -47,6 +67,9 @@
       : Running(std::move(Given), Key) {
     policy::Error LastError;
     Started = Running.start(LastError);
+    if (!Started) {
+      throw std::runtime_error("the node did not start: " + LastError.Detail);
+    }
     if (BackendPort != 0) {
       Announced = ask(announcement(BackendPort));
     }
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -82,6 +82,7 @@
   std::size_t HeaderBytes = 0;
   std::uint32_t HeldConnections = 0;
   std::uint32_t PeerConnections = 0;
+  std::uint32_t TrafficThreads = 1;
   std::uint32_t IdlePeerConnections = 0;
   std::uint32_t WaitQueue = 0;
   std::uint32_t LedgerEntries = 0;
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -209,11 +209,13 @@
         "Longest head (first line and headers) of a request or answer."),
     number<&N::HeldConnections>(
         Limits, "held_connections", "1024", 1, 100'000, "connections",
-        "Connections of callers held at the same time; each has a thread."),
+        "Connections of callers held at the same time."),
     number<&N::PeerConnections>(
         Limits, "peer_connections", "4096", 1, 100'000, "connections",
-        "Connections from other nodes held at the same time; each has a "
-        "thread."),
+        "Connections from other nodes held at the same time."),
+    number<&N::TrafficThreads>(
+        Limits, "traffic_threads", "2", 1, 64, "threads",
+        "Threads that carry requests; control has a thread of its own."),
     number<&N::IdlePeerConnections>(
         Limits, "idle_peer_connections", "64", 0, 10'000, "connections",
         "Idle connections kept open to each sidecar."),
@@ -222,9 +224,8 @@
     number<&N::LedgerEntries>(
         Limits, "ledger_entries", "262144", 16, 10'000'000, "entries",
         "Non-idempotent requests remembered for ten minutes."),
-    number<&N::Spin>(
-        Limits, "spin_us", "50", 0, 10'000, "us",
-        "Time for which a thread polls a connection before it sleeps."),
+    number<&N::Spin>(Limits, "spin_us", "50", 0, 10'000, "us",
+                     "Time for which a traffic thread polls before it sleeps."),
     number<&N::ZoneDistance>(
         Limits, "zone_distance_us", "2000", 0, 1'000'000, "us",
         "Round trip to another availability zone of the region. Too high a "
