Apply the limits of callers that the configuration states

Change: each request is read under the limits of the routing table in force when its first byte arrives: sizes at most those of the node, the time of a head, and the idle time of the connection.

--- a/packages/daemon/src/daemon/entry/http_service.cpp
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -9,7 +9,9 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
+#include <chrono>
 #include <utility>
 
 namespace magnolia::daemon {
@@ -38,6 +40,30 @@
 
 } // namespace
 
+HttpServiceOptions limitedBy(const HttpServiceOptions &Own,
+                             const settings::CallerLimits &Configured) {
+  HttpServiceOptions Limited = Own;
+  if (Configured.HeadBytes > 0) {
+    Limited.Limits.HeadBytes =
+        std::min<std::size_t>(Own.Limits.HeadBytes, Configured.HeadBytes);
+  }
+  if (Configured.BodyBytes > 0) {
+    Limited.Limits.BodyBytes =
+        std::min<std::size_t>(Own.Limits.BodyBytes, Configured.BodyBytes);
+  }
+  if (Configured.HeadTimeoutMs > 0) {
+    Limited.Head = std::chrono::milliseconds(Configured.HeadTimeoutMs);
+  }
+  if (Configured.IdleTimeoutMs > 0) {
+    Limited.Idle = std::chrono::milliseconds(Configured.IdleTimeoutMs);
+  }
+  return Limited;
+}
+
+HttpServiceOptions HttpService::inForce() const {
+  return Configured ? limitedBy(Options, Configured()) : Options;
+}
+
 void HttpService::serve(Session &Accepted) {
   HttpReader Reader(HttpReader::Kind::Request, Options.Limits);
   for (;;) {
@@ -71,13 +97,16 @@
 std::optional<HttpRequest> HttpService::readRequest(HttpReader &Reader,
                                                     Session &Accepted) {
   bool ContinueSent = false;
+  HttpServiceOptions Current = inForce();
+  Reader.limit(Current.Limits);
+  policy::TimePoint HeadBegan = now();
   for (;;) {
     const HttpReadStatus Status = Reader.read();
     if (Status == HttpReadStatus::Ready) {
       return Reader.takeRequest();
     }
     if (Status != HttpReadStatus::NeedMore) {
-      rejectMalformed(Accepted.fd(), Status);
+      rejectMalformed(Accepted.fd(), Status, Current.Limits);
       return std::nullopt;
     }
     if (Reader.expectsContinue() && !ContinueSent) {
@@ -89,33 +118,49 @@
     }
     const auto Count = receiveSome(Accepted.fd(), Reader.room());
     if (Count > 0) {
+      if (!Reader.hasBytes()) {
+        Current = inForce();
+        Reader.limit(Current.Limits);
+        HeadBegan = now();
+      }
       Reader.commit(static_cast<std::size_t>(Count));
-    } else if (Count < 0 ||
-               !(Reader.hasBytes()
-                     ? waitReadable(Accepted.fd(), now() + Options.Read)
-                     : Accepted.waitForRequest(now() + Options.Idle))) {
+    } else if (Count < 0 || !awaitBytes(Reader, Accepted, Current, HeadBegan)) {
       return std::nullopt;
     }
   }
 }
 
-void HttpService::rejectMalformed(int Fd, HttpReadStatus Status) {
+bool HttpService::awaitBytes(const HttpReader &Reader, const Session &Accepted,
+                             const HttpServiceOptions &Current,
+                             policy::TimePoint HeadBegan) {
+  const policy::TimePoint Now = now();
+  if (!Reader.hasBytes()) {
+    return Accepted.waitForRequest(Now + Current.Idle);
+  }
+  policy::TimePoint Latest = Now + Current.Read;
+  if (Current.Head > policy::Duration{0} && !Reader.hasHead()) {
+    Latest = std::min(Latest, HeadBegan + Current.Head);
+  }
+  return waitReadable(Accepted.fd(), Latest);
+}
+
+void HttpService::rejectMalformed(int Fd, HttpReadStatus Status,
+                                  const HttpLimits &Limits) {
   Counts.count(Counter::MalformedRequests);
   HttpResponse Response;
   if (Status == HttpReadStatus::BodyTooLarge) {
-    Response =
-        errorResponse(Speaks, ErrorKind::BodyTooLarge,
-                      "the body is over " +
-                          std::to_string(Options.Limits.BodyBytes) + " bytes",
-                      false);
+    Response = errorResponse(Speaks, ErrorKind::BodyTooLarge,
+                             "the body is over " +
+                                 std::to_string(Limits.BodyBytes) + " bytes",
+                             false);
     Counts.countError(ErrorKind::BodyTooLarge);
   } else {
     Response = errorResponse(
         Speaks, ErrorKind::BadRequest,
         Status == HttpReadStatus::HeadTooLarge
-            ? "the headers are over " +
-                  std::to_string(Options.Limits.HeadBytes) + " bytes or " +
-                  std::to_string(HttpHeaderMaximumCount) + " headers"
+            ? "the headers are over " + std::to_string(Limits.HeadBytes) +
+                  " bytes or " + std::to_string(HttpHeaderMaximumCount) +
+                  " headers"
             : "the request is no valid HTTP/1.1",
         false);
     Counts.countError(ErrorKind::BadRequest);
--- a/packages/daemon/src/daemon/http/reader.cpp
+++ b/packages/daemon/src/daemon/http/reader.cpp
@@ -125,6 +125,16 @@
   Held->start();
 }
 
+void HttpReader::limit(const HttpLimits &Next) {
+  if (Held->Limits == Next) {
+    return;
+  }
+  Held->Limits = Next;
+  if (!hasBytes()) {
+    Held->start();
+  }
+}
+
 std::span<char> HttpReader::room() {
   State &S = *Held;
   if (S.Begin == S.End) {
@@ -165,6 +175,11 @@
          (Held->Read == Kind::Request && Held->Request->got_some());
 }
 
+bool HttpReader::hasHead() const {
+  return Held->Read == Kind::Request ? Held->Request->is_header_done()
+                                     : Held->Response->is_header_done();
+}
+
 bool HttpReader::expectsContinue() const {
   const auto &Parser = Held->Request;
   return Parser && Parser->is_header_done() && !Parser->is_done() &&
--- a/packages/daemon/src/daemon/http/reader.h
+++ b/packages/daemon/src/daemon/http/reader.h
@@ -13,6 +13,8 @@
 struct HttpLimits {
   std::size_t HeadBytes = 32'768;
   std::size_t BodyBytes = 16'777'216;
+
+  bool operator==(const HttpLimits &) const = default;
 };
 
 // Most headers in one message.
@@ -43,6 +45,9 @@
   // whether it has a body.
   void begin(std::string_view Method = {});
 
+  // Limits of the message that begins next; the one at hand keeps its own.
+  void limit(const HttpLimits &Next);
+
   // Free room to read into, and the number of bytes that were read there.
   [[nodiscard]] std::span<char> room();
   void commit(std::size_t Count);
@@ -55,6 +60,8 @@
 
   // True where bytes of an unfinished or further message are held.
   [[nodiscard]] bool hasBytes() const;
+  // True once the head of the message at hand is there.
+  [[nodiscard]] bool hasHead() const;
   // True where the caller waits for leave to send the body.
   [[nodiscard]] bool expectsContinue() const;
 
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -68,7 +68,11 @@
           {.Limits = {.HeadBytes = Settings.HeaderBytes,
                       .BodyBytes = Settings.BodyBytes},
            .Idle = Settings.CallerIdle,
-           .Read = Settings.CallerRead}),
+           .Read = Settings.CallerRead},
+          [this] {
+            const auto Table = Views.current()->Routing;
+            return Table ? Table->Callers : settings::CallerLimits{};
+          }),
       Traffic(Settings.TrafficThreads, {.Spin = Settings.Spin}),
       PeerServer({.Address = Settings.Address,
                   .Port = Settings.PeerPort,
--- a/packages/daemon/src/daemon/view/routing_table.cpp
+++ b/packages/daemon/src/daemon/view/routing_table.cpp
@@ -6,7 +6,7 @@
 namespace magnolia::daemon {
 
 RoutingTable makeRoutingTable(settings::RoutingRecord Record) {
-  RoutingTable Table{.Version = Record.Version};
+  RoutingTable Table{.Version = Record.Version, .Callers = Record.Callers};
   for (settings::HostRoute &Route : Record.Routes) {
     Table.Hosts[Route.Host].push_back(std::move(Route));
   }
--- a/packages/daemon/src/daemon/view/routing_table.h
+++ b/packages/daemon/src/daemon/view/routing_table.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_VIEW_ROUTING_TABLE_H
 #define DAEMON_VIEW_ROUTING_TABLE_H
 
+#include "settings/record/caller_limits.h"
 #include "settings/record/host_route.h"
 #include "settings/record/routing_record.h"
 #include "settings/record/service_limits.h"
@@ -21,6 +22,7 @@
   // Routes of each host, the longest prefix first.
   std::map<std::string, std::vector<settings::HostRoute>, std::less<>> Hosts;
   std::map<std::string, settings::ServiceLimits, std::less<>> Services;
+  settings::CallerLimits Callers;
 };
 
 [[nodiscard]] RoutingTable makeRoutingTable(settings::RoutingRecord Record);
