Look at the own zone first among many backend servers

Cause: of more than 16 servers six were drawn from all zones; with four zones 18% of the draws miss the own zone altogether, and of its seven servers one or two are seen. Change: servers are grouped with those of the own zone first; these are all scored (up to 16), then some of all zones are drawn as before. Load pattern: steady load on thirty servers in four zones, the last free server of a zone, a burst that fills one zone; three tests, two of which fail without the change.

--- a/packages/policy/src/policy/route/choose.cpp
+++ b/packages/policy/src/policy/route/choose.cpp
@@ -71,28 +71,46 @@
   }
 }
 
-// Scores all of few candidates. Of many it draws at random until Samples are
-// found of which one isn't full, or MaxDraws are used up.
-Pick pickLeast(RouteState &State, const VersionGroup &Group,
-               const RouteQuery &Query, TimePoint Now, RandomEngine &Random) {
-  Pick Current;
-  if (Group.Count <= State.Options.ScanAtMost) {
-    const std::uint32_t Start = below(Group.Count, Random);
-    for (std::uint32_t I = 0; I < Group.Count; ++I) {
-      consider(State, Group.First + (Start + I) % Group.Count, Query, Now,
-               Current);
-    }
-    return Current;
+// Scores Count candidates of Active from First on.
+void considerAll(RouteState &State, std::uint32_t First, std::uint32_t Count,
+                 const RouteQuery &Query, TimePoint Now, RandomEngine &Random,
+                 Pick &Current) {
+  const std::uint32_t Start = below(Count, Random);
+  for (std::uint32_t I = 0; I < Count; ++I) {
+    consider(State, First + (Start + I) % Count, Query, Now, Current);
   }
+}
+
+// Draws at random until Samples are found of which one isn't full, or MaxDraws
+// are used up.
+void considerSome(RouteState &State, std::uint32_t First, std::uint32_t Count,
+                  const RouteQuery &Query, TimePoint Now, RandomEngine &Random,
+                  Pick &Current) {
   for (std::uint32_t Draw = 0; Draw < State.Options.MaxDraws; ++Draw) {
     const bool Enough = Draw >= State.Options.Samples &&
                         Current.Best != nullptr && !Current.Score.Full;
     if (Enough || Current.Trial) {
-      break;
+      return;
     }
-    consider(State, Group.First + below(Group.Count, Random), Query, Now,
-             Current);
+    consider(State, First + below(Count, Random), Query, Now, Current);
+  }
+}
+
+// Scores all of few candidates. Of many it draws some, and the own zone is
+// looked at first: a few draws from all zones often miss every server of it.
+Pick pickLeast(RouteState &State, const VersionGroup &Group,
+               const RouteQuery &Query, TimePoint Now, RandomEngine &Random) {
+  Pick Current;
+  if (Group.Count <= State.Options.ScanAtMost) {
+    considerAll(State, Group.First, Group.Count, Query, Now, Random, Current);
+    return Current;
+  }
+  if (Group.Near > State.Options.ScanAtMost) {
+    considerSome(State, Group.First, Group.Near, Query, Now, Random, Current);
+  } else if (Group.Near > 0) {
+    considerAll(State, Group.First, Group.Near, Query, Now, Random, Current);
   }
+  considerSome(State, Group.First, Group.Count, Query, Now, Random, Current);
   return Current;
 }
 
@@ -207,7 +225,8 @@
   } else if (!State.Active.empty()) {
     const VersionGroup All{.Count =
                                static_cast<std::uint32_t>(State.Active.size())};
-    Found = pickIn(State, All, Query, Now, Random);
+    Found = pickIn(State, State.Groups.size() == 1 ? State.Groups.front() : All,
+                   Query, Now, Random);
   }
   if (Found.Best == nullptr) {
     explain(State, LastError);
--- a/packages/policy/src/policy/route/route_state.h
+++ b/packages/policy/src/policy/route/route_state.h
@@ -22,11 +22,13 @@
   std::uint64_t CandidatesRefused = 0;
 };
 
-// Candidates of one version in RouteState::Active.
+// Candidates of one version in RouteState::Active; the first Near of them are
+// in the own zone.
 struct VersionGroup {
   std::uint32_t Version = 0;
   std::uint32_t First = 0;
   std::uint32_t Count = 0;
+  std::uint32_t Near = 0;
 };
 
 // All that an entry node knows of the candidates of one service. At most
@@ -39,7 +41,7 @@
   std::vector<Candidate> Candidates;
   std::unordered_map<NodeId, std::uint32_t> Index;
   // Candidates that are neither draining nor in a zone out of service, grouped
-  // by version.
+  // by version, those of the own zone first.
   std::vector<std::uint32_t> Active;
   std::vector<VersionGroup> Groups;
   // Number of Active candidates that are ejected or in trial, and the sum of
--- a/packages/policy/src/policy/route/update_candidates.cpp
+++ b/packages/policy/src/policy/route/update_candidates.cpp
@@ -3,6 +3,7 @@
 #include "policy/route/internal/health.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace magnolia::policy {
 
@@ -34,9 +35,13 @@
   const auto VersionOf = [&](std::uint32_t At) {
     return State.Candidates[At].Spec.Version;
   };
+  const auto IsFar = [&](std::uint32_t At) {
+    return State.Candidates[At].Spec.Distance > Duration{0};
+  };
   std::stable_sort(State.Active.begin(), State.Active.end(),
                    [&](std::uint32_t A, std::uint32_t B) {
-                     return VersionOf(A) < VersionOf(B);
+                     return std::pair(VersionOf(A), IsFar(A)) <
+                            std::pair(VersionOf(B), IsFar(B));
                    });
   State.Groups.clear();
   for (std::uint32_t I = 0; I < State.Active.size(); ++I) {
@@ -45,6 +50,7 @@
       State.Groups.push_back({.Version = Version, .First = I});
     }
     ++State.Groups.back().Count;
+    State.Groups.back().Near += IsFar(State.Active[I]) ? 0 : 1;
   }
 }
 
--- a/packages/policy/test/policy/route/choose.cpp
+++ b/packages/policy/test/policy/route/choose.cpp
@@ -364,5 +364,76 @@
   EXPECT_EQ(F.spread(20)[2], 20);
 }
 
+// Thirty servers in four zones, as in the grown deployments, seen from an entry
+// node of the first zone.
+struct ManyServers {
+  static constexpr NodeId Servers = 30;
+  static constexpr std::uint32_t Zones = 4;
+  static constexpr std::uint32_t Slots = 8;
+
+  RouteState State;
+  RandomEngine Random{7};
+  TimePoint Now = Start;
+  Error LastError;
+
+  ManyServers() {
+    State.Options.FarFactor = 6;
+    std::vector<CandidateSpec> Specs;
+    for (NodeId Node = 1; Node <= Servers; ++Node) {
+      const bool Near = Node % Zones == 0;
+      Specs.push_back({.Node = Node,
+                       .Run = 1,
+                       .Zone = static_cast<std::uint32_t>(Node % Zones),
+                       .Version = OldVersion,
+                       .Distance = Near ? Duration{0} : milliseconds(3)});
+    }
+    updateCandidates(State, Specs, Now);
+    for (NodeId Node = 1; Node <= Servers; ++Node) {
+      report(Node, 0);
+    }
+  }
+  void report(NodeId Node, std::uint32_t InFlight) {
+    onReport(State, Node, {.InFlight = InFlight, .Limit = Slots}, Now);
+  }
+  NodeId pick() {
+    return choose(State, {}, Now, Random, LastError).value_or(0);
+  }
+};
+
+// Guards against steady load that crosses zones while the own zone has free
+// servers, only because a few random draws missed all of them.
+TEST(Choose, ManyServersKeepSteadyLoadInTheOwnZone) {
+  ManyServers Test;
+  for (int I = 0; I < 1000; ++I) {
+    EXPECT_EQ(Test.pick() % ManyServers::Zones, 0U);
+  }
+}
+
+// Guards against a full server of the own zone that is chosen because the one
+// with free slots was not drawn.
+TEST(Choose, ManyServersFindTheLastFreeServerOfTheOwnZone) {
+  ManyServers Test;
+  constexpr NodeId Free = 12;
+  for (NodeId Node = 4; Node <= ManyServers::Servers;
+       Node += ManyServers::Zones) {
+    Test.report(Node, Node == Free ? 2 : ManyServers::Slots);
+  }
+  for (int I = 0; I < 1000; ++I) {
+    EXPECT_EQ(Test.pick(), Free);
+  }
+}
+
+// Guards against a burst in one zone that waits there while others have room.
+TEST(Choose, ManyServersSpillOverOnceTheOwnZoneIsFull) {
+  ManyServers Test;
+  for (NodeId Node = 4; Node <= ManyServers::Servers;
+       Node += ManyServers::Zones) {
+    Test.report(Node, ManyServers::Slots);
+  }
+  for (int I = 0; I < 1000; ++I) {
+    EXPECT_NE(Test.pick() % ManyServers::Zones, 0U);
+  }
+}
+
 } // namespace
 } // namespace magnolia::policy
