Take over changed settings while the node runs

Change: the file is looked at every 2 s and on SIGHUP. Admission settings of the sidecar and the log level are taken over; the log names these and the keys that need a restart. A file that is not valid changes nothing.

--- a/packages/daemon/src/daemon/log/log.cpp
+++ b/packages/daemon/src/daemon/log/log.cpp
@@ -126,6 +126,8 @@
   return true;
 }
 
+void setLogLevel(LogLevel Lowest) { LowestLevel = Lowest; }
+
 std::uint64_t lostLogLines() { return LostLines; }
 
 std::string logLine(std::string_view Time, LogLevel Level,
--- a/packages/daemon/src/daemon/log/log.h
+++ b/packages/daemon/src/daemon/log/log.h
@@ -25,6 +25,9 @@
 // not keep up loses lines; the process never waits for it.
 [[nodiscard]] bool startLog(LogLevel Lowest, const std::string &File);
 
+// Changes the lowest level that is logged.
+void setLogLevel(LogLevel Lowest);
+
 // Writes one JSON line with the time, the level, the event and the fields,
 // within the budget of the event. A line after lines that were left out states
 // their number as "dropped".
--- a/packages/daemon/src/daemon/node/fwd.h
+++ b/packages/daemon/src/daemon/node/fwd.h
@@ -4,6 +4,7 @@
 namespace magnolia::daemon {
 
 class Node;
+class SettingsWatch;
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -310,6 +310,11 @@
   Backend.update(Announced);
 }
 
+void Node::reload(const settings::NodeSettings &Next) {
+  setLogLevel(logLevelOf(Next.LogLevel));
+  Own.reload(sidecarOptions(Next, Speaks, Run));
+}
+
 void Node::beginStop() {
   Stopping = true;
   CallerSide.beginClose();
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -42,6 +42,9 @@
 
   [[nodiscard]] bool start(policy::Error &LastError);
 
+  // Takes over the settings that may change while the node runs.
+  void reload(const settings::NodeSettings &Next);
+
   // Tells callers to leave; everything is still served.
   void beginStop();
   // Announces that the node leaves. It still serves callers, but its backend
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -21,12 +21,21 @@
       Pool(Given.AnswerLimits),
       Ledger(Given.Run, {.MaxRequests = Given.LedgerEntries}),
       Cancelled([this] { complete({.NotSent = true}, now()); }) {
-  Admitted.Options.MaxWaiting = Options.MaxWaiting;
   Admitted.Options.AnnouncesCold = dialect().ReportsColdStart;
-  Admitted.Options.UsableShare = Options.UsableShare;
-  Admitted.Options.SlowPercent = Options.SlowPercent;
-  Admitted.Options.RepeatRatio = Options.RepeatRatio;
-  Admitted.Options.RepeatSlack = Options.RepeatSlack;
+  setAdmission(Options);
+}
+
+void Sidecar::setAdmission(const SidecarOptions &Given) {
+  Admitted.Options.MaxWaiting = Given.MaxWaiting;
+  Admitted.Options.UsableShare = Given.UsableShare;
+  Admitted.Options.SlowPercent = Given.SlowPercent;
+  Admitted.Options.RepeatRatio = Given.RepeatRatio;
+  Admitted.Options.RepeatSlack = Given.RepeatSlack;
+}
+
+void Sidecar::reload(const SidecarOptions &Next) {
+  const std::lock_guard Lock(Mutex);
+  setAdmission(Next);
 }
 
 Sidecar::Admission Sidecar::admit(const CallRequest &Request,
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -109,6 +109,8 @@
 
   // Takes over what the backend server or the settings announced.
   void apply(const LocalBackendState &State, policy::TimePoint Now);
+  // Takes over the limits on admission; the rest holds from the start on.
+  void reload(const SidecarOptions &Next);
   // Refuses new requests; those that wait or run go on.
   void drain();
   // Refuses new requests while the zone of this node is out of service.
@@ -145,6 +147,7 @@
   // Both need the mutex.
   void grant(const std::vector<policy::Ticket> &Ready);
   void expireWaits(policy::TimePoint Now);
+  void setAdmission(const SidecarOptions &Given);
 
   const SidecarOptions Options;
   LocalBackend &Backend;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,6 +1,7 @@
 #include "daemon/log/log.h"
 #include "daemon/node/node.h"
 #include "daemon/node/obtain_key.h"
+#include "daemon/node/settings_watch.h"
 #include "platform/dialect.h"
 #include "settings/node/read_settings.h"
 #include "wire/seal/cluster_key.h"
@@ -10,6 +11,7 @@
 
 #include <csignal>
 #include <cstdio>
+#include <ctime>
 #include <optional>
 #include <string>
 #include <thread>
@@ -109,8 +111,25 @@
                                           : daemon::nativeDialect();
 }
 
+// Interval at which the settings file is looked at without a signal.
+constexpr timespec SettingsInterval{.tv_sec = 2, .tv_nsec = 0};
+
+// Reloads the settings until a signal asks the process to end, and returns it.
+int waitForStop(daemon::Node &Node, daemon::SettingsWatch &Watch,
+                const sigset_t &Signals) {
+  for (;;) {
+    const int Signal = ::sigtimedwait(&Signals, nullptr, &SettingsInterval);
+    if (Signal > 0 && Signal != SIGHUP) {
+      return Signal;
+    }
+    if (const auto Changed = Watch.check(Signal == SIGHUP)) {
+      Node.reload(*Changed);
+    }
+  }
+}
+
 int runNode(settings::NodeSettings Settings, wire::ClusterKey Key,
-            const daemon::Dialect &Speaks) {
+            const daemon::Dialect &Speaks, daemon::SettingsWatch &Watch) {
   const sigset_t Signals = blockSignals();
   daemon::Node Node(std::move(Settings), std::move(Key), Speaks);
   policy::Error LastError;
@@ -123,12 +142,7 @@
                {"address", std::string_view(Node.Settings.Address)},
                {"http_port", std::uint64_t{Node.Settings.HttpPort}},
                {"peer_port", std::uint64_t{Node.Settings.PeerPort}}});
-  int Signal = 0;
-  while (sigwait(&Signals, &Signal) == 0 && Signal == SIGHUP) {
-    daemon::log(daemon::LogLevel::Info, "reload",
-                {{"changed", false},
-                 {"reason", std::string_view("settings are read at start")}});
-  }
+  const int Signal = waitForStop(Node, Watch, Signals);
   daemon::log(daemon::LogLevel::Info, "stopping",
               {{"signal", static_cast<std::uint64_t>(Signal)}});
   Node.beginStop();
@@ -150,7 +164,9 @@
     return *Line.Status;
   }
   policy::Error LastError;
-  auto Settings = settings::readSettings(Line.Config, LastError);
+  const auto Text = settings::readSettingsText(Line.Config, LastError);
+  auto Settings = Text ? settings::parseSettings(*Text, Line.Config, LastError)
+                       : std::nullopt;
   if (!Settings) {
     return fail(LastError);
   }
@@ -176,5 +192,6 @@
     Key = daemon::obtainClusterKey(Speaks.OpenStore(
         {.Address = Settings->Store.Address, .Port = Settings->Store.Port}));
   }
-  return runNode(std::move(*Settings), std::move(*Key), Speaks);
+  daemon::SettingsWatch Watch(Line.Config, *Text);
+  return runNode(std::move(*Settings), std::move(*Key), Speaks, Watch);
 }
--- a/packages/settings/src/settings/node/fwd.h
+++ b/packages/settings/src/settings/node/fwd.h
@@ -5,6 +5,7 @@
 
 struct HostPort;
 struct NodeSettings;
+struct SettingChanges;
 struct SettingEntry;
 struct SettingValue;
 struct StaticEndpoint;
--- a/packages/settings/src/settings/node/read_settings.cpp
+++ b/packages/settings/src/settings/node/read_settings.cpp
@@ -176,8 +176,8 @@
   return std::move(State.Result);
 }
 
-std::optional<NodeSettings> readSettings(const std::string &Path,
-                                         policy::Error &LastError) {
+std::optional<std::string> readSettingsText(const std::string &Path,
+                                            policy::Error &LastError) {
   std::ifstream File(Path, std::ios::binary);
   std::string Text(SettingsFileMaximumBytes + 1, '\0');
   if (File) {
@@ -190,14 +190,23 @@
                      std::to_string(SettingsFileMaximumBytes) + " bytes"};
     return std::nullopt;
   }
-  return parseSettings(Text, Path, LastError);
+  return Text;
+}
+
+std::optional<NodeSettings> readSettings(const std::string &Path,
+                                         policy::Error &LastError) {
+  const auto Text = readSettingsText(Path, LastError);
+  return Text ? parseSettings(*Text, Path, LastError) : std::nullopt;
 }
 
 std::string settingsPage() {
   std::ostringstream Page;
   Page << "# Settings of magnoliad\n\n"
           "Made by `magnoliad --print-settings`. Check a file with `magnoliad "
-          "--config FILE --check`.\n";
+          "--config FILE --check`. A running node reads the file again on "
+          "SIGHUP and within 2 s of a change; it takes over the keys marked "
+          "\"Reloaded\" and logs the others, which need a restart. A file "
+          "that is not valid changes nothing.\n";
   std::string_view Section;
   for (const SettingEntry &Entry : settingTable()) {
     if (Entry.Section != Section) {
@@ -214,7 +223,8 @@
          << (Entry.Required          ? std::string("required")
              : Entry.Default.empty() ? std::string("empty")
                                      : std::string(Entry.Default))
-         << " | " << Entry.Meaning << " |\n";
+         << " | " << Entry.Meaning << (Entry.Live ? " Reloaded." : "")
+         << " |\n";
   }
   Page << "\n## [static]\n\n"
           "Optional: backend servers for a start without a control plane. The "
--- a/packages/settings/src/settings/node/setting_entry.h
+++ b/packages/settings/src/settings/node/setting_entry.h
@@ -45,6 +45,8 @@
   SettingType Type = SettingType::Text;
   // True where the key has no default.
   bool Required = false;
+  // True where a running node takes over a new value.
+  bool Live = false;
 };
 
 // Every key that a settings file may have, but for section [static].
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -72,6 +72,12 @@
   return Entry;
 }
 
+// A running node takes over a new value.
+constexpr SettingEntry live(SettingEntry Entry) {
+  Entry.Live = true;
+  return Entry;
+}
+
 constexpr SettingEntry address(std::string_view Section, std::string_view Key,
                                std::string_view Default,
                                std::string_view Meaning, Store Setter) {
@@ -219,8 +225,9 @@
     number<&N::IdlePeerConnections>(
         Limits, "idle_peer_connections", "64", 0, 10'000, "connections",
         "Idle connections kept open to each sidecar."),
-    number<&N::WaitQueue>(Limits, "wait_queue", "16", 0, 100'000, "requests",
-                          "Requests that may wait for a slot."),
+    live(number<&N::WaitQueue>(Limits, "wait_queue", "16", 0, 100'000,
+                               "requests",
+                               "Requests that may wait for a slot.")),
     number<&N::LedgerEntries>(
         Limits, "ledger_entries", "262144", 16, 10'000'000, "entries",
         "Non-idempotent requests remembered for ten minutes."),
@@ -280,37 +287,37 @@
         "Time after the first contact with the fleet until a node watches the "
         "store; alone it waits three times as long. Short in small fleets, "
         "long where thousands of nodes may start together."),
-    number<&N::UsablePercent>(
+    live(number<&N::UsablePercent>(
         Limits, "usable_slots_percent", "100", 10, 100, "percent",
-        "Part of the backend server's slots that is used at the same time."),
+        "Part of the backend server's slots that is used at the same time.")),
     number<&N::FarPercent>(
         Limits, "far_percent", "100", 100, 100'000, "percent",
         "Factor on the expected time of backend servers in other zones; above "
         "100 requests stay in the own zone longer."),
-    number<&N::SlowPercent>(
+    live(number<&N::SlowPercent>(
         Limits, "slow_percent", "0", 0, 100'000, "percent",
         "A backend server on whose instance work takes this percentage of the "
-        "usual time passes requests on to others; 0: none does."),
-    number<&N::RepeatPercent>(
+        "usual time passes requests on to others; 0: none does.")),
+    live(number<&N::RepeatPercent>(
         Limits, "repeat_percent", "0", 0, 100, "percent",
         "Repeats of requests that reached a server before, as a part of the "
         "requests of ten seconds, that the sidecar lets through; 0 with "
-        "repeat_slack 0: all."),
-    number<&N::RepeatSlack>(Limits, "repeat_slack", "0", 0, 100'000, "requests",
-                            "Repeats on top of that part."),
+        "repeat_slack 0: all.")),
+    live(number<&N::RepeatSlack>(Limits, "repeat_slack", "0", 0, 100'000,
+                                 "requests", "Repeats on top of that part.")),
     number<&N::RetryBurst>(Limits, "retry_burst", "20", 0, 100'000, "retries",
                            "Retries of one service that a node may save up."),
     number<&N::RetryFloor>(
         Limits, "retry_floor", "1000", 0, 1'000'000, "retries per 100 s",
         "Retries of one service that a node may send whatever the traffic."),
-    {.Section = "log",
-     .Key = "level",
-     .Default = "info",
-     .Unit = {},
-     .Choices = "debug|info|warning|error",
-     .Meaning = "Lowest level that is logged.",
-     .Store = store<&N::LogLevel>,
-     .Type = Type::Choice},
+    live({.Section = "log",
+          .Key = "level",
+          .Default = "info",
+          .Unit = {},
+          .Choices = "debug|info|warning|error",
+          .Meaning = "Lowest level that is logged.",
+          .Store = store<&N::LogLevel>,
+          .Type = Type::Choice}),
     text<&N::LogFile>(
         "log", "file", "", 0, PathBytes,
         "File that the log is appended to; empty: standard output."),
--- a/packages/settings/test/settings/node/read_settings.cpp
+++ b/packages/settings/test/settings/node/read_settings.cpp
@@ -1,5 +1,7 @@
 #include "settings/node/read_settings.h"
 
+#include "settings/node/setting_changes.h"
+
 #include "settings/node/setting_entry.h"
 
 #include <gmock/gmock.h>
@@ -116,5 +118,34 @@
       << "run magnoliad --print-settings > docs/operators/settings.md";
 }
 
+struct ChangeRow {
+  const char *Guards;
+  const char *Before;
+  const char *After;
+  const char *Applied;
+  const char *AtNextStart;
+};
+
+TEST(SettingChanges, Table) {
+  const ChangeRow Rows[] = {
+      {"a change reported where only the order differs",
+       "[limits]\nwait_queue = 1\nhops = 2\n",
+       "[limits]\nhops = 2\nwait_queue = 1\n", "", ""},
+      {"a default written out that is taken for a change", "",
+       "[limits]\nwait_queue = 16\n", "", ""},
+      {"a key said to be applied that needs a restart", "",
+       "[limits]\nhops = 3\nwait_queue = 9\n[log]\nlevel = debug\n",
+       "limits.wait_queue,log.level", "limits.hops"},
+      {"a removed key that goes unnoticed",
+       "[limits]\nwait_queue = 9\n[static]\nservice.a = x\n", "",
+       "limits.wait_queue", "static.service.a"},
+  };
+  for (const ChangeRow &Row : Rows) {
+    const SettingChanges Changes = settingChanges(Row.Before, Row.After);
+    EXPECT_EQ(Changes.Applied, Row.Applied) << Row.Guards;
+    EXPECT_EQ(Changes.AtNextStart, Row.AtNextStart) << Row.Guards;
+  }
+}
+
 } // namespace
 } // namespace magnolia::settings
