Know a server that is slow for a moment from one that is full

Entry nodes took each refusal for a full server with a limit of their own requests there, one, so the own zone looked full and 45% of the attempts went to other zones; the third attempt took any server, slow or not. Change: such a refusal has a kind of its own, SlowInstance, that teaches no limit. A fresh report of a slow spell counts in the choice, the own sidecar is asked each time, and three attempts may be passed on in place of two.

--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -26,7 +26,7 @@
 constexpr policy::Duration CheckAfterIdle = std::chrono::seconds(1);
 
 // Attempts that a slow backend server may reject in favour of another one.
-constexpr std::uint32_t ChoiceAttempts = 2;
+constexpr std::uint32_t ChoiceAttempts = 3;
 
 constexpr std::uint16_t FirstServerError = 500;
 
@@ -99,6 +99,9 @@
   }
   Query.Versions = Shares;
   const policy::TimePoint Now = now();
+  // What the own sidecar knows costs nothing to ask.
+  policy::onReport(Runtime.Route, Owner.Options.Node, Owner.Use.Own.load(),
+                   Now);
   const auto Node =
       policy::choose(Runtime.Route, Query, Now, threadEngine(), ChooseError);
   if (!Node) {
--- a/packages/policy/src/policy/admission/admit.cpp
+++ b/packages/policy/src/policy/admission/admit.cpp
@@ -126,7 +126,7 @@
     return refuse(State, ErrorKind::ColdStart);
   }
   if (Query.HasChoice && isSlowNow(State, Now)) {
-    return refuse(State, ErrorKind::Overloaded);
+    return refuse(State, ErrorKind::SlowInstance);
   }
   if (!isRepeatAllowed(State, Query, Now)) {
     return refuse(State, ErrorKind::Overloaded);
--- a/packages/policy/src/policy/core/error_kind.cpp
+++ b/packages/policy/src/policy/core/error_kind.cpp
@@ -55,6 +55,8 @@
      "The record of requests that may run at most once is full."},
     {ErrorKind::Internal, 500, Unknown, false, "Internal",
      "A fault of the system itself."},
+    {ErrorKind::SlowInstance, 503, No, true, "SlowInstance",
+     "Work takes long on the instance now; another server may answer sooner."},
 }};
 
 constexpr bool inOrder() {
--- a/packages/policy/src/policy/core/error_kind.h
+++ b/packages/policy/src/policy/core/error_kind.h
@@ -33,10 +33,11 @@
   Shutdown,
   LedgerFull,
   Internal,
+  SlowInstance,
 };
 
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::Internal) + 1;
+    static_cast<std::size_t>(ErrorKind::SlowInstance) + 1;
 
 // Whether the request of an error answer ran on a backend server.
 enum class RunOutcome : std::uint8_t { No, Unknown, Yes };
--- a/packages/policy/src/policy/overload/admit_service.cpp
+++ b/packages/policy/src/policy/overload/admit_service.cpp
@@ -42,6 +42,7 @@
 
 bool isCapacityRejection(ErrorKind Kind) {
   return Kind == ErrorKind::Overloaded || Kind == ErrorKind::ColdStart ||
+         Kind == ErrorKind::SlowInstance ||
          Kind == ErrorKind::DeadlineExceededNotRun;
 }
 
--- a/packages/policy/src/policy/route/internal/score.cpp
+++ b/packages/policy/src/policy/route/internal/score.cpp
@@ -28,6 +28,18 @@
          (1 - Weight) * Rest;
 }
 
+// Factor on the time of work from other load on the instance. A spell lasts
+// for some tenths of a second, so a report soon says little.
+double workTimeFactor(const RouteState &State, const Candidate &Next,
+                      TimePoint Now) {
+  constexpr double Usual = 100;
+  if (Next.Report.WorkTimePercent == 0 || Next.ReportAt == TimePoint{}) {
+    return 1;
+  }
+  const double Excess = std::max(0.0, Next.Report.WorkTimePercent / Usual - 1);
+  return 1 + Excess * weightOf(Now - Next.ReportAt, State.Options.ReportDecay);
+}
+
 } // namespace
 
 double rampShare(const RouteState &State, const Candidate &Next,
@@ -67,7 +79,8 @@
 Score score(const RouteState &State, const Candidate &Next, TimePoint Now) {
   const double InFlight = expectedInFlight(State, Next, Now);
   const double Limit = expectedLimit(State, Next, Now);
-  const double Latency = latencyOf(State, Next, Now);
+  const double Latency =
+      latencyOf(State, Next, Now) * workTimeFactor(State, Next, Now);
   const double Queue = std::max(0.0, InFlight + 1 - Limit) / Limit;
   const double Distance = static_cast<double>(Next.Spec.Distance.count());
   // Noisy neighbours hurt most where many slots are taken, so the load counts
--- a/packages/policy/test/policy/admission/load_patterns.cpp
+++ b/packages/policy/test/policy/admission/load_patterns.cpp
@@ -120,8 +120,9 @@
 TEST(LoadPatterns, SlowSpellPassesRequestsOn) {
   AdmissionState State = server(12);
   onWorkTime(State, 400, Start);
-  EXPECT_EQ(admit(State, query(Start, 1, true), Start).Action,
-            AdmissionAction::Refuse);
+  const AdmissionDecision Passed = admit(State, query(Start, 1, true), Start);
+  EXPECT_EQ(Passed.Action, AdmissionAction::Refuse);
+  EXPECT_EQ(Passed.Kind, ErrorKind::SlowInstance);
   // The last server takes the request.
   EXPECT_EQ(admit(State, query(Start), Start).Action, AdmissionAction::Run);
   const TimePoint Later = Start + milliseconds(151);
--- a/packages/policy/test/policy/route/choose.cpp
+++ b/packages/policy/test/policy/route/choose.cpp
@@ -423,6 +423,44 @@
   }
 }
 
+// Guards against servers of the own zone that count as full for long after they
+// passed a request on in a slow spell: steady load would leave the zone.
+TEST(Choose, ServerThatPassedARequestOnIsNotFull) {
+  ManyServers Test;
+  for (NodeId Node = 4; Node <= ManyServers::Servers;
+       Node += ManyServers::Zones) {
+    const Dispatch Sent = onDispatch(Test.State, Node, Test.Now);
+    onRejection(Test.State, Sent, ErrorKind::SlowInstance,
+                LoadReport{.InFlight = 2,
+                           .Limit = ManyServers::Slots,
+                           .WorkTimePercent = 400},
+                Test.Now);
+  }
+  Test.Now += milliseconds(300);
+  for (int I = 0; I < 1000; ++I) {
+    EXPECT_EQ(Test.pick() % ManyServers::Zones, 0U);
+  }
+}
+
+// Guards against requests for a server that has just said that work takes four
+// times as long there.
+TEST(Choose, FreshSlowSpellIsAvoided) {
+  ManyServers Test;
+  constexpr NodeId Usual = 12;
+  for (NodeId Node = 4; Node <= ManyServers::Servers;
+       Node += ManyServers::Zones) {
+    if (Node != Usual) {
+      onReport(Test.State, Node,
+               {.Limit = ManyServers::Slots, .WorkTimePercent = 400}, Test.Now);
+    }
+  }
+  Test.report(Usual, 4);
+  Test.Now += milliseconds(20);
+  for (int I = 0; I < 1000; ++I) {
+    EXPECT_EQ(Test.pick(), Usual);
+  }
+}
+
 // Guards against a burst in one zone that waits there while others have room.
 TEST(Choose, ManyServersSpillOverOnceTheOwnZoneIsFull) {
   ManyServers Test;
