Keep waiting on a silent sidecar while the request may still be answered

Change: after ping_timeout_ms the sidecar counts as silent: idle connections to it are closed and an idempotent request may go to another one within the budget, while the first stays open. After lost_after_ms (800) the request is lost and fenced as before. A non-idempotent request goes on a backend connection that was used within 100 ms, not 300: idle_race forgets connections after 270 ms. Tests in virtual time.

--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -247,6 +247,12 @@
     Owner.Use.Peers.give(Place->Peer, Place->Remote->release(), false);
     answered(Place, std::move(Place->Remote->answer()), Now);
     return;
+  case ExchangeStatus::Silent:
+    // New requests take new connections; an idempotent one may go elsewhere
+    // while this sidecar can still answer.
+    Owner.Use.Peers.discard(Place->Peer.Node);
+    resolve({.Event = OutcomeEvent::Slow}, nullptr);
+    return;
   case ExchangeStatus::Lost:
     Owner.Use.Counts.count(Counter::SilentConnections);
     Owner.Use.Peers.discard(Place->Peer.Node);
--- a/packages/daemon/src/daemon/node/node_options.cpp
+++ b/packages/daemon/src/daemon/node/node_options.cpp
@@ -72,7 +72,9 @@
           .Services = serviceOptions(Settings, Speaks),
           .Exchange = {.AnswerBytes = Settings.AnswerBytes,
                        .PingAfter = Settings.PingAfter,
-                       .PingTimeout = Settings.PingTimeout}};
+                       .PingTimeout = Settings.PingTimeout,
+                       .LostAfter =
+                           std::max(Settings.LostAfter, Settings.PingTimeout)}};
 }
 
 PeerServiceOptions peerOptions(const settings::NodeSettings &Settings,
--- a/packages/daemon/src/daemon/peer/peer_exchange.cpp
+++ b/packages/daemon/src/daemon/peer/peer_exchange.cpp
@@ -61,11 +61,18 @@
   // Any bytes show that the connection lives, also those of a part of a frame.
   if (PingSent && Connection->LastHeard >= *PingSent) {
     PingSent.reset();
+    SilenceTold = false;
   }
   NextPing = std::max(NextPing, Connection->LastHeard + Options.PingAfter);
+  if (PingSent && Now >= *PingSent + Options.LostAfter) {
+    return ExchangeStatus::Lost;
+  }
+  if (PingSent && !SilenceTold && Now >= *PingSent + Options.PingTimeout) {
+    SilenceTold = true;
+    return ExchangeStatus::Silent;
+  }
   if (PingSent) {
-    return Now >= *PingSent + Options.PingTimeout ? ExchangeStatus::Lost
-                                                  : ExchangeStatus::Pending;
+    return ExchangeStatus::Pending;
   }
   if (Now >= NextPing && !ping(Now)) {
     return ExchangeStatus::Lost;
@@ -74,7 +81,10 @@
 }
 
 policy::TimePoint PeerExchange::nextCheck() const {
-  return PingSent ? *PingSent + Options.PingTimeout : NextPing;
+  if (!PingSent) {
+    return NextPing;
+  }
+  return *PingSent + (SilenceTold ? Options.LostAfter : Options.PingTimeout);
 }
 
 void PeerExchange::cancel(policy::TimePoint Now) {
--- a/packages/daemon/src/daemon/peer/peer_exchange.h
+++ b/packages/daemon/src/daemon/peer/peer_exchange.h
@@ -14,6 +14,9 @@
 enum class ExchangeStatus : std::uint8_t {
   Pending,
   Done,
+  // The sidecar has not replied to a check in time; it may still answer. Told
+  // once.
+  Silent,
   // The connection broke or went silent, or the answer is not to the request.
   Lost,
 };
@@ -21,7 +24,11 @@
 struct ExchangeOptions {
   std::size_t AnswerBytes = 0;
   policy::Duration PingAfter{};
+  // Time without a reply to a check after which the sidecar counts as silent,
+  // and after which the connection counts as lost. A lost packet is sent again
+  // after 200 ms at the earliest.
   policy::Duration PingTimeout{};
+  policy::Duration LostAfter{};
 };
 
 // One request and its answer over a peer connection, without blocking in
@@ -65,6 +72,7 @@
   bool HeadSeen = false;
   std::uint64_t PingSequence = 0;
   std::optional<policy::TimePoint> PingSent;
+  bool SilenceTold = false;
   policy::TimePoint NextPing{};
 };
 
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -27,7 +27,7 @@
 // An idle connection is used for a request that must not run twice only where
 // it was used this short a time ago: a connection may be dead without a sign,
 // and whether such a request ran could not be told.
-constexpr policy::Duration SureIdle = std::chrono::milliseconds(300);
+constexpr policy::Duration SureIdle = std::chrono::milliseconds(100);
 
 } // namespace
 
--- /dev/null
+++ b/packages/daemon/test/daemon/peer/peer_exchange.cpp
@@ -0,0 +1,96 @@
+#include "daemon/peer/peer_exchange.h"
+
+#include "daemon/net/clock.h"
+#include "wire/convert/convert.h"
+#include "wire/peer.pb.h"
+
+#include <sys/socket.h>
+
+#include <gtest/gtest.h>
+
+#include <array>
+#include <chrono>
+#include <memory>
+#include <optional>
+
+namespace magnolia::daemon {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr ExchangeOptions Options{.AnswerBytes = 1000,
+                                  .PingAfter = milliseconds(100),
+                                  .PingTimeout = milliseconds(150),
+                                  .LostAfter = milliseconds(800)};
+
+// Exchange whose other side is this test. Times are counted from its start, so
+// that no test waits.
+struct Held {
+  PeerConnection Sidecar;
+  std::optional<PeerExchange> Exchange;
+  policy::TimePoint Start;
+  CallRequest Request;
+
+  Held() {
+    std::array<int, 2> Fds{};
+    EXPECT_EQ(::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Fds.data()),
+              0);
+    Sidecar = PeerConnection(UniqueFd(Fds[1]));
+    Exchange.emplace(std::make_unique<PeerConnection>(UniqueFd(Fds[0])),
+                     Options);
+    Request.Id = {.Origin = 1, .Run = 2, .Sequence = 3};
+    Request.Method = "GET";
+    Request.Target = "/";
+    Request.Deadline = now() + std::chrono::hours(1);
+    EXPECT_TRUE(Exchange->start(Request, now(), false));
+    Start = now();
+  }
+  ExchangeStatus at(milliseconds After) {
+    return Exchange->advance(Start + After);
+  }
+  void answer() {
+    CallAnswer Given;
+    Given.Status = 200;
+    Given.Body = "late";
+    EXPECT_TRUE(queueAnswer(Sidecar, Request.Id, Given));
+    EXPECT_TRUE(Sidecar.flush(now() + std::chrono::seconds(10)));
+  }
+};
+
+// Guards against a request that is given up although its answer is only held up
+// by lost packets.
+TEST(PeerExchange, SilentSidecarMayStillAnswer) {
+  Held Test;
+  EXPECT_EQ(Test.at(milliseconds(50)), ExchangeStatus::Pending);
+  // Sends the check.
+  EXPECT_EQ(Test.at(milliseconds(120)), ExchangeStatus::Pending);
+  EXPECT_EQ(Test.at(milliseconds(200)), ExchangeStatus::Pending);
+  EXPECT_EQ(Test.at(milliseconds(280)), ExchangeStatus::Silent);
+  EXPECT_EQ(Test.at(milliseconds(300)), ExchangeStatus::Pending);
+  Test.answer();
+  EXPECT_EQ(Test.at(milliseconds(500)), ExchangeStatus::Done);
+  EXPECT_EQ(Test.Exchange->answer().Body, "late");
+}
+
+// Guards against a request that waits for ever on a dead connection, and
+// against a wait that nothing wakes.
+TEST(PeerExchange, SilenceEndsAsLost) {
+  Held Test;
+  EXPECT_EQ(Test.at(milliseconds(120)), ExchangeStatus::Pending);
+  EXPECT_EQ(Test.Exchange->nextCheck(),
+            Test.Start + milliseconds(120) + Options.PingTimeout);
+  EXPECT_EQ(Test.at(milliseconds(280)), ExchangeStatus::Silent);
+  EXPECT_EQ(Test.Exchange->nextCheck(),
+            Test.Start + milliseconds(120) + Options.LostAfter);
+  EXPECT_EQ(Test.at(milliseconds(921)), ExchangeStatus::Lost);
+}
+
+// Guards against a closed connection that counts as silent only.
+TEST(PeerExchange, ClosedConnectionIsLostAtOnce) {
+  Held Test;
+  Test.Sidecar = PeerConnection();
+  EXPECT_EQ(Test.at(milliseconds(1)), ExchangeStatus::Lost);
+}
+
+} // namespace
+} // namespace magnolia::daemon
--- a/packages/daemon/test/daemon/support/test_node.h
+++ b/packages/daemon/test/daemon/support/test_node.h
@@ -54,7 +54,8 @@
   Made.ConnectTimeout = milliseconds(2000);
   Made.PeerIdle = milliseconds(10'000);
   Made.PingAfter = milliseconds(50);
-  Made.PingTimeout = milliseconds(200);
+  Made.PingTimeout = milliseconds(100);
+  Made.LostAfter = milliseconds(200);
   Made.FenceTimeout = milliseconds(2000);
   Made.LoadPoll = milliseconds(10'000);
   Made.ShutdownTimeout = milliseconds(10'000);
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -97,6 +97,7 @@
   Milliseconds PeerIdle{};
   Milliseconds PingAfter{};
   Milliseconds PingTimeout{};
+  Milliseconds LostAfter{};
   Milliseconds FenceTimeout{};
   Milliseconds LoadPoll{};
   Milliseconds ShutdownAnnounce{};
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -260,7 +260,14 @@
         "Time without an answer after which a busy connection is checked."),
     number<&N::PingTimeout>(
         Limits, "ping_timeout_ms", "150", 1, 60'000, "ms",
-        "Time without a reply to the check after which it counts as silent."),
+        "Time without a reply to the check after which it counts as silent: "
+        "idle connections to the sidecar are closed and an idempotent request "
+        "is sent to another one."),
+    number<&N::LostAfter>(
+        Limits, "lost_after_ms", "800", 1, 60'000, "ms",
+        "Time without a reply to the check after which the request counts as "
+        "lost; at least ping_timeout_ms. Lost packets are sent again after 200 "
+        "ms and more."),
     number<&N::FenceTimeout>(
         Limits, "fence_timeout_ms", "300", 1, 60'000, "ms",
         "Longest wait for the result of a fence; then the outcome is unknown."),
