Learn everything from the store with one call at a start

Change: the read for the cluster key brings all records; the control thread starts from them, without a push, and a later watch goes on from that revision.

--- a/packages/daemon/src/daemon/control/config_runner.cpp
+++ b/packages/daemon/src/daemon/control/config_runner.cpp
@@ -69,6 +69,14 @@
 }
 
 void ConfigRunner::onStoreResult(store::WatchResult Result) {
+  applyStore(std::move(Result), policy::PushRounds);
+}
+
+void ConfigRunner::onStartRecords(store::WatchResult Result) {
+  applyStore(std::move(Result), 0);
+}
+
+void ConfigRunner::applyStore(store::WatchResult Result, std::uint32_t Rounds) {
   std::vector<policy::ConfigEntry> Entries;
   for (store::WatchEvent &Event : Result.Events) {
     Entries.push_back({.Key = std::move(Event.Key),
@@ -80,7 +88,7 @@
     Entries = policy::changesOf(Table, {.Entries = std::move(Entries),
                                         .Revision = Result.StoreRevision});
   }
-  apply(Entries, Source::Store, policy::PushRounds);
+  apply(Entries, Source::Store, Rounds);
 }
 
 void ConfigRunner::onPush(const wire::PushConfigRequest &Request,
--- a/packages/daemon/src/daemon/control/config_runner.h
+++ b/packages/daemon/src/daemon/control/config_runner.h
@@ -43,6 +43,8 @@
                       std::uint32_t Rounds);
 
   void onStoreResult(store::WatchResult Result);
+  // Takes what the node itself has read at its start: the others know it.
+  void onStartRecords(store::WatchResult Result);
   void onPush(const wire::PushConfigRequest &Request,
               wire::ControlBody &Answer);
   void onExchange(const wire::ExchangeDigestRequest &Request,
@@ -55,6 +57,7 @@
   [[nodiscard]] std::uint64_t exchanges() const { return Repair.Started; }
 
 private:
+  void applyStore(store::WatchResult Result, std::uint32_t Rounds);
   void push(std::span<const policy::ConfigEntry> Entries, Source From,
             std::uint32_t Rounds);
   void exchangeRevisions(const policy::Member &Other, std::uint64_t Buckets);
--- a/packages/daemon/src/daemon/control/control_options.h
+++ b/packages/daemon/src/daemon/control/control_options.h
@@ -7,6 +7,7 @@
 #include "policy/membership/member.h"
 #include "store/client/http_store.h"
 #include "store/core/store_operations.h"
+#include "store/core/watch_result.h"
 #include "wire/seal/cluster_key.h"
 
 #include <chrono>
@@ -35,6 +36,8 @@
   store::StoreOperations (*OpenStore)(const store::HttpStoreOptions &Options) =
       store::httpStore;
   policy::JoinOptions Join;
+  // Records that were read at the start, if any.
+  std::optional<store::WatchResult> Known;
   // Address of the backend server beside the node, and what takes the record
   // that the store has of it.
   std::string BackendKey;
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -102,6 +102,9 @@
   }
   connectTraffic();
   Join = policy::makeJoin(steadyNow(), Random, Options.Join);
+  if (Options.Known) {
+    Queue.post([this] { takeStartRecords(); });
+  }
   Thread = std::thread([this] { run(); });
   return true;
 }
@@ -119,7 +122,37 @@
           Config->onStoreResult(Result);
         });
       },
-      Options.Seed);
+      Options.Seed,
+      Options.Known ? std::optional(Options.Known->StoreRevision)
+                    : std::nullopt);
+}
+
+// The first nodes of a zone leave their contact at once, so that those which
+// start after them need no second read to find the fleet.
+void ControlCore::takeStartRecords() {
+  const store::WatchResult Read = *std::move(Options.Known);
+  takeContacts(Read);
+  const std::string First = settings::contactKey(Options.Self.Zone, 0);
+  const bool ZoneKnown = std::any_of(
+      Read.Events.begin(), Read.Events.end(),
+      [&](const store::WatchEvent &Next) { return Next.Key == First; });
+  Config->onStartRecords(Read);
+  if (!ZoneKnown) {
+    Store->submit([Own = ownContact(0)](const store::StoreOperations &Use) {
+      store::StoreError LastError;
+      // Another node was first: its contact does as well.
+      (void)Use.Put(Own, StoreTimeout, LastError);
+    });
+  }
+}
+
+store::PutRequest ControlCore::ownContact(std::uint32_t Slot) const {
+  const policy::Member &Self = Membership->self();
+  return {.Key = settings::contactKey(Self.Zone, Slot),
+          .Value = settings::formatContact({.Address = Self.Address,
+                                            .GossipPort = Self.GossipPort,
+                                            .Zone = Self.Zone,
+                                            .Incarnation = Self.Run})};
 }
 
 // A watch shows the contacts that other nodes write, so that a new node finds
@@ -220,13 +253,8 @@
 
 void ControlCore::writeContact() {
   const policy::Member &Self = Membership->self();
-  const std::uint32_t Slot = policy::contactSlot(Self, Membership->watchers());
-  const store::PutRequest Wanted = {
-      .Key = settings::contactKey(Self.Zone, Slot),
-      .Value = settings::formatContact({.Address = Self.Address,
-                                        .GossipPort = Self.GossipPort,
-                                        .Zone = Self.Zone,
-                                        .Incarnation = Self.Run})};
+  const store::PutRequest Wanted =
+      ownContact(policy::contactSlot(Self, Membership->watchers()));
   Store->submit([Wanted](const store::StoreOperations &Operations) {
     store::PutRequest Request = Wanted;
     store::StoreError LastError;
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -46,6 +46,8 @@
   void connectTraffic();
   void run();
   void tick();
+  void takeStartRecords();
+  [[nodiscard]] store::PutRequest ownContact(std::uint32_t Slot) const;
   void takeContacts(const store::WatchResult &Result);
   void joinThroughStore(policy::TimePoint Now);
   void watchStore(policy::TimePoint Now);
--- a/packages/daemon/src/daemon/control/store_worker.cpp
+++ b/packages/daemon/src/daemon/control/store_worker.cpp
@@ -16,30 +16,20 @@
 constexpr std::size_t MaximumJobs = 64;
 constexpr milliseconds WatchWait{25000};
 constexpr milliseconds CallTimeout{2000};
-constexpr milliseconds JobPoll{200};
+// A new job and the end of the queue wake the thread at once.
+constexpr milliseconds JobPoll{60'000};
 // Every key: the read at the start brings contacts and records as well. The
 // watch shows what operators write; the records that nodes write they push to
 // each other, so that no write wakes all watchers.
 constexpr std::string_view AllKeys;
 
-store::WatchResult asWatchResult(store::RangeResult Range) {
-  store::WatchResult Result = {
-      .Events = {}, .StoreRevision = Range.StoreRevision, .Full = true};
-  for (store::Entry &Entry : Range.Entries) {
-    Result.Events.push_back({.Key = std::move(Entry.Key),
-                             .Value = std::move(Entry.Value),
-                             .ModRevision = Entry.ModRevision,
-                             .Deleted = false});
-  }
-  return Result;
-}
-
 } // namespace
 
 StoreWorker::StoreWorker(store::StoreOperations Operations,
-                         WatchHandler Handler, std::uint64_t Seed)
-    : Store(std::move(Operations)), Handler(std::move(Handler)), Random(Seed),
-      Jobs(MaximumJobs), Watcher([this] { watchLoop(); }),
+                         WatchHandler Handler, std::uint64_t Seed,
+                         std::optional<store::Revision> Known)
+    : Store(std::move(Operations)), Handler(std::move(Handler)), Known(Known),
+      Random(Seed), Jobs(MaximumJobs), Watcher([this] { watchLoop(); }),
       Runner([this] { jobLoop(); }) {}
 
 StoreWorker::~StoreWorker() {
@@ -72,7 +62,7 @@
 }
 
 void StoreWorker::watchLoop() {
-  std::optional<store::Revision> After;
+  std::optional<store::Revision> After = Known;
   int Failures = 0;
   while (waitUntilWatching()) {
     store::StoreError LastError;
@@ -110,7 +100,7 @@
       return false;
     }
     After = Range->StoreRevision;
-    Handler(asWatchResult(*std::move(Range)));
+    Handler(store::asWatchResult(*std::move(Range)));
     return true;
   }
   std::optional<store::WatchResult> Result =
--- a/packages/daemon/src/daemon/control/store_worker.h
+++ b/packages/daemon/src/daemon/control/store_worker.h
@@ -26,12 +26,13 @@
 class StoreWorker {
 public:
   StoreWorker(store::StoreOperations Store, WatchHandler Handler,
-              std::uint64_t Seed);
+              std::uint64_t Seed, std::optional<store::Revision> Known = {});
   StoreWorker(const StoreWorker &) = delete;
   StoreWorker &operator=(const StoreWorker &) = delete;
   ~StoreWorker();
 
-  // Starts or ends the watch; it begins with everything the store holds.
+  // Starts or ends the watch; without a known revision it begins with
+  // everything the store holds.
   void setWatching(bool On);
 
   // Queues a job. Returns false where too many wait.
@@ -57,6 +58,8 @@
 
   const store::StoreOperations Store;
   const WatchHandler Handler;
+  // Revision of what the node has read before; its watch goes on from there.
+  const std::optional<store::Revision> Known;
   policy::RandomEngine Random;
   mutable std::mutex Mutex;
   std::condition_variable Changed;
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -25,10 +25,11 @@
 } // namespace
 
 Node::Node(settings::NodeSettings Given, wire::ClusterKey ClusterKey,
-           const Dialect &Dialect)
+           const Dialect &Dialect, std::optional<store::WatchResult> Records)
     : Settings(std::move(Given)), Key(std::move(ClusterKey)), Speaks(Dialect),
       Id(policy::nodeIdOf(Settings.Address, Settings.PeerPort)),
-      Run(wallClockIncarnation()), Store(openStore(Settings, Speaks)),
+      Run(wallClockIncarnation()), Known(std::move(Records)),
+      Store(openStore(Settings, Speaks)),
       Peers(poolOptions(Settings, {.Node = Id, .Run = Run, .Key = Key})),
       Own(sidecarOptions(Settings, Speaks, Run), Backend, Counts),
       Reports({.Address = Settings.LocalBackend.Address,
@@ -249,6 +250,7 @@
       .Seed = Id ^ Run,
       .OpenStore = Speaks.OpenStore,
       .Join = joinOptions(Settings),
+      .Known = std::move(Known),
       .BackendKey = settings::backendKey(Settings.LocalBackend.Address,
                                          Settings.LocalBackend.Port),
       .OnBackendRecord = [this](std::string_view Value) {
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -37,8 +37,10 @@
 // the evidence and listens to the own backend server.
 class Node {
 public:
+  // Known: what the store said at the start, if it was asked.
   Node(settings::NodeSettings Given, wire::ClusterKey Key,
-       const Dialect &Speaks = nativeDialect());
+       const Dialect &Speaks = nativeDialect(),
+       std::optional<store::WatchResult> Known = {});
 
   [[nodiscard]] bool start(policy::Error &LastError);
 
@@ -94,6 +96,7 @@
   [[nodiscard]] bool startControl(policy::Error &LastError);
   void announce(const LocalBackendState &Announced);
 
+  std::optional<store::WatchResult> Known;
   // Outlives the traffic threads, which report their answers to it. Null with
   // [static] backend servers.
   std::unique_ptr<ControlThread> Control;
--- a/packages/daemon/src/daemon/node/obtain_key.cpp
+++ b/packages/daemon/src/daemon/node/start_records.cpp
@@ -1,11 +1,13 @@
-#include "daemon/node/obtain_key.h"
+#include "daemon/node/start_records.h"
 
 #include "daemon/log/log.h"
 #include "policy/fleet/join.h"
 #include "settings/record/record_key.h"
+#include "store/core/range_result.h"
 
 #include <openssl/rand.h>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <optional>
@@ -17,7 +19,7 @@
 
 namespace {
 
-constexpr std::chrono::milliseconds CallTimeout{1000};
+constexpr std::chrono::milliseconds CallTimeout{2000};
 constexpr std::size_t KeyBytes = 32;
 
 std::string randomKey() {
@@ -28,14 +30,19 @@
   return {reinterpret_cast<const char *>(Bytes.data()), Bytes.size()};
 }
 
-// Key that the store holds, or one that this call has written.
+// Key among the records, or one that this call has written.
 std::optional<std::string> readOrWrite(const store::StoreOperations &Store,
+                                       const store::WatchResult &All,
                                        store::StoreError &LastError) {
-  const auto Held = Store.Read(settings::ClusterKeyKey, CallTimeout, LastError);
-  if (Held) {
-    return Held->Value;
-  }
-  if (LastError.Kind != store::StoreErrorKind::NotFound) {
+  const auto Held = std::find_if(All.Events.begin(), All.Events.end(),
+                                 [](const store::WatchEvent &Next) {
+                                   return Next.Key == settings::ClusterKeyKey;
+                                 });
+  if (Held != All.Events.end()) {
+    if (Held->Value.size() >= wire::ClusterKeyMinimumBytes) {
+      return Held->Value;
+    }
+    LastError = {store::StoreErrorKind::Malformed, "the key is too short"};
     return std::nullopt;
   }
   std::string Made = randomKey();
@@ -50,18 +57,21 @@
 
 } // namespace
 
-wire::ClusterKey obtainClusterKey(const store::StoreOperations &Store) {
+StartRecords readStartRecords(const store::StoreOperations &Store) {
   policy::RandomEngine Random(std::random_device{}());
   for (int Failures = 1;; ++Failures) {
     store::StoreError LastError;
-    std::optional<std::string> Key = readOrWrite(Store, LastError);
-    if (Key && Key->size() >= wire::ClusterKeyMinimumBytes) {
-      return {.Bytes = *std::move(Key)};
+    auto Range = Store.Range({}, CallTimeout, LastError);
+    if (Range) {
+      store::WatchResult All = store::asWatchResult(*std::move(Range));
+      if (auto Key = readOrWrite(Store, All, LastError)) {
+        return {.Key = {.Bytes = *std::move(Key)}, .All = std::move(All)};
+      }
     }
     if (LastError.Kind == store::StoreErrorKind::Conflict) {
       continue;
     }
-    log(LogLevel::Warning, "cluster key not obtained",
+    log(LogLevel::Warning, "records not read at start",
         {{"reason", std::string_view(LastError.Detail)}});
     std::this_thread::sleep_for(policy::storeBackoff(Failures, Random));
   }
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,7 +1,7 @@
 #include "daemon/log/log.h"
 #include "daemon/node/node.h"
-#include "daemon/node/obtain_key.h"
 #include "daemon/node/settings_watch.h"
+#include "daemon/node/start_records.h"
 #include "platform/dialect.h"
 #include "settings/node/read_settings.h"
 #include "wire/seal/cluster_key.h"
@@ -129,9 +129,11 @@
 }
 
 int runNode(settings::NodeSettings Settings, wire::ClusterKey Key,
-            const daemon::Dialect &Speaks, daemon::SettingsWatch &Watch) {
+            const daemon::Dialect &Speaks, daemon::SettingsWatch &Watch,
+            std::optional<store::WatchResult> Known) {
   const sigset_t Signals = blockSignals();
-  daemon::Node Node(std::move(Settings), std::move(Key), Speaks);
+  daemon::Node Node(std::move(Settings), std::move(Key), Speaks,
+                    std::move(Known));
   policy::Error LastError;
   if (!Node.start(LastError)) {
     return fail(LastError);
@@ -188,10 +190,14 @@
                  "the log file " + Settings->LogFile + " cannot be opened"});
   }
   const daemon::Dialect &Speaks = dialectOf(*Settings);
+  std::optional<store::WatchResult> Known;
   if (KeyInStore) {
-    Key = daemon::obtainClusterKey(Speaks.OpenStore(
+    daemon::StartRecords Records = daemon::readStartRecords(Speaks.OpenStore(
         {.Address = Settings->Store.Address, .Port = Settings->Store.Port}));
+    Key = std::move(Records.Key);
+    Known = std::move(Records.All);
   }
   daemon::SettingsWatch Watch(Line.Config, *Text);
-  return runNode(std::move(*Settings), std::move(*Key), Speaks, Watch);
+  return runNode(std::move(*Settings), std::move(*Key), Speaks, Watch,
+                 std::move(Known));
 }
--- /dev/null
+++ b/packages/daemon/test/daemon/node/start_records.cpp
@@ -0,0 +1,76 @@
+#include "daemon/node/start_records.h"
+
+#include "settings/record/record_key.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace magnolia::daemon {
+namespace {
+
+const std::string Key = "0123456789abcdef0123456789abcdef";
+
+// Store that holds some entries and counts the calls.
+struct CountedStore {
+  std::vector<store::Entry> Entries;
+  // Key that another node writes between the read and the write of this one.
+  std::string WonByOther;
+  int Ranges = 0;
+  int Puts = 0;
+
+  store::StoreOperations operations() {
+    store::StoreOperations Made;
+    Made.Range = [this](std::string_view, std::chrono::milliseconds,
+                        store::StoreError &) {
+      ++Ranges;
+      return std::optional(
+          store::RangeResult{.Entries = Entries, .StoreRevision = 7});
+    };
+    Made.Put =
+        [this](const store::PutRequest &Request, std::chrono::milliseconds,
+               store::StoreError &LastError) -> std::optional<store::Revision> {
+      ++Puts;
+      if (!WonByOther.empty()) {
+        Entries.push_back({.Key = Request.Key, .Value = WonByOther});
+        LastError = {store::StoreErrorKind::Conflict, "exists"};
+        return std::nullopt;
+      }
+      Entries.push_back({.Key = Request.Key, .Value = Request.Value});
+      return 8;
+    };
+    return Made;
+  }
+};
+
+// Guards against a start that costs the store more than one call.
+TEST(StartRecords, OneCallWhereTheKeyIsThere) {
+  CountedStore Store;
+  Store.Entries = {{.Key = std::string(settings::ClusterKeyKey), .Value = Key},
+                   {.Key = "routing/table", .Value = "{}", .ModRevision = 3}};
+  const StartRecords Read = readStartRecords(Store.operations());
+  EXPECT_EQ(Read.Key.Bytes, Key);
+  EXPECT_EQ(Read.All.Events.size(), 2U);
+  EXPECT_EQ(Read.All.StoreRevision, 7U);
+  EXPECT_TRUE(Read.All.Full);
+  EXPECT_EQ(Store.Ranges, 1);
+  EXPECT_EQ(Store.Puts, 0);
+}
+
+// Guards against two keys where two nodes start together.
+TEST(StartRecords, TheFirstKeyWins) {
+  CountedStore First;
+  const StartRecords Made = readStartRecords(First.operations());
+  EXPECT_GE(Made.Key.Bytes.size(), wire::ClusterKeyMinimumBytes);
+  EXPECT_EQ(First.Entries.front().Value, Made.Key.Bytes);
+
+  CountedStore Late;
+  Late.WonByOther = Key;
+  EXPECT_EQ(readStartRecords(Late.operations()).Key.Bytes, Key);
+  EXPECT_EQ(Late.Ranges, 2);
+  EXPECT_EQ(Late.Puts, 1);
+}
+
+} // namespace
+} // namespace magnolia::daemon
--- a/packages/store/src/store/core/range_result.h
+++ b/packages/store/src/store/core/range_result.h
@@ -7,12 +7,17 @@
 
 namespace magnolia::store {
 
+struct WatchResult;
+
 // All entries under a prefix at one revision of the store.
 struct RangeResult {
   std::vector<Entry> Entries;
   Revision StoreRevision = 0;
 };
 
+// The entries as events of a full read.
+[[nodiscard]] WatchResult asWatchResult(RangeResult Range);
+
 } // namespace magnolia::store
 
 #endif
