--- a/packages/daemon/src/daemon/node/start_records.cpp
+++ b/packages/daemon/src/daemon/node/start_records.cpp
@@ -57,8 +57,11 @@
 
 } // namespace
 
-StartRecords readStartRecords(const store::StoreOperations &Store) {
+StartRecords readStartRecords(const store::StoreOperations &Store,
+                              policy::Duration Spread) {
   policy::RandomEngine Random(std::random_device{}());
+  std::uniform_int_distribution<policy::Duration::rep> Part(0, Spread.count());
+  std::this_thread::sleep_for(policy::Duration(Part(Random)));
   for (int Failures = 1;; ++Failures) {
     store::StoreError LastError;
     auto Range = Store.Range({}, CallTimeout, LastError);
--- a/packages/daemon/src/daemon/node/start_records.h
+++ b/packages/daemon/src/daemon/node/start_records.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_NODE_START_RECORDS_H
 #define DAEMON_NODE_START_RECORDS_H
 
+#include "policy/core/types.h"
 #include "store/core/store_operations.h"
 #include "store/core/watch_result.h"
 #include "wire/seal/cluster_key.h"
@@ -18,9 +19,10 @@
 // Reads everything with one call, because calls are what a start costs the
 // store. The first node that finds no cluster key writes a random one; the
 // compare-and-swap lets one key win. Waits while the store is away, as a node
-// without the key can talk to no other.
-[[nodiscard]] StartRecords
-readStartRecords(const store::StoreOperations &Store);
+// without the key can talk to no other. The first call comes after a random
+// part of Spread.
+[[nodiscard]] StartRecords readStartRecords(const store::StoreOperations &Store,
+                                            policy::Duration Spread = {});
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -192,8 +192,10 @@
   const daemon::Dialect &Speaks = dialectOf(*Settings);
   std::optional<store::WatchResult> Known;
   if (KeyInStore) {
-    daemon::StartRecords Records = daemon::readStartRecords(Speaks.OpenStore(
-        {.Address = Settings->Store.Address, .Port = Settings->Store.Port}));
+    daemon::StartRecords Records = daemon::readStartRecords(
+        Speaks.OpenStore(
+            {.Address = Settings->Store.Address, .Port = Settings->Store.Port}),
+        Settings->StartSpread);
     Key = std::move(Records.Key);
     Known = std::move(Records.All);
   }
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -105,6 +105,7 @@
   Milliseconds ShutdownTimeout{};
   Milliseconds SilentAfter{};
   Milliseconds JoinDelay{};
+  Milliseconds StartSpread{};
   std::uint32_t UsablePercent = 100;
   std::uint32_t FarPercent = 100;
   std::uint32_t SlowPercent = 0;
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -289,6 +289,11 @@
         Limits, "silent_after_ms", "5000", 100, HourMs, "ms",
         "Time without a report after which a backend server that announces "
         "itself counts as gone."),
+    number<&N::StartSpread>(
+        Limits, "start_spread_ms", "0", 0, 60'000, "ms",
+        "The first call to the store comes after a random part of this time. "
+        "Set where a whole fleet starts at once with an empty store: the first "
+        "nodes then write the key and contacts that the others read."),
     number<&N::JoinDelay>(
         Limits, "join_delay_ms", "1000", 10, 60'000, "ms",
         "Time after the first contact with the fleet until a node watches the "
