--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -28,6 +28,7 @@
 void Sidecar::setAdmission(const SidecarOptions &Given) {
   Admitted.Options.MaxWaiting = Given.MaxWaiting;
   Admitted.Options.UsableShare = Given.UsableShare;
+  Admitted.Options.ColdFactor = Given.ColdFactor;
   Admitted.Options.SlowPercent = Given.SlowPercent;
   Admitted.Options.RepeatRatio = Given.RepeatRatio;
   Admitted.Options.RepeatSlack = Given.RepeatSlack;
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -38,6 +38,7 @@
   std::uint32_t MaxWaiting = 16;
   // See policy::AdmissionOptions.
   double UsableShare = 1.0;
+  double ColdFactor = 1.0;
   std::uint32_t SlowPercent = 0;
   double RepeatRatio = 0;
   double RepeatSlack = 0;
--- a/packages/policy/src/policy/admission/admit.cpp
+++ b/packages/policy/src/policy/admission/admit.cpp
@@ -71,7 +71,7 @@
 bool isColdFull(AdmissionState &State, TimePoint Now) {
   return isCold(State, Now) && State.Options.ColdPerSecond > 0 &&
          static_cast<double>(arrivalsInLastSecond(State.Arrivals, Now) + 1) >
-             State.Options.ColdPerSecond;
+             State.Options.ColdFactor * State.Options.ColdPerSecond;
 }
 
 bool isRepeatAllowed(const AdmissionState &State, const AdmissionQuery &Query,
--- a/packages/policy/test/policy/admission/load_patterns.cpp
+++ b/packages/policy/test/policy/admission/load_patterns.cpp
@@ -61,6 +61,24 @@
   }
 }
 
+// Guards against a factor on the cold rate that is not applied, or applied to
+// single requests instead of every window of a second.
+TEST(LoadPatterns, ColdReturnUsesTheFactorOnTheRate) {
+  AdmissionState State = server(12);
+  State.Options.ColdPerSecond = 16;
+  State.Options.ColdFactor = 1.25;
+  onColdLeft(State, std::chrono::seconds(3), Start);
+  int Sent = 0;
+  for (int I = 0; I < 100; ++I) {
+    const TimePoint Now = Start + milliseconds(10 * I);
+    if (admit(State, query(Now), Now).Action == AdmissionAction::Run) {
+      ++Sent;
+      (void)complete(State, {.Latency = milliseconds(1)}, Now);
+    }
+  }
+  EXPECT_EQ(Sent, 20);
+}
+
 // Guards against clients that repeat at once and often: repeats stay within
 // their part of the first arrivals.
 TEST(LoadPatterns, RetryAbuseStaysWithinTheBudget) {
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -108,6 +108,7 @@
   Milliseconds StartSpread{};
   std::uint32_t UsablePercent = 100;
   std::uint32_t FarPercent = 100;
+  std::uint32_t ColdPercent = 100;
   std::uint32_t SlowPercent = 0;
   std::uint32_t RepeatPercent = 0;
   std::uint32_t RepeatSlack = 0;
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -306,6 +306,9 @@
         Limits, "far_percent", "100", 100, 100'000, "percent",
         "Factor on the expected time of backend servers in other zones; above "
         "100 requests stay in the own zone longer."),
+    live(number<&N::ColdPercent>(
+        Limits, "cold_rate_percent", "100", 10, 150, "percent",
+        "Part of the stated rate of a cold backend server that is used.")),
     live(number<&N::SlowPercent>(
         Limits, "slow_percent", "0", 0, 100'000, "percent",
         "A backend server on whose instance work takes this percentage of the "
