--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -2,7 +2,6 @@
 
 #include "daemon/sidecar/backend_headers.h"
 
-#include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
 #include "policy/admission/admit.h"
@@ -55,23 +54,6 @@
   }
 }
 
-void SidecarCall::logRefusal(ErrorKind Kind) const {
-  const std::string *Id =
-      findNamed(Request.Headers, Owner.dialect().Headers.RequestId);
-  const policy::AdmissionState State = Owner.admissionState();
-  log(LogLevel::Info, "request refused by the sidecar",
-      {{"request", Id ? std::string_view(*Id) : std::string_view()},
-       {"service", std::string_view(Request.Service)},
-       {"kind", policy::errorEntry(Kind).Name},
-       {"priority", std::uint64_t{Request.Priority}},
-       {"in_flight", std::uint64_t{State.InFlight}},
-       {"limit", std::uint64_t{policy::limit(State)}},
-       {"waiting", State.Waiting.size()},
-       {"work_time_percent", std::uint64_t{State.WorkTimePercent}},
-       {"cold", policy::isCold(State, now())},
-       {"draining", State.Draining}});
-}
-
 int SidecarCall::fd() const {
   switch (Step) {
   case Stage::Waiting:
--- a/packages/settings/src/settings/node/setting_changes.cpp
+++ b/packages/settings/src/settings/node/setting_changes.cpp
@@ -56,7 +56,10 @@
     const auto &[Section, Key] = Place;
     std::string &List =
         isLive(Section, Key) ? Changes.Applied : Changes.AtNextStart;
-    List += (List.empty() ? "" : ",") + Section + "." + Key;
+    List.append(List.empty() ? "" : ",")
+        .append(Section)
+        .append(".")
+        .append(Key);
   }
   return Changes;
 }
