--- a/packages/daemon/src/daemon/net/fiber_loop.h
+++ b/packages/daemon/src/daemon/net/fiber_loop.h
@@ -40,8 +40,8 @@
   FiberLoop(const FiberLoop &) = delete;
   FiberLoop &operator=(const FiberLoop &) = delete;
 
-  // Runs a function on a new fiber of this loop; from any thread. What it
-  // throws is lost.
+  // Runs a function on a new fiber of this loop; from any thread. An exception
+  // that leaves it is logged and ends this fiber only.
   void spawn(std::function<void()> Work);
 
   // Loop whose fiber calls this, or null.
