--- a/bench/loopback/demo.cpp
+++ b/bench/loopback/demo.cpp
@@ -74,7 +74,6 @@
     Plan.Services = Run.plan().Services;
     Plan.CallsPerSecond = Given.CallsPerSecond;
     Plan.Seed = Given.Seed;
-    const auto Start = Clock::now();
     Load Callers(Plan);
     publish();
     pauseFor(std::chrono::seconds(4));
