--- a/bench/loopback/demo.cpp
+++ b/bench/loopback/demo.cpp
@@ -68,12 +68,13 @@
         Tool(Options.Build / "packages/ctl/magnoliactl", Run) {}
 
   bool play() {
-    const auto FirstCall = startDeployment(Run, Tool, Given);
+    startDeployment(Run, Tool, Given);
     LoadPlan Plan;
     Plan.Targets.Entries = Run.entries();
     Plan.Services = Run.plan().Services;
     Plan.CallsPerSecond = Given.CallsPerSecond;
     Plan.Seed = Given.Seed;
+    const auto Start = Clock::now();
     Load Callers(Plan);
     publish();
     pauseFor(std::chrono::seconds(4));
@@ -82,7 +83,7 @@
     move();
     Stop.perform(Run);
     const auto Results = Callers.finish();
-    judge(Results, FirstCall);
+    judge(Results, Start);
     return print();
   }
 
@@ -167,8 +168,7 @@
     Rows.push_back({Step, "P11", Measured});
   }
 
-  void judge(const std::vector<CallResult> &Results,
-             Clock::time_point FirstCall) {
+  void judge(const std::vector<CallResult> &Results, Clock::time_point Start) {
     add("bad version rolled back", Bad->judge(Results, AfterRollBack));
     add("planned stop of a node", Stop.judge(Results));
     const auto Records = fetchRecords(Run);
@@ -176,10 +176,11 @@
     add(All, judgeCalls(Results, mergeRuns(Records)));
     add(All, judgeRecords(Records));
     const auto Services = static_cast<double>(Run.plan().Services.size());
-    // The nodes probe from their first call until their metrics are read.
+    // The nodes go on probing until their metrics are read.
     const auto Metrics = fetchMetrics(Run);
-    const std::chrono::duration<double> Lasted = Clock::now() - FirstCall;
-    add(All, judgeMeasuring(Metrics, {.Services = Services}, Lasted.count()));
+    const std::chrono::duration<double> Lasted = Clock::now() - Start;
+    add(All,
+        judgeMeasuring(Metrics, {.Services = Services}, Lasted.count()));
     double Answered = 0;
     for (const auto &Result : Results) {
       Answered += Result.Status == 200 ? 1 : 0;
--- a/bench/loopback/run.cpp
+++ b/bench/loopback/run.cpp
@@ -45,8 +45,7 @@
   return Records;
 }
 
-Clock::time_point startDeployment(Fleet &Run, ControlTool &Tool,
-                                  const Options &Given) {
+void startDeployment(Fleet &Run, ControlTool &Tool, const Options &Given) {
   Run.start();
   if (!Given.StaticRoutes) {
     Fleet::await(
@@ -57,11 +56,9 @@
     }
   }
   const auto Entries = Run.entries();
-  const auto FirstCall = Clock::now();
   if (!Fleet::await([&] { return Run.ready(Entries); }, StartLimit)) {
     throw std::runtime_error("the deployment was not ready after 30 s");
   }
-  return FirstCall;
 }
 
 bool runLoopback(const Options &Given) {
@@ -71,7 +68,7 @@
             Folder.path());
   ControlTool Tool(Given.Build / "packages/ctl/magnoliactl", Run);
   const auto Script = makeScenario(Given, Run, Tool);
-  const auto FirstCall = startDeployment(Run, Tool, Given);
+  startDeployment(Run, Tool, Given);
 
   LoadPlan Plan;
   Plan.Targets.Entries = Run.entries();
@@ -102,11 +99,11 @@
   };
   Add(judgeCalls(Results, mergeRuns(Records)));
   Add(judgeRecords(Records));
-  // The nodes probe from their first call until their metrics are read.
+  // The nodes go on probing until their metrics are read.
   const auto Metrics = fetchMetrics(Run);
   Add(judgeMeasuring(
       Metrics, {.Services = static_cast<double>(Run.plan().Services.size())},
-      std::chrono::duration<double>(Clock::now() - FirstCall).count()));
+      std::chrono::duration<double>(Clock::now() - Start).count()));
   Add(Script->judge(Results, Records));
   return report(Measures);
 }
--- a/bench/loopback/run.h
+++ b/bench/loopback/run.h
@@ -19,9 +19,7 @@
 
 // Starts the deployment, publishes its settings and waits until every entry
 // node gets answers from every service. Throws where that takes too long.
-// Returns when it sent its first call, which is when the nodes begin to probe.
-[[nodiscard]] Clock::time_point startDeployment(Fleet &Run, ControlTool &Tool,
-                                                const Options &Given);
+void startDeployment(Fleet &Run, ControlTool &Tool, const Options &Given);
 
 // Records of all backend servers; throws where one is missing.
 [[nodiscard]] std::vector<BackendRecord> fetchRecords(const Fleet &Run);
