--- a/bench/loopback/demo.cpp
+++ b/bench/loopback/demo.cpp
@@ -179,8 +179,7 @@
     // The nodes go on probing until their metrics are read.
     const auto Metrics = fetchMetrics(Run);
     const std::chrono::duration<double> Lasted = Clock::now() - Start;
-    add(All,
-        judgeMeasuring(Metrics, {.Services = Services}, Lasted.count()));
+    add(All, judgeMeasuring(Metrics, {.Services = Services}, Lasted.count()));
     double Answered = 0;
     for (const auto &Result : Results) {
       Answered += Result.Status == 200 ? 1 : 0;
