--- a/packages/policy/src/policy/admission/admission_options.h
+++ b/packages/policy/src/policy/admission/admission_options.h
@@ -17,9 +17,8 @@
   bool AnnouncesCold = false;
   // Requests a second that a cold server takes; 0: none that is known.
   double ColdPerSecond = 0;
-  // Factor on that rate. Above 1 where a cold server bears more than it states
-  // for a short time: after the loss of all servers it decides how many
-  // requests are served.
+  // Factor on that rate; above 1 only where servers are known to bear more than
+  // they state.
   double ColdFactor = 1.0;
   // Repeats of requests that reached a server before, as a share of the first
   // arrivals of ten seconds and a number on top. 0: repeats aren't bounded
