Log requests without a route, and where a configuration came from

Cause: a 404 of an outdated routing table could not be told from one for a route that never existed: the log had neither host and path nor the version of the table. It also did not say whether a value came from the store, a push or a repair, nor what it cost.

Change: event 'no route' with host, path and table_version; 'configuration in effect' and 'configuration value rejected' say from where, how many bytes and how long the value took. No decision is changed.

--- a/packages/daemon/src/daemon/control/config_runner.cpp
+++ b/packages/daemon/src/daemon/control/config_runner.cpp
@@ -58,7 +58,7 @@
   std::vector<policy::ConfigEntry> New;
   for (const policy::ConfigEntry &Entry : Entries) {
     if (isConfigKey(Entry.Key) && policy::apply(Table, Entry)) {
-      OnEntry(Entry);
+      OnEntry(Entry, From);
       New.push_back(Entry);
     }
   }
--- a/packages/daemon/src/daemon/control/config_runner.h
+++ b/packages/daemon/src/daemon/control/config_runner.h
@@ -32,7 +32,8 @@
   // pushed.
   enum class Source { Store, Operator, Peer, Repair };
   // Called for each entry that changed the table.
-  using EntryHandler = std::function<void(const policy::ConfigEntry &Entry)>;
+  using EntryHandler =
+      std::function<void(const policy::ConfigEntry &Entry, Source From)>;
 
   ConfigRunner(MembershipRunner &Membership, ControlClient &Client,
                TaskQueue &Queue, policy::RandomEngine &Random);
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -33,6 +33,20 @@
 // Interval at which a view with shares that change with time is rebuilt.
 constexpr policy::Duration ViewRefreshInterval = std::chrono::milliseconds(500);
 
+std::string_view nameOf(ConfigRunner::Source From) {
+  switch (From) {
+  case ConfigRunner::Source::Store:
+    return "store";
+  case ConfigRunner::Source::Operator:
+    return "operator";
+  case ConfigRunner::Source::Peer:
+    return "peer";
+  case ConfigRunner::Source::Repair:
+    return "repair";
+  }
+  return "unknown";
+}
+
 std::vector<policy::Contact> contactsIn(const store::RangeResult &Range) {
   std::vector<policy::Contact> Contacts;
   policy::Error LastError;
@@ -92,7 +106,9 @@
     Config->onDifference(Other, steadyNow());
   });
   Config->setEntryHandler(
-      [this](const policy::ConfigEntry &Entry) { onEntry(Entry); });
+      [this](const policy::ConfigEntry &Entry, ConfigRunner::Source From) {
+        onEntry(Entry, From);
+      });
   Server = ControlServer::open(
       {.Address = Self.Address, .Port = Self.ControlPort}, Options.Key.Bytes,
       [this](wire::ControlBody Body, ControlReply Reply) {
@@ -315,17 +331,26 @@
   Shared.Views.publish(std::move(View));
 }
 
-void ControlCore::onEntry(const policy::ConfigEntry &Entry) {
+void ControlCore::onEntry(const policy::ConfigEntry &Entry,
+                          ConfigRunner::Source From) {
   policy::Error LastError;
+  const auto Start = std::chrono::steady_clock::now();
   if (!applyEntry(Records, Entry, steadyNow(), LastError)) {
     log(LogLevel::Error, "configuration value rejected",
         {{"key", std::string_view(Entry.Key)},
          {"revision", Entry.Revision},
+         {"from", nameOf(From)},
          {"reason", std::string_view(LastError.Detail)}});
     return;
   }
+  const std::chrono::duration<double, std::milli> Taken =
+      std::chrono::steady_clock::now() - Start;
   log(LogLevel::Info, "configuration in effect",
-      {{"key", std::string_view(Entry.Key)}, {"revision", Entry.Revision}});
+      {{"key", std::string_view(Entry.Key)},
+       {"revision", Entry.Revision},
+       {"from", nameOf(From)},
+       {"bytes", std::uint64_t{Entry.Value.size()}},
+       {"took_ms", Taken.count()}});
   if (Entry.Key.starts_with(settings::RolloutRecordPrefix)) {
     const std::string_view Service = std::string_view(Entry.Key).substr(
         settings::RolloutRecordPrefix.size());
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -53,7 +53,7 @@
   void updateStoreWatch(policy::TimePoint Now);
   void writeContact();
   void publishView(policy::TimePoint Now);
-  void onEntry(const policy::ConfigEntry &Entry);
+  void onEntry(const policy::ConfigEntry &Entry, ConfigRunner::Source From);
   void onBackend(const LocalBackendState &Backend);
   [[nodiscard]] bool onCall(wire::ControlBody Body, ControlReply Reply);
   void handleRequest(const wire::ControlBody &Request,
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry/parse_call.h"
 
+#include "daemon/log/log.h"
 #include "policy/chain/chain_headers.h"
 #include "policy/overload/return_delay.h"
 
@@ -139,6 +140,18 @@
   return !Parent.empty() && Owner.Use.Own.running().has(Parent);
 }
 
+// The version tells a node whose table is outdated from a route that no table
+// has.
+void logMissingRoute(const Dialect &Speaks, const HttpRequest &Request,
+                     const RoutingTable &Table) {
+  const std::string *Id = findHeader(Request.Headers, Speaks.Headers.RequestId);
+  log(LogLevel::Warning, "no route",
+      {{"request", Id ? std::string_view(*Id) : std::string_view()},
+       {"host", hostOf(Request)},
+       {"path", pathOf(Request.Target)},
+       {"table_version", Table.Version}});
+}
+
 // Builds the call of a request whose service the routing table selects.
 std::optional<EntryCall::Parameters> parseRouted(Entry &Owner,
                                                  HttpRequest Request,
@@ -149,9 +162,11 @@
     LastError = {ErrorKind::NoBackendServer, "no routing table is loaded yet"};
     return std::nullopt;
   }
+  const Dialect &Speaks = Owner.dialect();
   const settings::HostRoute *Route =
       findRoute(*View->Routing, hostOf(Request), pathOf(Request.Target));
   if (!Route) {
+    logMissingRoute(Speaks, Request, *View->Routing);
     LastError = {ErrorKind::UnknownService,
                  "no route matches the host and path"};
     return std::nullopt;
@@ -170,7 +185,6 @@
   Call.Request.Id = Owner.nextId();
   Call.Request.Service = Target.Service;
   Call.Request.Idempotent = Route->Idempotent;
-  const Dialect &Speaks = Owner.dialect();
   Call.Request.Priority = isCallOfRunningRequest(Owner, Speaks, Request)
                               ? NestedCallPriority
                               : Route->Priority + NestedCallPriority + 1;
