Reject a request without a route as retryable while a newer table exists

Cause: a node answered 404 for a route that a newer routing table already had, although it knew, or could know, that its own table was behind. Callers do not retry a 404, so proper requests ended there.

Change: the view says whether a newer table is known to exist; then the response is 503 ConfigurationOutdated with Retry-After and the statement that the request has not run. With the newest table it stays 404.

--- a/packages/daemon/src/daemon/control/view_builder.cpp
+++ b/packages/daemon/src/daemon/control/view_builder.cpp
@@ -88,6 +88,7 @@
         buildService(Record, Members, Input));
   }
   View.Routing = Input.Records.Routing;
+  View.RoutingOutdated = Input.RoutingOutdated;
   if (View.Routing) {
     for (const auto &[Name, Limits] : View.Routing->Services) {
       if (!View.Services.contains(Name)) {
--- a/packages/daemon/src/daemon/control/view_builder.h
+++ b/packages/daemon/src/daemon/control/view_builder.h
@@ -15,6 +15,7 @@
   const policy::Member &Self;
   std::span<const policy::Member> Members;
   const FleetRecords &Records;
+  bool RoutingOutdated = false;
   policy::Duration ZoneDistance{};
   policy::Duration RegionDistance{};
   policy::TimePoint SteadyNow;
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -143,13 +143,14 @@
 // The version tells a node whose table is outdated from a route that no table
 // has.
 void logMissingRoute(const Dialect &Speaks, const HttpRequest &Request,
-                     const RoutingTable &Table) {
+                     const ClusterView &View) {
   const std::string *Id = findHeader(Request.Headers, Speaks.Headers.RequestId);
   log(LogLevel::Warning, "no route",
       {{"request", Id ? std::string_view(*Id) : std::string_view()},
        {"host", hostOf(Request)},
        {"path", pathOf(Request.Target)},
-       {"table_version", Table.Version}});
+       {"table_version", View.Routing->Version},
+       {"outdated", View.RoutingOutdated}});
 }
 
 // Builds the call of a request whose service the routing table selects.
@@ -166,8 +167,11 @@
   const settings::HostRoute *Route =
       findRoute(*View->Routing, hostOf(Request), pathOf(Request.Target));
   if (!Route) {
-    logMissingRoute(Speaks, Request, *View->Routing);
-    LastError = {ErrorKind::UnknownService,
+    logMissingRoute(Speaks, Request, *View);
+    // Only the newest table can tell that a route does not exist. Callers do
+    // not retry a 404.
+    LastError = {View->RoutingOutdated ? ErrorKind::ConfigurationOutdated
+                                       : ErrorKind::UnknownService,
                  "no route matches the host and path"};
     return std::nullopt;
   }
--- a/packages/daemon/src/daemon/view/cluster_view.h
+++ b/packages/daemon/src/daemon/view/cluster_view.h
@@ -21,6 +21,8 @@
       Services;
   // Null if the requests name their service themselves.
   std::shared_ptr<const RoutingTable> Routing;
+  // True if a newer routing table than Routing is known to exist.
+  bool RoutingOutdated = false;
   // Availability zones that are out of service.
   std::set<std::string, std::less<>> ZonesOut;
   // Traffic share from 0 to 1 of each zone that is returning to service. Other
--- a/packages/policy/src/policy/core/error_kind.cpp
+++ b/packages/policy/src/policy/core/error_kind.cpp
@@ -58,6 +58,8 @@
     {ErrorKind::SlowInstance, 503, No, true, "SlowInstance",
      "The instance is currently slow; another backend server may respond "
      "sooner."},
+    {ErrorKind::ConfigurationOutdated, 503, No, true, "ConfigurationOutdated",
+     "No route matches, but the node does not have the newest routing table."},
 }};
 
 constexpr bool inOrder() {
