--- a/packages/daemon/src/daemon/control/config_runner.cpp
+++ b/packages/daemon/src/daemon/control/config_runner.cpp
@@ -4,6 +4,7 @@
 #include "daemon/control/control_client.h"
 #include "daemon/control/membership_runner.h"
 #include "daemon/control/task_queue.h"
+#include "daemon/log/log.h"
 #include "policy/config/apply.h"
 #include "policy/config/exchange.h"
 #include "policy/config/push_targets.h"
@@ -39,6 +40,13 @@
   return Result;
 }
 
+void logOverLimit(const policy::ConfigEntry &Entry) {
+  log(LogLevel::Error, "configuration entry exceeds a limit",
+      {{"key", std::string_view(Entry.Key)},
+       {"revision", Entry.Revision},
+       {"bytes", std::uint64_t{Entry.Value.size()}}});
+}
+
 ControlEndpoint endpointOf(const policy::Member &Target) {
   return {.Address = Target.Address, .Port = Target.ControlPort};
 }
@@ -57,9 +65,15 @@
                                   Source From, std::uint32_t Rounds) {
   std::vector<policy::ConfigEntry> New;
   for (const policy::ConfigEntry &Entry : Entries) {
-    if (isConfigKey(Entry.Key) && policy::apply(Table, Entry)) {
+    if (!isConfigKey(Entry.Key)) {
+      continue;
+    }
+    const std::uint64_t OverLimit = Table.Counters.OverLimit;
+    if (policy::apply(Table, Entry)) {
       OnEntry(Entry, From);
       New.push_back(Entry);
+    } else if (Table.Counters.OverLimit != OverLimit) {
+      logOverLimit(Entry);
     }
   }
   if (!New.empty() && Rounds > 0 && From != Source::Repair) {
