Count an attempt without a response as a run before a hedge

Cause: a request whose sidecar did not respond was sent to a second backend server although its route allows one, because the open attempt was not counted as a run.

Change: attempts without a result count against the limit of the route.

Measured: HedgeCountsTheOpenAttemptAsARun failed before (Hedge in place of KeepWaiting for limits of 1 and 2) and passes now.

--- a/packages/policy/src/policy/retry/plan_next.cpp
+++ b/packages/policy/src/policy/retry/plan_next.cpp
@@ -38,11 +38,11 @@
 }
 
 // Returns true if another attempt is permitted, apart from the tokens of the
-// budget.
+// budget. An attempt without a result counts as a run, because it may be one.
 bool isAttemptAllowed(const AttemptState &State, const RetryBudget &Budget,
                       TimePoint Now) {
   return !State.RetriesExhausted &&
-         (State.MaxRuns == 0 || State.Runs < State.MaxRuns) &&
+         (State.MaxRuns == 0 || State.Runs + State.Open < State.MaxRuns) &&
          State.Attempts < Budget.Options.MaxAttempts &&
          State.Deadline - Now >= Budget.Options.MinRemaining;
 }
--- a/packages/policy/test/policy/retry/plan_next.cpp
+++ b/packages/policy/test/policy/retry/plan_next.cpp
@@ -286,5 +286,25 @@
   EXPECT_NE(errorEntry(Last.Kind).Run, RunOutcome::No);
 }
 
+// Guards against a hedge that makes a request run on more backend servers than
+// its route allows: the first attempt, which has no response yet, may have run.
+TEST(PlanNext, HedgeCountsTheOpenAttemptAsARun) {
+  const RetryBudget Full{.Tokens = 5, .FilledAt = Start};
+  const auto HedgeAction = [&Full](std::uint32_t MaxRuns, std::uint32_t Runs) {
+    RetryBudget Budget = Full;
+    AttemptState State{.Idempotent = true,
+                       .Attempts = Runs + 1,
+                       .Runs = Runs,
+                       .MaxRuns = MaxRuns,
+                       .Open = 1,
+                       .Deadline = Start + milliseconds(500)};
+    return planNext(State, {.Event = OutcomeEvent::Slow}, Budget, Start).Action;
+  };
+  EXPECT_EQ(HedgeAction(1, 0), RetryAction::KeepWaiting);
+  EXPECT_EQ(HedgeAction(2, 1), RetryAction::KeepWaiting);
+  EXPECT_EQ(HedgeAction(2, 0), RetryAction::Hedge);
+  EXPECT_EQ(HedgeAction(0, 1), RetryAction::Hedge);
+}
+
 } // namespace
 } // namespace magnolia::policy
