Write the routing table as one line a route

Cause: the value of routing/table was one JSON document of some 220 bytes a route. A change of one weight changed a value that nobody could compare in parts: every node received and parsed all of it, and with 4,800 routes it passed the limit of 1 MiB for a value.

Change: routing_text writes a head line and one short line for each route and service, in byte order, with defaults left out; equal routes have equal lines. routing_change compares two values and parses only the lines that differ. The checks and limits stay, messages name the line. Documents of the previous format are still read, because nodes of the previous build push them during an upgrade. A service with two lines cannot come from a manifest.

--- a/bench/policy/routing_bench.cpp
+++ b/bench/policy/routing_bench.cpp
@@ -9,6 +9,8 @@
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 namespace magnolia::bench {
@@ -20,8 +22,12 @@
 constexpr std::size_t Services = 64;
 constexpr std::size_t ChangedRoute = 3;
 
+std::string numbered(std::string_view Name, std::size_t Number) {
+  return std::string(Name).append(std::to_string(Number));
+}
+
 std::string hostOf(std::size_t Route) {
-  return "h" + std::to_string(Route % Hosts) + ".hinokuni.example";
+  return numbered("h", Route % Hosts) + ".hinokuni.example";
 }
 
 std::string prefixOf(std::size_t Route) {
@@ -36,9 +42,9 @@
 
 Json targets(std::size_t Route, int Weight) {
   return Json::array(
-      {{{"service", "service-" + std::to_string(Route % Services)},
+      {{{"service", numbered("service-", Route % Services)},
         {"weight", Weight}},
-       {{"service", "service-" + std::to_string((Route + 1) % Services)},
+       {{"service", numbered("service-", (Route + 1) % Services)},
         {"weight", 100 - Weight}}});
 }
 
@@ -59,12 +65,12 @@
       Fields["traffic_split"] =
           targets(Route, Route == ChangedRoute ? Weight : 50);
     } else {
-      Fields["service"] = "service-" + std::to_string(Route % Services);
+      Fields["service"] = numbered("service-", Route % Services);
     }
-    Document["routes"]["route-" + std::to_string(Route)] = std::move(Fields);
+    Document["routes"][numbered("route-", Route)] = std::move(Fields);
   }
   for (std::size_t Service = 0; Service < Services; ++Service) {
-    Document["services"]["service-" + std::to_string(Service)] = {
+    Document["services"][numbered("service-", Service)] = {
         {"health_path", "/health"},
         {"max_connections", 220},
         {"cold_start_s", 3.0},
--- a/packages/settings/src/settings/record/fwd.h
+++ b/packages/settings/src/settings/record/fwd.h
@@ -9,6 +9,8 @@
 struct RolloutRequest;
 struct RouteRecord;
 struct RouteTarget;
+struct RoutingChange;
+struct RoutingLines;
 struct RoutingRecord;
 struct ServiceLimits;
 struct ServiceRecord;
--- a/packages/settings/src/settings/record/internal/field_reader.cpp
+++ b/packages/settings/src/settings/record/internal/field_reader.cpp
@@ -3,6 +3,8 @@
 #include "settings/record/limits.h"
 #include "settings/record/record_key.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace magnolia::settings::internal {
@@ -41,9 +43,33 @@
   }
 }
 
+FieldReader::FieldReader(std::string_view What, Json Array,
+                         std::span<const char *const> Places)
+    : What(What), Object(std::move(Array)), Places(Places) {
+  if (!Object.is_array()) {
+    failWith("expected a JSON array");
+    Object = Json::array();
+  }
+}
+
 const Json *FieldReader::find(const char *Name) const {
+  if (failed()) {
+    return nullptr;
+  }
+  if (Object.is_array()) {
+    const auto Place = static_cast<std::size_t>(
+        std::distance(Places.begin(), std::find(Places.begin(), Places.end(),
+                                                std::string_view(Name))));
+    return Place < std::min(Places.size(), Object.size()) ? &Object[Place]
+                                                          : nullptr;
+  }
   const auto Found = Object.find(Name);
-  return failed() || Found == Object.end() ? nullptr : &*Found;
+  return Found == Object.end() ? nullptr : &*Found;
+}
+
+bool FieldReader::isText(const char *Name) const {
+  const Json *Field = find(Name);
+  return Field != nullptr && Field->is_string();
 }
 
 std::string FieldReader::text(const char *Name, std::size_t MaxSize) {
--- a/packages/settings/src/settings/record/internal/field_reader.h
+++ b/packages/settings/src/settings/record/internal/field_reader.h
@@ -10,12 +10,14 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
 namespace magnolia::settings::internal {
 
-// Reads and checks fields of one JSON object. Keeps the first fault; fields
+// Reads and checks fields of one JSON object, or of an array whose places have
+// names. Keeps the first fault; fields
 // that are read after it have empty values.
 class FieldReader {
 public:
@@ -23,6 +25,10 @@
   FieldReader(std::string_view What, std::string_view Value,
               std::size_t MaxSize = MaxRecordSize);
   FieldReader(std::string_view What, nlohmann::json Object);
+  // Reads an array. Places names its elements and must outlive the reader;
+  // further elements are ignored.
+  FieldReader(std::string_view What, nlohmann::json Array,
+              std::span<const char *const> Places);
 
   std::string text(const char *Name, std::size_t MaxSize);
   // Text that may be absent or empty.
@@ -36,6 +42,8 @@
   double real(const char *Name, double Maximum, double IfAbsent);
   bool flag(const char *Name);
   std::optional<bool> optionalFlag(const char *Name);
+  // True if the field is there and a text.
+  [[nodiscard]] bool isText(const char *Name) const;
   // Null if the field is absent or not a list of at most MaxSize elements.
   const nlohmann::json *array(const char *Name, std::size_t MaxSize);
   // Empty if the field is absent.
@@ -54,6 +62,8 @@
 
   std::string What;
   nlohmann::json Object;
+  // Names of the elements if Object is an array.
+  std::span<const char *const> Places;
   std::string Message;
 };
 
--- /dev/null
+++ b/packages/settings/src/settings/record/internal/routing_line.cpp
@@ -0,0 +1,227 @@
+#include "settings/record/internal/routing_line.h"
+
+#include "settings/record/internal/field_reader.h"
+#include "settings/record/limits.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace magnolia::settings::internal {
+namespace {
+
+using Json = nlohmann::json;
+using OrderedJson = nlohmann::ordered_json;
+
+// Fields of a route in the order of their places in a line.
+constexpr const char *RouteFields[] = {
+    "host",       "prefix",       "name",         "targets", "idempotent",
+    "timeout_ms", "objective_ms", "max_attempts", "priority"};
+constexpr const char *TargetFields[] = {"service", "weight"};
+
+// Appends a JSON text. Bytes that are not UTF-8 are replaced.
+void appendText(std::string &Line, std::string_view Text) {
+  const bool IsPlain =
+      std::all_of(Text.begin(), Text.end(), [](char Character) {
+        return Character >= ' ' && Character < '\x7f' && Character != '"' &&
+               Character != '\\';
+      });
+  if (IsPlain) {
+    Line.append(1, '"').append(Text).append(1, '"');
+  } else {
+    Line += Json(Text).dump(-1, ' ', false, Json::error_handler_t::replace);
+  }
+}
+
+// Appends the shortest text that is read back as the same number.
+template <class Number> void appendNumber(std::string &Line, Number Value) {
+  constexpr std::size_t LongestNumber = 32;
+  std::array<char, LongestNumber> Digits{};
+  const auto End =
+      std::to_chars(Digits.data(), Digits.data() + Digits.size(), Value).ptr;
+  Line.append(Digits.data(), End);
+}
+
+void appendTargets(std::string &Line, const HostRoute &Route) {
+  if (Route.Targets.size() == 1 && Route.Targets.front().Weight == 1) {
+    appendText(Line, Route.Targets.front().Service);
+    return;
+  }
+  char Separator = '[';
+  for (const RouteTarget &Target : Route.Targets) {
+    Line.append(1, Separator).append(1, '[');
+    appendText(Line, Target.Service);
+    Line += ',';
+    appendNumber(Line, Target.Weight);
+    Line += ']';
+    Separator = ',';
+  }
+  Line += Route.Targets.empty() ? "[]" : "]";
+}
+
+std::uint32_t smallNumber(FieldReader &Fields, const char *Name,
+                          std::uint64_t Minimum, std::uint64_t IfAbsent) {
+  return static_cast<std::uint32_t>(
+      Fields.number(Name, Minimum, MaxSmallNumber, IfAbsent));
+}
+
+// A single service stands for a list of one with the weight 1.
+void readTargets(FieldReader &Fields, HostRoute &Route) {
+  if (Fields.isText("targets")) {
+    Route.Targets.push_back({.Service = Fields.name("targets")});
+    return;
+  }
+  const Json *const List = Fields.array("targets", MaxTargets);
+  if (List == nullptr || List->empty()) {
+    Fields.fail("targets", "a service or a list of at least one service");
+    return;
+  }
+  for (const Json &Element : *List) {
+    FieldReader Target("targets " + std::to_string(Route.Targets.size() + 1),
+                       Element, TargetFields);
+    Route.Targets.push_back(readTarget(Target));
+    if (Target.failed()) {
+      Fields.failWith(Target.message());
+      return;
+    }
+  }
+}
+
+} // namespace
+
+std::string headLine(std::uint64_t Version, const CallerLimits &Callers) {
+  OrderedJson Limits = OrderedJson::object();
+  const auto Add = [&Limits](const char *Name, std::uint64_t Value) {
+    if (Value != 0) {
+      Limits[Name] = Value;
+    }
+  };
+  Add("head_bytes", Callers.HeadBytes);
+  Add("body_bytes", Callers.BodyBytes);
+  Add("head_timeout_ms", Callers.HeadTimeoutMs);
+  Add("idle_timeout_ms", Callers.IdleTimeoutMs);
+  return OrderedJson{{"version", Version}, {"callers", std::move(Limits)}}
+      .dump();
+}
+
+std::string routeLine(const HostRoute &Route) {
+  std::string Line(1, RouteLineStart);
+  appendText(Line, Route.Host);
+  Line += ',';
+  appendText(Line, Route.Prefix);
+  Line += ',';
+  appendText(Line, Route.Name);
+  Line += ',';
+  appendTargets(Line, Route);
+  const auto ValuesOf = [](const HostRoute &Given) {
+    return std::array<std::uint64_t, 5>{Given.Idempotent ? 1U : 0U,
+                                        Given.TimeoutMs, Given.ObjectiveMs,
+                                        Given.MaxAttempts, Given.Priority};
+  };
+  const auto Values = ValuesOf(Route);
+  const auto Defaults = ValuesOf({});
+  std::size_t Count = Values.size();
+  while (Count > 0 && Values[Count - 1] == Defaults[Count - 1]) {
+    --Count;
+  }
+  for (std::size_t Place = 0; Place < Count; ++Place) {
+    Line += ',';
+    if (Place == 0) {
+      Line += Route.Idempotent ? "true" : "false";
+    } else {
+      appendNumber(Line, Values[Place]);
+    }
+  }
+  Line += ']';
+  return Line;
+}
+
+std::string serviceLine(const ServiceLimits &Service) {
+  std::string Line = "{\"service\":";
+  appendText(Line, Service.Service);
+  if (!Service.HealthPath.empty()) {
+    Line += ",\"health_path\":";
+    appendText(Line, Service.HealthPath);
+  }
+  const auto Add = [&Line](const char *Name, auto Value) {
+    if (Value != 0) {
+      Line.append(",\"").append(Name).append("\":");
+      appendNumber(Line, Value);
+    }
+  };
+  Add("connections", Service.Connections);
+  Add("cold_start_ms", Service.ColdStartMs);
+  Add("cold_per_second", Service.ColdPerSecond);
+  Line += '}';
+  return Line;
+}
+
+bool parseHeadLine(std::string_view Line, std::uint64_t &Version,
+                   CallerLimits &Callers, policy::Error &LastError) {
+  FieldReader Fields("head", Line);
+  Version = Fields.number("version", 0, UINT64_MAX);
+  // A document of the previous format is not taken for a table without routes.
+  for (const char *List : {"routes", "services"}) {
+    if (Fields.array(List, 0) != nullptr) {
+      Fields.fail(List, "a line for each");
+    }
+  }
+  FieldReader CallerFields("callers", Fields.object("callers"));
+  Callers = readCallerFields(CallerFields);
+  return !Fields.report(LastError) && !CallerFields.report(LastError);
+}
+
+std::optional<HostRoute> parseRouteLine(std::string_view Line,
+                                        policy::Error &LastError) {
+  FieldReader Fields("route", Json::parse(Line, nullptr, false), RouteFields);
+  HostRoute Route;
+  readRouteFields(Fields, Route);
+  Route.Idempotent = Fields.optionalFlag("idempotent").value_or(false);
+  readTargets(Fields, Route);
+  return Fields.report(LastError) ? std::nullopt
+                                  : std::optional(std::move(Route));
+}
+
+std::optional<ServiceLimits> parseServiceLine(std::string_view Line,
+                                              policy::Error &LastError) {
+  FieldReader Fields("service", Json::parse(Line, nullptr, false));
+  ServiceLimits Service = readServiceFields(Fields);
+  return Fields.report(LastError) ? std::nullopt
+                                  : std::optional(std::move(Service));
+}
+
+void readRouteFields(FieldReader &Fields, HostRoute &Route) {
+  Route.Name = Fields.text("name", MaxPrefixSize);
+  Route.Host = Fields.text("host", MaxPrefixSize);
+  Route.Prefix = Fields.text("prefix", MaxPrefixSize);
+  Route.TimeoutMs = Fields.number("timeout_ms", 0, MaxTimeoutMs, 0);
+  Route.ObjectiveMs = Fields.number("objective_ms", 0, MaxTimeoutMs, 0);
+  Route.MaxAttempts = smallNumber(Fields, "max_attempts", 1, 1);
+  Route.Priority = smallNumber(Fields, "priority", 0, 0);
+}
+
+RouteTarget readTarget(FieldReader &Fields) {
+  return {.Service = Fields.name("service"),
+          .Weight = Fields.real("weight", MaxWeight, 1)};
+}
+
+ServiceLimits readServiceFields(FieldReader &Fields) {
+  return {.Service = Fields.name("service"),
+          .HealthPath = Fields.optionalText("health_path", MaxPrefixSize),
+          .Connections = smallNumber(Fields, "connections", 0, 0),
+          .ColdStartMs = Fields.number("cold_start_ms", 0, MaxTimeoutMs, 0),
+          .ColdPerSecond = Fields.real("cold_per_second", MaxWeight, 0)};
+}
+
+CallerLimits readCallerFields(FieldReader &Fields) {
+  return {.HeadBytes = Fields.number("head_bytes", 0, UINT32_MAX, 0),
+          .BodyBytes = Fields.number("body_bytes", 0, UINT32_MAX, 0),
+          .HeadTimeoutMs = Fields.number("head_timeout_ms", 0, MaxTimeoutMs, 0),
+          .IdleTimeoutMs =
+              Fields.number("idle_timeout_ms", 0, MaxTimeoutMs, 0)};
+}
+
+} // namespace magnolia::settings::internal
--- a/packages/settings/src/settings/record/routing_json.h
+++ b/packages/settings/src/settings/record/routing_json.h
@@ -11,12 +11,13 @@
 
 namespace magnolia::settings {
 
-// JSON values of routing/table and orders/<service>. Reading checks every field
-// against its range; the error names the field and the range.
-[[nodiscard]] std::string formatRouting(const RoutingRecord &Routing);
+// Reads a routing table in the format of the previous builds: one JSON document
+// with all routes. The error names the field and its range.
 [[nodiscard]] std::optional<RoutingRecord>
-parseRouting(std::string_view Value, policy::Error &LastError);
+parseRoutingDocument(std::string_view Value, policy::Error &LastError);
 
+// JSON value of orders/<service>. Reading checks every field against its range;
+// the error names the field and the range.
 [[nodiscard]] std::string formatRolloutRequest(const RolloutRequest &Requested);
 [[nodiscard]] std::optional<RolloutRequest>
 parseRolloutRequest(std::string_view Value, policy::Error &LastError);
