Take over only the routes of a new table that changed

A lookup scanned all prefixes of the host.

Change: FleetRecords keeps the lines of the table in effect; a new value is compared with them and only differing lines are parsed. The index holds the routes by host and prefix in blocks of at most 128, which successive tables share. A lookup is a binary search, repeated where the path branches off from nested prefixes. Of several routes with one prefix the lowest name still wins. A rejected value changes neither the table nor the remembered lines.

--- a/packages/daemon/src/daemon/control/fleet_records.cpp
+++ b/packages/daemon/src/daemon/control/fleet_records.cpp
@@ -4,8 +4,8 @@
 #include "policy/zone/zone_record.h"
 #include "settings/record/parse_record.h"
 #include "settings/record/record_key.h"
+#include "settings/record/routing_change.h"
 #include "settings/record/routing_json.h"
-#include "settings/record/routing_text.h"
 
 #include <optional>
 #include <string_view>
@@ -100,13 +100,19 @@
                  "the routing table was deleted; the last one stays in effect"};
     return false;
   }
-  std::optional<settings::RoutingRecord> Record =
-      settings::parseRouting(Entry.Value, LastError);
-  if (!Record) {
+  const std::optional<settings::RoutingChange> Change =
+      settings::compareRouting(Records.RoutingLines, Entry.Value, LastError);
+  if (!Change) {
     return false;
   }
-  Records.Routing = std::make_shared<const RoutingTable>(
-      makeRoutingTable(*std::move(Record)));
+  std::optional<RoutingTable> Next = withChange(
+      Records.Routing ? *Records.Routing : RoutingTable{}, *Change, LastError);
+  if (!Next) {
+    return false;
+  }
+  Records.Routing = std::make_shared<const RoutingTable>(*std::move(Next));
+  Records.RoutesChanged = Change->AddedRoutes.size();
+  settings::remember(Records.RoutingLines, Entry.Value, *Change);
   return true;
 }
 
--- a/packages/daemon/src/daemon/control/fleet_records.h
+++ b/packages/daemon/src/daemon/control/fleet_records.h
@@ -7,8 +7,10 @@
 #include "policy/rollout/rollout_record.h"
 #include "policy/rollout/rollout_request.h"
 #include "policy/zone/zone_view.h"
+#include "settings/record/routing_lines.h"
 #include "settings/record/service_record.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -27,6 +29,10 @@
   std::map<std::string, policy::RolloutRequest, std::less<>> RolloutRequests;
   // Null if the deployment has no routing table.
   std::shared_ptr<const RoutingTable> Routing;
+  // Value from which Routing was made.
+  settings::RoutingLines RoutingLines;
+  // Number of routes that the last change of Routing parsed anew.
+  std::size_t RoutesChanged = 0;
   std::uint64_t Malformed = 0;
 };
 
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -322,8 +322,8 @@
   Shared.Own.setZoneOut(View.ZonesOut.contains(Options.Self.Zone));
   if (View.Routing) {
     const auto Limits =
-        View.Routing->Services.find(Shared.Backend.state().Service);
-    if (Limits != View.Routing->Services.end()) {
+        View.Routing->Services->find(Shared.Backend.state().Service);
+    if (Limits != View.Routing->Services->end()) {
       Shared.Own.setCapacity(Limits->second.Connections,
                              Limits->second.ColdPerSecond);
     }
--- a/packages/daemon/src/daemon/control/view_builder.cpp
+++ b/packages/daemon/src/daemon/control/view_builder.cpp
@@ -89,7 +89,7 @@
   }
   View.Routing = Input.Records.Routing;
   if (View.Routing) {
-    for (const auto &[Name, Limits] : View.Routing->Services) {
+    for (const auto &[Name, Limits] : *View.Routing->Services) {
       if (!View.Services.contains(Name)) {
         View.Services[Name] = std::make_shared<const ServiceView>(
             buildService({.Service = Name,
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -184,7 +184,7 @@
 
 bool Node::isKnownService(std::string_view Service) const {
   const auto View = Views.current();
-  return !View->Routing || View->Routing->Services.contains(Service);
+  return !View->Routing || View->Routing->Services->contains(Service);
 }
 
 // Without a store no report can be restored, so none has to be stored.
@@ -233,9 +233,9 @@
   if (!View->Routing) {
     return {};
   }
-  const auto Limits = View->Routing->Services.find(Backend.state().Service);
-  return Limits == View->Routing->Services.end() ? std::string()
-                                                 : Limits->second.HealthPath;
+  const auto Limits = View->Routing->Services->find(Backend.state().Service);
+  return Limits == View->Routing->Services->end() ? std::string()
+                                                  : Limits->second.HealthPath;
 }
 
 bool Node::startControl(policy::Error &LastError) {
--- a/packages/daemon/src/daemon/view/routing_table.cpp
+++ b/packages/daemon/src/daemon/view/routing_table.cpp
@@ -1,39 +1,62 @@
 #include "daemon/view/routing_table.h"
 
-#include <algorithm>
+#include "settings/record/routing_change.h"
+
 #include <utility>
 
 namespace magnolia::daemon {
+namespace {
+
+using ServiceMap = RoutingTable::ServiceMap;
 
-RoutingTable makeRoutingTable(settings::RoutingRecord Record) {
-  RoutingTable Table{.Version = Record.Version, .Callers = Record.Callers};
-  for (settings::HostRoute &Route : Record.Routes) {
-    Table.Hosts[Route.Host].push_back(std::move(Route));
+// Returns nothing and sets the error if a service has two lines; the error
+// names the first such service.
+std::shared_ptr<const ServiceMap>
+withServices(const std::shared_ptr<const ServiceMap> &Last,
+             const settings::RoutingChange &Change, policy::Error &LastError) {
+  if (Change.RemovedServices.empty() && Change.AddedServices.empty()) {
+    return Last;
+  }
+  ServiceMap Services = *Last;
+  for (const settings::ServiceLimits &Service : Change.RemovedServices) {
+    Services.erase(Service.Service);
   }
-  for (auto &[Host, Routes] : Table.Hosts) {
-    std::stable_sort(Routes.begin(), Routes.end(),
-                     [](const auto &Left, const auto &Right) {
-                       return Left.Prefix.size() > Right.Prefix.size();
-                     });
+  std::optional<std::string> Twice;
+  for (const settings::ServiceLimits &Service : Change.AddedServices) {
+    const bool IsNew = Services.emplace(Service.Service, Service).second;
+    if (!IsNew && (!Twice || Service.Service < *Twice)) {
+      Twice = Service.Service;
+    }
   }
-  for (settings::ServiceLimits &Service : Record.Services) {
-    std::string Name = Service.Service;
-    Table.Services.insert_or_assign(std::move(Name), std::move(Service));
+  if (Twice) {
+    LastError = {policy::ErrorKind::BadRequest,
+                 "routing table: the service " + *Twice + " has two lines"};
+    return nullptr;
   }
-  return Table;
+  return std::make_shared<const ServiceMap>(std::move(Services));
+}
+
+} // namespace
+
+std::optional<RoutingTable> withChange(const RoutingTable &Last,
+                                       const settings::RoutingChange &Change,
+                                       policy::Error &LastError) {
+  std::shared_ptr<const ServiceMap> Services =
+      withServices(Last.Services, Change, LastError);
+  if (!Services) {
+    return std::nullopt;
+  }
+  return RoutingTable{.Version = Change.Version,
+                      .Routes = withChanges(Last.Routes, Change.RemovedRoutes,
+                                            Change.AddedRoutes),
+                      .Services = std::move(Services),
+                      .Callers = Change.Callers};
 }
 
 const settings::HostRoute *findRoute(const RoutingTable &Table,
                                      std::string_view Host,
                                      std::string_view Path) {
-  const auto Found = Table.Hosts.find(Host);
-  if (Found == Table.Hosts.end()) {
-    return nullptr;
-  }
-  const auto Route = std::find_if(
-      Found->second.begin(), Found->second.end(),
-      [Path](const auto &Next) { return Path.starts_with(Next.Prefix); });
-  return Route == Found->second.end() ? nullptr : &*Route;
+  return findRoute(Table.Routes, Host, Path);
 }
 
 const settings::RouteTarget &targetAt(const settings::HostRoute &Route,
--- a/packages/daemon/src/daemon/view/routing_table.h
+++ b/packages/daemon/src/daemon/view/routing_table.h
@@ -1,31 +1,46 @@
 #ifndef DAEMON_VIEW_ROUTING_TABLE_H
 #define DAEMON_VIEW_ROUTING_TABLE_H
 
+#include "daemon/view/route_index.h"
+#include "policy/core/error.h"
 #include "settings/record/caller_limits.h"
 #include "settings/record/host_route.h"
-#include "settings/record/routing_record.h"
 #include "settings/record/service_limits.h"
 
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <vector>
+
+namespace magnolia::settings {
+struct RoutingChange;
+} // namespace magnolia::settings
 
 namespace magnolia::daemon {
 
 // Routing table, indexed for the lookup of a request's route. It is immutable
-// and shared by all views until the table changes.
+// and shared by all views until the table changes. Successive tables share what
+// did not change.
 struct RoutingTable {
+  using ServiceMap =
+      std::map<std::string, settings::ServiceLimits, std::less<>>;
+
   std::uint64_t Version = 0;
-  // Routes of each host, the longest prefix first.
-  std::map<std::string, std::vector<settings::HostRoute>, std::less<>> Hosts;
-  std::map<std::string, settings::ServiceLimits, std::less<>> Services;
+  RouteIndex Routes;
+  // Never null.
+  std::shared_ptr<const ServiceMap> Services =
+      std::make_shared<const ServiceMap>();
   settings::CallerLimits Callers;
 };
 
-[[nodiscard]] RoutingTable makeRoutingTable(settings::RoutingRecord Record);
+// Returns the table with the change, which was made against the value of the
+// last table. Returns nothing and sets the error if a service has two lines.
+[[nodiscard]] std::optional<RoutingTable>
+withChange(const RoutingTable &Last, const settings::RoutingChange &Change,
+           policy::Error &LastError);
 
 // Returns the route of the host with the longest prefix of the path, or null.
 [[nodiscard]] const settings::HostRoute *findRoute(const RoutingTable &Table,
--- a/packages/daemon/test/daemon/control/fleet_records.cpp
+++ b/packages/daemon/test/daemon/control/fleet_records.cpp
@@ -55,5 +55,68 @@
   EXPECT_TRUE(Records.Services.empty());
 }
 
+// Guards against a node without routes, or with those of an unreadable version,
+// because of one wrong value, and against a table that is compared with a value
+// that was rejected.
+TEST(FleetRecords, RejectedRoutingTableLeavesTheLastGoodOne) {
+  const auto ValueOf = [](const char *Version, const char *Lines) {
+    return std::string("{\"version\":") + Version + "}\n" + Lines;
+  };
+  FleetRecords Records;
+  const auto Apply = [&](std::string Value, bool Tombstone = false) {
+    policy::Error LastError;
+    const bool Applied = applyEntry(Records,
+                                    {.Key = "routing/table",
+                                     .Revision = 1,
+                                     .Value = std::move(Value),
+                                     .Tombstone = Tombstone},
+                                    policy::TimePoint(), LastError);
+    EXPECT_EQ(Applied,
+              LastError.Detail.find("routing table") == std::string::npos)
+        << LastError.Detail;
+    return Applied;
+  };
+  EXPECT_TRUE(Apply(ValueOf("1", "[\"h\",\"/a\",\"r\",\"s\"]\n"
+                                 "[\"h\",\"/b\",\"r\",\"s\"]")));
+  EXPECT_EQ(Records.RoutesChanged, 2U);
+  EXPECT_FALSE(Apply(ValueOf("2", "[\"h\",\"/a\",\"r\",\"s\"]\n"
+                                  "[\"h\",\"/b\",\"r\",")));
+  EXPECT_FALSE(Apply("", true));
+  EXPECT_EQ(Records.Malformed, 2U);
+  ASSERT_TRUE(Records.Routing);
+  EXPECT_EQ(Records.Routing->Version, 1U);
+  EXPECT_TRUE(findRoute(*Records.Routing, "h", "/b/c"));
+  EXPECT_TRUE(Apply(ValueOf("3", "[\"h\",\"/a\",\"r\",\"s\"]\n"
+                                 "[\"h\",\"/b\",\"r\",\"s\",true]")));
+  EXPECT_EQ(Records.RoutesChanged, 1U);
+  EXPECT_EQ(Records.Routing->Version, 3U);
+  EXPECT_TRUE(findRoute(*Records.Routing, "h", "/b/c")->Idempotent);
+}
+
+// Guards against a node that takes no table from a node of the previous build
+// during an upgrade.
+TEST(FleetRecords, DocumentAndLinesFollowEachOther) {
+  FleetRecords Records;
+  policy::Error LastError;
+  const char *const Values[] = {
+      R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/",)"
+      R"("targets":[{"service":"s","weight":1.0}],"idempotent":false}]})",
+      "{\"version\":2}\n[\"h\",\"/\",\"r\",\"s\"]",
+      R"({"version":3,"routes":[{"name":"r","host":"h","prefix":"/",)"
+      R"("targets":[{"service":"s","weight":1.0}],"idempotent":false}]})"};
+  const settings::HostRoute *First = nullptr;
+  for (std::uint64_t Version = 1; Version <= std::size(Values); ++Version) {
+    ASSERT_TRUE(applyEntry(
+        Records, {.Key = "routing/table", .Value = Values[Version - 1]},
+        policy::TimePoint(), LastError))
+        << LastError.Detail;
+    EXPECT_EQ(Records.Routing->Version, Version);
+    const settings::HostRoute *Found = findRoute(*Records.Routing, "h", "/a");
+    ASSERT_TRUE(Found);
+    EXPECT_TRUE(Version == 1 || Found == First);
+    First = Found;
+  }
+}
+
 } // namespace
 } // namespace magnolia::daemon
