Parse only the newest routing table that waits

Cause: several versions that arrived before the next view were parsed one after the other, though only the last one could ever serve a request.

Change: the control thread notes that a table has arrived and parses the newest one before it publishes the next view. Results of the store are moved, not copied, on the way to the configuration table.

--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -33,20 +33,6 @@
 // Interval at which a view with shares that change with time is rebuilt.
 constexpr policy::Duration ViewRefreshInterval = std::chrono::milliseconds(500);
 
-std::string_view nameOf(ConfigRunner::Source From) {
-  switch (From) {
-  case ConfigRunner::Source::Store:
-    return "store";
-  case ConfigRunner::Source::Operator:
-    return "operator";
-  case ConfigRunner::Source::Peer:
-    return "peer";
-  case ConfigRunner::Source::Repair:
-    return "repair";
-  }
-  return "unknown";
-}
-
 std::vector<policy::Contact> contactsIn(const store::RangeResult &Range) {
   std::vector<policy::Contact> Contacts;
   policy::Error LastError;
@@ -135,9 +121,9 @@
       Options.OpenStore(
           {.Address = Options.StoreAddress, .Port = Options.StorePort}),
       [this](store::WatchResult Result) {
-        Queue.post([this, Result = std::move(Result)] {
+        Queue.post([this, Result = std::move(Result)]() mutable {
           applyContacts(Result);
-          Config->onStoreResult(Result);
+          Config->onStoreResult(std::move(Result));
         });
       },
       Options.Seed,
@@ -148,13 +134,13 @@
 // The first node of a zone writes its contact at once, so that the nodes that
 // start later find the fleet with their first read.
 void ControlCore::applyStartRecords() {
-  const store::WatchResult Read = *std::move(Options.StartRecords);
+  store::WatchResult Read = *std::move(Options.StartRecords);
   applyContacts(Read);
   const std::string First = settings::contactKey(Options.Self.Zone, 0);
   const bool ZoneHasContact = std::any_of(
       Read.Events.begin(), Read.Events.end(),
       [&](const store::WatchEvent &Next) { return Next.Key == First; });
-  Config->onStartRecords(Read);
+  Config->onStartRecords(std::move(Read));
   if (!ZoneHasContact) {
     Store->submit(
         [Own = ownContact(0)](const store::StoreOperations &StoreAccess) {
@@ -305,6 +291,7 @@
   ViewGeneration = Membership->generation();
   ViewDirty = false;
   LastView = Now;
+  applyPendingRouting();
   ClusterView View = buildView({.Self = Membership->self(),
                                 .Members = Membership->members(),
                                 .Records = Records,
@@ -331,47 +318,6 @@
   Shared.Views.publish(std::move(View));
 }
 
-void ControlCore::onEntry(const policy::ConfigEntry &Entry,
-                          ConfigRunner::Source From) {
-  policy::Error LastError;
-  const auto Start = std::chrono::steady_clock::now();
-  if (!applyEntry(Records, Entry, steadyNow(), LastError)) {
-    log(LogLevel::Error, "configuration value rejected",
-        {{"key", std::string_view(Entry.Key)},
-         {"revision", Entry.Revision},
-         {"from", nameOf(From)},
-         {"reason", std::string_view(LastError.Detail)}});
-    return;
-  }
-  const std::chrono::duration<double, std::milli> Taken =
-      std::chrono::steady_clock::now() - Start;
-  log(LogLevel::Info, "configuration in effect",
-      {{"key", std::string_view(Entry.Key)},
-       {"revision", Entry.Revision},
-       {"from", nameOf(From)},
-       {"bytes", std::uint64_t{Entry.Value.size()}},
-       {"took_ms", Taken.count()}});
-  if (Entry.Key.starts_with(settings::RolloutRecordPrefix)) {
-    const std::string_view Service = std::string_view(Entry.Key).substr(
-        settings::RolloutRecordPrefix.size());
-    const auto Rollout = Records.Rollouts.find(Service);
-    if (Rollout == Records.Rollouts.end()) {
-      Rollouts->onRemoved(Service);
-    } else {
-      Rollouts->onRecord(Rollout->second);
-    }
-  }
-  if (Entry.Key.starts_with(settings::RolloutRequestPrefix)) {
-    const auto Requested =
-        Records.RolloutRequests.find(std::string_view(Entry.Key).substr(
-            settings::RolloutRequestPrefix.size()));
-    if (Requested != Records.RolloutRequests.end()) {
-      Rollouts->onRolloutRequest(Requested->second);
-    }
-  }
-  ViewDirty = true;
-}
-
 void ControlCore::onBackend(const LocalBackendState &Backend) {
   Membership->announce(
       {.Service = Backend.Present ? Backend.Service : std::string(),
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -17,6 +17,7 @@
 #include "policy/fleet/join_state.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -54,6 +55,7 @@
   void writeContact();
   void publishView(policy::TimePoint Now);
   void onEntry(const policy::ConfigEntry &Entry, ConfigRunner::Source From);
+  void applyPendingRouting();
   void onBackend(const LocalBackendState &Backend);
   [[nodiscard]] bool onCall(wire::ControlBody Body, ControlReply Reply);
   void handleRequest(const wire::ControlBody &Request,
@@ -73,6 +75,8 @@
   std::unique_ptr<RolloutRunner> Rollouts;
   std::unique_ptr<ControlServer> Server;
   FleetRecords Records;
+  // Origin of the newest routing table if it has not been parsed yet.
+  std::optional<ConfigRunner::Source> PendingRouting;
   bool Draining = false;
   // Member table generation from which the published view was built.
   std::uint64_t ViewGeneration = 0;
