Read only the routes of a manifest that changed

Change: the translator splits the text of the manifest at its routes and remembers the line of each route text of the last manifest; only texts that it has not seen are parsed. The rest of the manifest is parsed as before. A manifest that cannot be split or has a wrong part is read as a whole, so reasons and unusual notations stay as they were. The memory is that of one manifest.

--- a/bench/policy/routing_bench.cpp
+++ b/bench/policy/routing_bench.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/fleet_records.h"
 #include "platform/key_map.h"
+#include "platform/manifest_translator.h"
 
 #include <benchmark/benchmark.h>
 #include <nlohmann/json.hpp>
@@ -111,6 +112,19 @@
   Bench.counters["table_bytes"] = static_cast<double>(Bytes);
 }
 
+// The same for a manifest that differs from the last one in one route.
+void translateOneChange(benchmark::State &Bench) {
+  const auto Routes = static_cast<std::size_t>(Bench.range(0));
+  const store::WatchEvent Versions[] = {event(Routes, 50), event(Routes, 51)};
+  platform::ManifestTranslator Manifests;
+  benchmark::DoNotOptimize(platform::translate(Versions[0], Manifests));
+  std::size_t Next = 1;
+  while (Bench.KeepRunning()) {
+    benchmark::DoNotOptimize(platform::translate(Versions[Next], Manifests));
+    Next = 1 - Next;
+  }
+}
+
 // A node without a table receives one.
 void applyNewTable(benchmark::State &Bench) {
   const policy::ConfigEntry Entry =
@@ -158,6 +172,7 @@
   Bench->Arg(10)->Arg(100)->Arg(1'000)->Arg(10'000);
 }
 BENCHMARK(translateManifest)->Apply(sizes)->Unit(benchmark::kMicrosecond);
+BENCHMARK(translateOneChange)->Apply(sizes)->Unit(benchmark::kMicrosecond);
 BENCHMARK(applyNewTable)->Apply(sizes)->Unit(benchmark::kMicrosecond);
 BENCHMARK(applyOneChange)->Apply(sizes)->Unit(benchmark::kMicrosecond);
 BENCHMARK(findRoute)->Apply(sizes)->Unit(benchmark::kNanosecond);
--- a/packages/settings/src/settings/record/routing_text.cpp
+++ b/packages/settings/src/settings/record/routing_text.cpp
@@ -1,5 +1,6 @@
 #include "settings/record/routing_text.h"
 
+#include "settings/record/internal/line_difference.h"
 #include "settings/record/internal/routing_line.h"
 #include "settings/record/routing_change.h"
 #include "settings/record/routing_lines.h"
@@ -11,25 +12,41 @@
 
 namespace magnolia::settings {
 
-std::string formatRouting(const RoutingRecord &Routing) {
-  std::vector<std::string> Lines;
-  Lines.reserve(Routing.Routes.size() + Routing.Services.size());
-  std::size_t Size = 0;
-  for (const HostRoute &Route : Routing.Routes) {
-    Size += Lines.emplace_back(internal::routeLine(Route)).size() + 1;
-  }
+std::string formatRoute(const HostRoute &Route) {
+  return internal::routeLine(Route);
+}
+
+std::string formatRouting(const RoutingRecord &Routing,
+                          std::vector<std::string_view> RouteLines) {
+  std::vector<std::string> ServiceLines;
+  ServiceLines.reserve(Routing.Services.size());
   for (const ServiceLimits &Service : Routing.Services) {
-    Size += Lines.emplace_back(internal::serviceLine(Service)).size() + 1;
+    ServiceLines.push_back(internal::serviceLine(Service));
   }
+  std::vector<std::string_view> Lines = std::move(RouteLines);
+  Lines.insert(Lines.end(), ServiceLines.begin(), ServiceLines.end());
   std::sort(Lines.begin(), Lines.end());
   std::string Text = internal::headLine(Routing.Version, Routing.Callers);
-  Text.reserve(Text.size() + Size);
-  for (const std::string &Line : Lines) {
-    Text.append(1, '\n').append(Line);
+  std::size_t Size = Text.size();
+  for (const std::string_view Line : Lines) {
+    Size += Line.size() + 1;
+  }
+  Text.reserve(Size);
+  for (const std::string_view Line : Lines) {
+    Text.append(1, internal::LineBreak).append(Line);
   }
   return Text;
 }
 
+std::string formatRouting(const RoutingRecord &Routing) {
+  std::vector<std::string> Lines;
+  Lines.reserve(Routing.Routes.size());
+  for (const HostRoute &Route : Routing.Routes) {
+    Lines.push_back(internal::routeLine(Route));
+  }
+  return formatRouting(Routing, {Lines.begin(), Lines.end()});
+}
+
 std::optional<RoutingRecord> parseRouting(std::string_view Value,
                                           policy::Error &LastError) {
   std::optional<RoutingChange> All = compareRouting({}, Value, LastError);
--- a/packages/settings/src/settings/record/routing_text.h
+++ b/packages/settings/src/settings/record/routing_text.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace magnolia::settings {
 
@@ -17,6 +18,14 @@
 // texts. Equal routes have equal lines.
 [[nodiscard]] std::string formatRouting(const RoutingRecord &Routing);
 
+// Returns the line of one route, without a line break.
+[[nodiscard]] std::string formatRoute(const HostRoute &Route);
+// Formats a table whose routes are the lines, in any order, in place of those
+// of the record.
+[[nodiscard]] std::string
+formatRouting(const RoutingRecord &Routing,
+              std::vector<std::string_view> RouteLines);
+
 // Parses a value in this format or a JSON document of the previous one. Every
 // field is checked against its range; the error names the line, the field and
 // the range.
