--- a/packages/policy/src/policy/config/exchange.cpp
+++ b/packages/policy/src/policy/config/exchange.cpp
@@ -1,4 +1,5 @@
 #include "policy/config/exchange.h"
+#include "policy/config/send_form.h"
 #include "policy/core/types.h"
 
 #include <unordered_map>
@@ -26,6 +27,15 @@
   return true;
 }
 
+// Appends the entry as a notice unless there are enough.
+void addNotice(std::vector<KeyRevision> &Notices, const ConfigEntry &Entry) {
+  if (Notices.size() < MaxNotices) {
+    Notices.push_back({.Key = Entry.Key,
+                       .Revision = Entry.Revision,
+                       .Bytes = Entry.Value.size()});
+  }
+}
+
 } // namespace
 
 static_assert(ConfigDigest::BucketCount == 64, "one bit of a set per bucket");
@@ -58,8 +68,20 @@
   return Result;
 }
 
+std::vector<KeyRevision> largeRevisions(const ConfigTable &Table,
+                                        std::uint64_t Buckets) {
+  std::vector<KeyRevision> Result;
+  for (const auto &[Key, Entry] : Table.Entries) {
+    if (isLarge(Entry) && inSet(Buckets, Key)) {
+      addNotice(Result, Entry);
+    }
+  }
+  return Result;
+}
+
 ConfigDiff diff(const ConfigTable &Table, std::span<const KeyRevision> Theirs,
-                std::uint64_t Buckets, std::size_t MaxBytes) {
+                std::uint64_t Buckets, std::size_t MaxBytes,
+                LargeValues Large) {
   ConfigDiff Result;
   std::unordered_map<std::string_view, std::uint64_t> Held;
   Held.reserve(Theirs.size());
@@ -79,6 +101,10 @@
         (Found != Held.end() && Found->second >= Entry.Revision)) {
       continue;
     }
+    if (Large == LargeValues::Announced && isLarge(Entry)) {
+      addNotice(Result.Notices, Entry);
+      continue;
+    }
     if (!appendWithinLimit(Result.Newer, Entry, Bytes, MaxBytes)) {
       Result.More = true;
       break;
@@ -89,17 +115,32 @@
 
 std::vector<ConfigEntry> missingFrom(const ConfigTable &Table,
                                      std::span<const std::string> Wanted,
-                                     std::size_t MaxBytes) {
+                                     std::size_t MaxBytes, LargeValues Large) {
   std::vector<ConfigEntry> Result;
   std::size_t Bytes = 0;
   for (const std::string &Key : Wanted) {
     const auto Found = Table.Entries.find(Key);
-    if (Found != Table.Entries.end() &&
-        !appendWithinLimit(Result, Found->second, Bytes, MaxBytes)) {
+    if (Found == Table.Entries.end() ||
+        (Large == LargeValues::Announced && isLarge(Found->second))) {
+      continue;
+    }
+    if (!appendWithinLimit(Result, Found->second, Bytes, MaxBytes)) {
       break;
     }
   }
   return Result;
 }
 
+std::vector<KeyRevision> largeAmong(const ConfigTable &Table,
+                                    std::span<const std::string> Wanted) {
+  std::vector<KeyRevision> Result;
+  for (const std::string &Key : Wanted) {
+    const auto Found = Table.Entries.find(Key);
+    if (Found != Table.Entries.end() && isLarge(Found->second)) {
+      addNotice(Result, Found->second);
+    }
+  }
+  return Result;
+}
+
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/config/key_revision.h
+++ b/packages/policy/src/policy/config/key_revision.h
@@ -1,6 +1,7 @@
 #ifndef POLICY_CONFIG_KEY_REVISION_H
 #define POLICY_CONFIG_KEY_REVISION_H
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 
@@ -10,6 +11,8 @@
 struct KeyRevision {
   std::string Key;
   std::uint64_t Revision = 0;
+  // Size of the value; 0 if it is not known.
+  std::size_t Bytes = 0;
 };
 
 } // namespace magnolia::policy
