Send each node a large configuration value once

Cause: the routing table is one value; every node pushed it whole to three others, and exchanges from both sides sent it again every 500 ms. With 1,400 more routes (330 KB), nodes with 0.1 of a core and 10 Mbit/s stalled 2 to 4 s on each version, also if one weight changed. Callers saw 404 for routes of a newer version, and late answers.

Change: a push holds the last patch if that is small, or a notice. A node fetches a large value with one call in flight per key, tells the revision that it holds and gets patches or the value. Both messages of the first call of an exchange list the large values, so that a late node knows at once that it is behind; ConfigRunner::isOutdated() tells. Nodes of the previous build get large values whole in exchanges, as before. Calls with a longer timeout are cancelled when the node stops. Seven metrics count fetches, patches and bytes.

--- a/packages/daemon/src/daemon/control/control_client.cpp
+++ b/packages/daemon/src/daemon/control/control_client.cpp
@@ -14,7 +14,6 @@
 
 constexpr int MaximumCallsInFlight = 64;
 constexpr std::size_t MaximumChannels = 16;
-constexpr std::chrono::seconds CallTimeout{2};
 constexpr int MaximumMessageBytes = 8 << 20;
 
 // State of one call. It exists until the callback has run.
@@ -32,14 +31,22 @@
     : ClusterKey(std::move(ClusterKey)), Self(Self) {}
 
 ControlClient::~ControlClient() {
+  {
+    const std::lock_guard Lock(Mutex);
+    for (grpc::ClientContext *const Context : LongCalls) {
+      Context->TryCancel();
+    }
+  }
   for (int Pending = InFlight; Pending != 0; Pending = InFlight) {
     InFlight.wait(Pending);
   }
   releaseRetired();
 }
 
-void ControlClient::retire(std::shared_ptr<void> Call) {
+void ControlClient::retire(std::shared_ptr<void> Call,
+                           const grpc::ClientContext *Context) {
   const std::lock_guard Lock(Mutex);
+  std::erase(LongCalls, Context);
   Retired.push_back(std::move(Call));
 }
 
@@ -50,7 +57,7 @@
 }
 
 void ControlClient::call(const ControlEndpoint &Target, wire::ControlBody Body,
-                         ControlCallback Callback) {
+                         ControlCallback Callback, policy::Duration Timeout) {
   releaseRetired();
   if (InFlight.fetch_add(1) >= MaximumCallsInFlight) {
     InFlight.fetch_sub(1);
@@ -63,9 +70,15 @@
   Call->Channel = channelTo(Target);
   Call->Stub = wire::Control::NewStub(Call->Channel);
   Call->Request = wire::seal(ClusterKey, Body);
-  Call->Context.set_deadline(std::chrono::system_clock::now() + CallTimeout);
+  Call->Context.set_deadline(
+      std::chrono::system_clock::now() +
+      std::chrono::duration_cast<std::chrono::system_clock::duration>(Timeout));
   BytesSent += Call->Request.ByteSizeLong();
   auto *const Started = Call.get();
+  if (Timeout > ControlCallTimeout) {
+    const std::lock_guard Lock(Mutex);
+    LongCalls.push_back(&Started->Context);
+  }
   Started->Stub->async()->Call(
       &Started->Context, &Started->Request, &Started->Response,
       [this, Call = std::move(Call),
@@ -76,7 +89,7 @@
           Response = wire::open(ClusterKey, Call->Response, LastError);
         }
         Callback(std::move(Response));
-        retire(Call);
+        retire(Call, &Call->Context);
         InFlight.fetch_sub(1);
         InFlight.notify_all();
       });
--- a/packages/daemon/src/daemon/control/control_client.h
+++ b/packages/daemon/src/daemon/control/control_client.h
@@ -5,6 +5,7 @@
 #include "policy/core/types.h"
 
 #include <atomic>
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <list>
@@ -17,7 +18,8 @@
 
 namespace grpc {
 class Channel;
-}
+class ClientContext;
+} // namespace grpc
 
 namespace magnolia::wire {
 class ControlBody;
@@ -29,6 +31,8 @@
 using ControlCallback =
     std::function<void(std::optional<wire::ControlBody> Response)>;
 
+inline constexpr policy::Duration ControlCallTimeout = std::chrono::seconds(2);
+
 // Calls the Control service of other nodes without blocking. The callback runs
 // on a thread of the gRPC library. The numbers of calls in flight and of open
 // channels are bounded.
@@ -37,11 +41,13 @@
   ControlClient(std::string ClusterKey, policy::NodeId Self);
   ControlClient(const ControlClient &) = delete;
   ControlClient &operator=(const ControlClient &) = delete;
-  // Waits for the calls in flight; each has a deadline.
+  // Cancels the calls with a longer timeout than ControlCallTimeout and waits
+  // for the others.
   ~ControlClient();
 
   void call(const ControlEndpoint &Target, wire::ControlBody Body,
-            ControlCallback Callback);
+            ControlCallback Callback,
+            policy::Duration Timeout = ControlCallTimeout);
 
   [[nodiscard]] std::uint64_t refused() const { return Refused; }
   [[nodiscard]] std::uint64_t bytesSent() const { return BytesSent; }
@@ -49,7 +55,7 @@
 private:
   // Keeps a finished call until the next call starts, so that its channel is
   // not released on a thread of the gRPC library.
-  void retire(std::shared_ptr<void> Call);
+  void retire(std::shared_ptr<void> Call, const grpc::ClientContext *Context);
   void releaseRetired();
   std::shared_ptr<grpc::Channel> channelTo(const ControlEndpoint &Target);
 
@@ -60,6 +66,8 @@
   std::list<std::pair<ControlEndpoint, std::shared_ptr<grpc::Channel>>>
       Channels;
   std::vector<std::shared_ptr<void>> Retired;
+  // Calls in flight with a longer timeout than ControlCallTimeout.
+  std::vector<grpc::ClientContext *> LongCalls;
   std::atomic<int> InFlight = 0;
   std::atomic<std::uint64_t> Refused = 0;
   std::atomic<std::uint64_t> BytesSent = 0;
--- a/packages/daemon/src/daemon/control/internal/control_calls.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_calls.cpp
@@ -20,10 +20,13 @@
                                 wire::ControlBody &Response) {
   switch (Request.kind_case()) {
   case wire::ControlBody::kPushConfig:
-    Config->onPush(Request.push_config(), Response);
+    Config->onPush(Request.push_config(), Request.from(), Response);
     return;
   case wire::ControlBody::kExchangeDigest:
-    Config->onExchange(Request.exchange_digest(), Response);
+    Config->onExchange(Request.exchange_digest(), Request.from(), Response);
+    return;
+  case wire::ControlBody::kFetchConfig:
+    Config->onFetch(Request.fetch_config(), Response);
     return;
   case wire::ControlBody::kPullMembers:
     Membership->onPull(Request.pull_members(), Response, steadyNow());
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -237,6 +237,7 @@
 void ControlCore::tick() {
   const policy::TimePoint Now = steadyNow();
   Membership->tick(Now, Config->table().Digest.Whole);
+  Config->tick(Now);
   Rollouts->tick(Now, wallNow());
   policy::onMembers(Join, Membership->members().size(), Now);
   if (Store) {
--- a/packages/daemon/src/daemon/control/internal/control_dump.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_dump.cpp
@@ -110,6 +110,14 @@
   Add("calls_refused_total", Server->refused());
   Add("calls_not_sent_total", Client.refused());
   Add("tasks_refused_total", Queue.refused());
+  const ConfigTraffic &Traffic = Config->traffic();
+  Add("config_bytes_sent_total", Traffic.BytesSent);
+  Add("config_bytes_received_total", Traffic.BytesReceived);
+  Add("config_fetches_total", Traffic.FetchesStarted);
+  Add("config_fetches_failed_total", Traffic.FetchesFailed);
+  Add("config_fetches_postponed_total", Traffic.FetchesPostponed);
+  Add("config_patches_applied_total", Traffic.PatchesApplied);
+  Add("config_patches_misfit_total", Traffic.PatchesMisfit);
   std::uint64_t StoreCalls = 0;
   if (Store) {
     for (const auto &Count : Store->counts().Calls) {
