Test that a value outlives its announcers, and measure line patches

Change: ConfigSpread.AValueOutlivesTheNodesThatAnnouncedIt stops a watcher 0.1 s after it announced a value of 330 KB, without anyone noticing; all others must hold it within 5 s. The bench program measures makePatch() and applyPatch().

--- a/bench/policy/config.cpp
+++ b/bench/policy/config.cpp
@@ -1,7 +1,9 @@
 #include "membership_bench.h"
 #include "policy/config/apply.h"
 #include "policy/config/exchange.h"
+#include "policy/config/patch.h"
 #include "policy/config/push_targets.h"
+#include "policy/core/error.h"
 
 #include <algorithm>
 #include <benchmark/benchmark.h>
@@ -70,6 +72,42 @@
 }
 BENCHMARK(exchangeOne)->Arg(10)->Arg(1'800);
 
+// Value with a route per line of which one has another weight.
+policy::ConfigEntry routes(std::uint64_t Revision, std::size_t Count) {
+  policy::ConfigEntry Made = entry(Revision, 0);
+  Made.Value.clear();
+  for (std::size_t I = 0; I < Count; ++I) {
+    Made.Value += "route " + std::to_string(I) + std::string(160, '.') +
+                  (I == Revision ? "7" : "1") + "\n";
+  }
+  return Made;
+}
+
+// Time to describe, and to apply, the change of one line.
+void patchOneLine(benchmark::State &Bench) {
+  const auto Count = static_cast<std::size_t>(Bench.range(0));
+  const policy::ConfigEntry Base = routes(1, Count);
+  const policy::ConfigEntry Next = routes(Count / 2, Count);
+  while (Bench.KeepRunning()) {
+    benchmark::DoNotOptimize(policy::makePatch(Base, Next));
+  }
+  Bench.counters["bytes"] =
+      static_cast<double>(policy::bytesOf(policy::makePatch(Base, Next)));
+}
+BENCHMARK(patchOneLine)->Arg(400)->Arg(1'800);
+
+void applyOneLine(benchmark::State &Bench) {
+  const auto Count = static_cast<std::size_t>(Bench.range(0));
+  const policy::ConfigEntry Base = routes(1, Count);
+  const policy::ValuePatch Patch =
+      policy::makePatch(Base, routes(Count / 2, Count));
+  policy::Error LastError;
+  while (Bench.KeepRunning()) {
+    benchmark::DoNotOptimize(policy::applyPatch(Base.Value, Patch, LastError));
+  }
+}
+BENCHMARK(applyOneLine)->Arg(400)->Arg(1'800);
+
 // Propagation of one change through a fleet in virtual time.
 struct Propagation {
   struct Push {
--- a/packages/policy/test/policy/config/stall_after_many_routes.cpp
+++ b/packages/policy/test/policy/config/stall_after_many_routes.cpp
@@ -119,6 +119,29 @@
   }
 }
 
+// Guards against nodes that wait for ever for a watcher that announced the
+// value and went silent, here without anyone noticing its failure.
+TEST(ConfigSpread, AValueOutlivesTheNodesThatAnnouncedIt) {
+  const ConfigEntry Changed = table(9, 330'000, 2, 1);
+  for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
+    SCOPED_TRACE("seed " + std::to_string(Seed));
+    SpreadModel Model = makeModel(Transfer::Fetched, Zones, PerZone,
+                                  table(5, 100'000, 1, 1), Seed);
+    startTimers(Model);
+    runFor(Model, seconds(1));
+    readByWatchers(Model, Changed);
+    runFor(Model, milliseconds(100));
+    bool Stopped = false;
+    for (ModelNode &Node : Model.Nodes) {
+      const bool Holds = Node.Table.Entries.at(ModelKey).Revision == 9;
+      Node.Stopped = Holds && !Stopped;
+      Stopped = Stopped || Holds;
+    }
+    EXPECT_TRUE(Stopped);
+    EXPECT_LE(runUntilAllHold(Model, 9, seconds(30)), seconds(5));
+  }
+}
+
 // Guards against a model in which the failure would not show: with whole values
 // in pushes and exchanges, a changed weight must miss the bounds.
 TEST(ConfigSpread, TheModelShowsTheStallOfWholeValues) {
