--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -223,6 +223,7 @@
 void ControlCore::tick() {
   const policy::TimePoint Now = steadyNow();
   Membership->tick(Now, Config->table().Digest.Whole);
+  Config->tick(Now);
   Rollouts->tick(Now, wallNow());
   policy::onMembers(Join, Membership->members().size(), Now);
   if (Store) {
@@ -279,7 +280,9 @@
 }
 
 void ControlCore::publishView(policy::TimePoint Now) {
-  if (Membership->generation() != ViewGeneration) {
+  const bool Outdated = Config->isOutdated(settings::RoutingKey);
+  if (Membership->generation() != ViewGeneration ||
+      Outdated != RoutingOutdated) {
     ViewDirty = true;
   }
   const bool Due =
@@ -290,11 +293,13 @@
   }
   ViewGeneration = Membership->generation();
   ViewDirty = false;
+  RoutingOutdated = Outdated;
   LastView = Now;
   applyPendingRouting();
   ClusterView View = buildView({.Self = Membership->self(),
                                 .Members = Membership->members(),
                                 .Records = Records,
+                                .RoutingOutdated = RoutingOutdated,
                                 .ZoneDistance = Options.ZoneDistance,
                                 .RegionDistance = Options.RegionDistance,
                                 .SteadyNow = Now,
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -81,6 +81,8 @@
   // Member table generation from which the published view was built.
   std::uint64_t ViewGeneration = 0;
   bool ViewDirty = true;
+  // Whether the published view says so; see ClusterView.
+  bool RoutingOutdated = false;
   bool ViewChangesWithTime = false;
   policy::TimePoint LastView;
   policy::JoinState Join;
