Log the era of the store

Cause: the store counts up an era whenever it was restored from a copy and gives its revisions out again. Nothing in the log showed this: 'store lost' and 'store regained' looked as after any outage.

Change: the client of the platform's store reads the header Store-Era of every response and remembers the highest one. No decision is changed.

--- a/packages/daemon/src/daemon/control/store_worker.cpp
+++ b/packages/daemon/src/daemon/control/store_worker.cpp
@@ -69,6 +69,7 @@
   while (waitUntilWatching()) {
     store::StoreError LastError;
     const bool Up = watchOnce(After, LastError);
+    logEpoch();
     logChange(Up, Failures, LastError);
     StoreUp = Up;
     if (Up) {
@@ -85,14 +86,29 @@
                             const store::StoreError &Reason) const {
   if (Up && Failures > 0) {
     log(LogLevel::Info, "store regained",
-        {{"failures", static_cast<std::uint64_t>(Failures)}});
+        {{"failures", static_cast<std::uint64_t>(Failures)},
+         {"era", newestEpoch()}});
   } else if (!Up && Failures == 0) {
     log(LogLevel::Warning, "store lost",
         {{"kind", store::toString(Reason.Kind)},
-         {"reason", std::string_view(Reason.Detail)}});
+         {"reason", std::string_view(Reason.Detail)},
+         {"era", newestEpoch()}});
   }
 }
 
+void StoreWorker::logEpoch() {
+  const std::uint64_t Epoch = newestEpoch();
+  if (Epoch <= LoggedEpoch) {
+    return;
+  }
+  log(LogLevel::Info, "store era", {{"era", Epoch}, {"before", LoggedEpoch}});
+  LoggedEpoch = Epoch;
+}
+
+std::uint64_t StoreWorker::newestEpoch() const {
+  return Store.NewestEpoch ? Store.NewestEpoch() : 0;
+}
+
 bool StoreWorker::watchOnce(std::optional<store::Revision> &After,
                             store::StoreError &LastError) {
   if (!After) {
--- a/packages/daemon/src/daemon/control/store_worker.h
+++ b/packages/daemon/src/daemon/control/store_worker.h
@@ -57,6 +57,10 @@
   bool watchOnce(std::optional<store::Revision> &After,
                  store::StoreError &LastError);
   void logChange(bool Up, int Failures, const store::StoreError &Reason) const;
+  // Logs the era of the store, which rises when it is restored from a copy, at
+  // its first response and whenever it has risen.
+  void logEpoch();
+  [[nodiscard]] std::uint64_t newestEpoch() const;
   bool waitUntilWatching();
   void pauseAfterFailure(int Failures);
 
@@ -71,6 +75,8 @@
   bool Watching = false;
   bool Stopping = false;
   std::atomic<bool> StoreUp = false;
+  // Used by the watch thread only.
+  std::uint64_t LoggedEpoch = 0;
   TaskQueue Jobs;
   std::thread Watcher;
   std::thread Runner;
--- a/packages/store/src/store/client/http_call.cpp
+++ b/packages/store/src/store/client/http_call.cpp
@@ -1,8 +1,11 @@
 #include "store/client/http_call.h"
 
+#include "policy/core/epoch.h"
+
 #include <httplib.h>
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 namespace magnolia::store {
@@ -13,6 +16,7 @@
 struct Response {
   int Status = 0;
   std::string Body;
+  std::uint64_t Epoch = 0;
   bool TooLarge = false;
   bool Late = false;
 };
@@ -108,17 +112,34 @@
                         : StoreErrorKind::Unavailable;
 }
 
-std::optional<std::string> bodyOrError(HttpStoreState &State,
-                                       const HttpCall &Call, Response &&Result,
-                                       StoreError &LastError) {
+// Reads the epoch of the store from a header; an absent one stands for epoch 0.
+// Returns false for any other text than a number that fits a revision.
+bool readEpoch(const std::string &Text, std::uint64_t &Epoch) {
+  if (Text.empty())
+    return true;
+  const char *const End = Text.data() + Text.size();
+  const auto Read = std::from_chars(Text.data(), End, Epoch);
+  return Read.ec == std::errc() && Read.ptr == End && Epoch <= policy::MaxEpoch;
+}
+
+void raiseTo(std::atomic<std::uint64_t> &Newest, std::uint64_t Epoch) {
+  std::uint64_t Before = Newest;
+  while (Before < Epoch && !Newest.compare_exchange_weak(Before, Epoch)) {
+  }
+}
+
+std::optional<HttpBody> bodyOrError(HttpStoreState &State, const HttpCall &Call,
+                                    Response &&Result, StoreError &LastError) {
   constexpr int Ok = 200;
   if (Result.Status == Ok)
-    return std::move(Result.Body);
+    return HttpBody{.Text = std::move(Result.Body), .Epoch = Result.Epoch};
   const StoreErrorKind Kind = kindOfStatus(Call, Result.Status);
   const std::string Detail = "status " + std::to_string(Result.Status);
   if (Kind == StoreErrorKind::Conflict) {
     const auto Current =
-        Call.ReadConflict ? Call.ReadConflict(Result.Body) : std::nullopt;
+        Call.ReadConflict ? Call.ReadConflict({.Text = std::move(Result.Body),
+                                               .Epoch = Result.Epoch})
+                          : std::nullopt;
     if (!Current) {
       reportMalformed(State, Call, LastError);
       return std::nullopt;
@@ -139,10 +160,9 @@
 
 } // namespace
 
-std::optional<std::string> callStore(HttpStoreState &State,
-                                     const HttpCall &Call,
-                                     std::chrono::milliseconds Timeout,
-                                     StoreError &LastError) {
+std::optional<HttpBody> callStore(HttpStoreState &State, const HttpCall &Call,
+                                  std::chrono::milliseconds Timeout,
+                                  StoreError &LastError) {
   ++State.Counts->Calls[static_cast<std::size_t>(Call.Kind)];
   const auto Connection = State.Pool.acquire();
   if (!Connection) {
@@ -166,6 +186,17 @@
                 LastError);
   }
   Result.Status = Sent->status;
+  const std::string Epoch = Sent->get_header_value(State.EpochHeader.c_str());
+  if (!readEpoch(Epoch, Result.Epoch)) {
+    return fail(State, Call,
+                Call.HasEffect ? StoreErrorKind::OutcomeUnknown
+                               : StoreErrorKind::Malformed,
+                State.EpochHeader + " is '" + Epoch +
+                    "' and not a number up to " +
+                    std::to_string(policy::MaxEpoch),
+                LastError);
+  }
+  raiseTo(State.NewestEpoch, Result.Epoch);
   return bodyOrError(State, Call, std::move(Result), LastError);
 }
 
--- a/packages/store/src/store/client/http_call.h
+++ b/packages/store/src/store/client/http_call.h
@@ -9,13 +9,16 @@
 #include "store/core/put_request.h"
 #include "store/core/store_error.h"
 
+#include <atomic>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <type_traits>
 
 namespace magnolia::store {
 
@@ -24,6 +27,17 @@
   HttpStoreOptions Options;
   internal::ConnectionPool Pool;
   std::shared_ptr<CallCounts> Counts = std::make_shared<CallCounts>();
+  // Name of the header that holds the epoch of the store (see epoch.h) in every
+  // response. Empty for a store without epochs.
+  std::string EpochHeader = {};
+  // Highest epoch in a response so far.
+  std::atomic<std::uint64_t> NewestEpoch = 0;
+};
+
+// Body of a response, and the epoch of the store that sent it.
+struct HttpBody {
+  std::string Text;
+  std::uint64_t Epoch = 0;
 };
 
 // One call to the store.
@@ -37,13 +51,13 @@
   bool HasEffect = false;
   // Reads the current revision of the key from the response to a failed
   // compare-and-swap; empty if the response does not follow the protocol.
-  std::function<std::optional<Revision>(std::string_view Body)> ReadConflict =
+  std::function<std::optional<Revision>(const HttpBody &Body)> ReadConflict =
       {};
 };
 
 // Sends the call and returns the body of a response with status 200. Every
 // other outcome is mapped to a StoreErrorKind; failures are counted.
-[[nodiscard]] std::optional<std::string>
+[[nodiscard]] std::optional<HttpBody>
 callStore(HttpStoreState &State, const HttpCall &Call,
           std::chrono::milliseconds Timeout, StoreError &LastError);
 
@@ -52,15 +66,23 @@
 void reportMalformed(HttpStoreState &State, const HttpCall &Call,
                      StoreError &LastError);
 
+// Passes the body to a parser that takes the text alone or the epoch as well.
+template <typename Parse> auto parseBody(Parse &&Parser, const HttpBody &Body) {
+  if constexpr (std::is_invocable_v<Parse, const HttpBody &>)
+    return Parser(Body);
+  else
+    return Parser(std::string_view(Body.Text));
+}
+
 // Sends the call and parses the body of its response.
 template <typename Parse>
 auto callAndParse(HttpStoreState &State, const HttpCall &Call,
                   std::chrono::milliseconds Timeout, StoreError &LastError,
-                  Parse &&Parser) -> decltype(Parser(std::string_view())) {
+                  Parse &&Parser) -> decltype(parseBody(Parser, HttpBody())) {
   const auto Body = callStore(State, Call, Timeout, LastError);
   if (!Body)
     return std::nullopt;
-  auto Parsed = Parser(*Body);
+  auto Parsed = parseBody(Parser, *Body);
   if (!Parsed)
     reportMalformed(State, Call, LastError);
   return Parsed;
--- a/packages/store/src/store/client/http_store.cpp
+++ b/packages/store/src/store/client/http_store.cpp
@@ -13,6 +13,10 @@
 
 constexpr std::size_t MaxKeySize = 1024;
 
+std::optional<Revision> readConflict(const HttpBody &Body) {
+  return internal::parseRevision(Body.Text);
+}
+
 void addReads(StoreOperations &Store, const StatePointer &State) {
   Store.Read = [State](std::string_view Key, Milliseconds Timeout,
                        StoreError &LastError) {
@@ -58,7 +62,7 @@
                         .Query = {},
                         .Body = internal::formatPut(Request),
                         .HasEffect = true,
-                        .ReadConflict = internal::parseRevision};
+                        .ReadConflict = readConflict};
     return callAndParse(*State, Call, Timeout, LastError,
                         internal::parseRevision);
   };
@@ -72,7 +76,7 @@
                   {"expected_revision", std::to_string(Expected)}},
         .Body = {},
         .HasEffect = true,
-        .ReadConflict = internal::parseRevision};
+        .ReadConflict = readConflict};
     return callAndParse(*State, Call, Timeout, LastError,
                         internal::parseRevision);
   };
--- a/packages/store/src/store/core/entry.h
+++ b/packages/store/src/store/core/entry.h
@@ -8,7 +8,8 @@
 namespace magnolia::store {
 
 // Position in the history of the whole store; each write takes the next one.
-// 0 stands for a key that does not exist.
+// 0 stands for a key that does not exist. The upper bits hold the epoch of a
+// store that may be restored from a copy (see policy/core/epoch.h).
 using Revision = std::uint64_t;
 
 // Identity of a lease granted by the store. 0 means no lease.
--- a/packages/store/src/store/core/store_operations.h
+++ b/packages/store/src/store/core/store_operations.h
@@ -9,6 +9,7 @@
 #include "store/core/watch_result.h"
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -53,6 +54,9 @@
   // Ends calls in progress with Unavailable and fails all later ones, so that
   // a thread in a watch can be joined at once.
   std::function<void()> Close;
+  // Returns the highest epoch of the store (see epoch.h) in a response to this
+  // client so far. Empty for a store without epochs.
+  std::function<std::uint64_t()> NewestEpoch = {};
   std::shared_ptr<const CallCounts> Counts;
 };
 
