--- a/packages/store/src/store/core/store_error.h
+++ b/packages/store/src/store/core/store_error.h
@@ -33,7 +33,8 @@
 struct StoreError {
   StoreErrorKind Kind = StoreErrorKind::Unavailable;
   std::string Detail;
-  // With Conflict: the revision of the key in the store, 0 for no entry.
+  // With Conflict: the revision of the key in the store, 0 for no entry or if
+  // the call was not sent.
   Revision Current = 0;
 };
 
