Keep what a restored store lost until its operators could write it again

Cause: a full read took each absent key for a deleted one. A store that was restored from a copy lacks what was written since then, so an evacuated zone would have got requests again, and an order would have lapsed, until the operator wrote the key again.

Change: a key from an earlier era is kept although a full read lacks it. Every node learns of the new era from its entries, which the watchers push again, and logs 'store restored from a copy'. After 15 s, the time in which a change has to be in effect everywhere, and up to 2 s of jitter, each watcher reads once more in full, and what is absent then counts as deleted. Records of rollouts are written by the nodes themselves and never lapse in this way. A second loss begins the time anew. Watchers check their contact at once.

--- a/packages/daemon/src/daemon/control/config_runner.cpp
+++ b/packages/daemon/src/daemon/control/config_runner.cpp
@@ -68,15 +68,16 @@
   return static_cast<std::uint32_t>(New.size());
 }
 
-void ConfigRunner::onStoreResult(store::WatchResult Result) {
-  applyStore(std::move(Result), policy::PushRounds);
+void ConfigRunner::onStoreResult(store::WatchResult Result, bool Settled) {
+  applyStore(std::move(Result), policy::PushRounds, Settled);
 }
 
 void ConfigRunner::onStartRecords(store::WatchResult Result) {
-  applyStore(std::move(Result), 0);
+  applyStore(std::move(Result), 0, false);
 }
 
-void ConfigRunner::applyStore(store::WatchResult Result, std::uint32_t Rounds) {
+void ConfigRunner::applyStore(store::WatchResult Result, std::uint32_t Rounds,
+                              bool Settled) {
   std::vector<policy::ConfigEntry> Entries;
   for (store::WatchEvent &Event : Result.Events) {
     Entries.push_back({.Key = std::move(Event.Key),
@@ -85,8 +86,11 @@
                        .Tombstone = Event.Deleted});
   }
   if (Result.Full) {
-    Entries = policy::changesOf(Table, {.Entries = std::move(Entries),
-                                        .Revision = Result.StoreRevision});
+    Entries =
+        policy::changesOf(Table, {.Entries = std::move(Entries),
+                                  .Revision = Result.StoreRevision,
+                                  .Settled = Settled,
+                                  .OwnPrefix = settings::RolloutRecordPrefix});
   }
   apply(Entries, Source::Store, Rounds);
 }
--- a/packages/daemon/src/daemon/control/config_runner.h
+++ b/packages/daemon/src/daemon/control/config_runner.h
@@ -45,7 +45,9 @@
   std::uint32_t apply(std::span<const policy::ConfigEntry> Entries, Source From,
                       std::uint32_t Rounds);
 
-  void onStoreResult(store::WatchResult Result);
+  // Settled is true if a key that is absent from a full read counts as deleted
+  // also if it is from before the store was restored from a copy.
+  void onStoreResult(store::WatchResult Result, bool Settled);
   // Applies the records that this node read at startup. They are not pushed,
   // because the other nodes have them already.
   void onStartRecords(store::WatchResult Result);
@@ -61,7 +63,8 @@
   [[nodiscard]] std::uint64_t exchanges() const { return Repair.Started; }
 
 private:
-  void applyStore(store::WatchResult Result, std::uint32_t Rounds);
+  void applyStore(store::WatchResult Result, std::uint32_t Rounds,
+                  bool Settled);
   void push(std::span<const policy::ConfigEntry> Entries, Source From,
             std::uint32_t Rounds);
   void exchangeRevisions(const policy::Member &Other, std::uint64_t Buckets);
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -7,6 +7,7 @@
 #include "daemon/sidecar/sidecar.h"
 #include "daemon/view/response_recorder.h"
 #include "daemon/view/view_holder.h"
+#include "policy/core/epoch.h"
 #include "policy/fleet/join.h"
 #include "settings/record/format_record.h"
 #include "settings/record/parse_record.h"
@@ -135,10 +136,8 @@
       Options.OpenStore(
           {.Address = Options.StoreAddress, .Port = Options.StorePort}),
       [this](store::WatchResult Result) {
-        Queue.post([this, Result = std::move(Result)] {
-          applyContacts(Result);
-          Config->onStoreResult(Result);
-        });
+        Queue.post(
+            [this, Result = std::move(Result)] { onStoreResult(Result); });
       },
       Options.Seed,
       Options.StartRecords ? std::optional(Options.StartRecords->StoreRevision)
@@ -239,9 +238,13 @@
   Membership->tick(Now, Config->table().Digest.Whole);
   Rollouts->tick(Now, wallNow());
   policy::onMembers(Join, Membership->members().size(), Now);
+  if (const std::uint64_t Highest = Config->table().HighestRevision) {
+    checkStoreEpoch(policy::epochOf(Highest), Now);
+  }
   if (Store) {
     readContacts(Now);
     updateStoreWatch(Now);
+    writeLostRecords(Now);
   }
 }
 
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -15,6 +15,7 @@
 #include "daemon/control/task_queue.h"
 #include "daemon/view/local_backend.h"
 #include "policy/fleet/join_state.h"
+#include "policy/fleet/restore_state.h"
 
 #include <memory>
 #include <string>
@@ -47,6 +48,9 @@
   void run();
   void tick();
   void applyStartRecords();
+  void onStoreResult(const store::WatchResult &Result);
+  void checkStoreEpoch(std::uint64_t Epoch, policy::TimePoint Now);
+  void writeLostRecords(policy::TimePoint Now);
   [[nodiscard]] store::PutRequest ownContact(std::uint32_t Slot) const;
   void applyContacts(const store::WatchResult &Result);
   void readContacts(policy::TimePoint Now);
@@ -80,6 +84,7 @@
   bool ViewChangesWithTime = false;
   policy::TimePoint LastView;
   policy::JoinState Join;
+  policy::RestoreState Restore;
   std::thread Thread;
 };
 
--- a/packages/policy/src/policy/fleet/fwd.h
+++ b/packages/policy/src/policy/fleet/fwd.h
@@ -7,10 +7,13 @@
 struct JoinState;
 struct RepairOptions;
 struct RepairState;
+struct RestoreOptions;
+struct RestoreState;
 struct ServingMember;
 struct ServingPlan;
 struct ServingQuery;
 struct StoreRead;
+struct StoredClusterKey;
 
 } // namespace magnolia::policy
 
--- a/packages/policy/test/policy/fleet/repair.cpp
+++ b/packages/policy/test/policy/fleet/repair.cpp
@@ -80,5 +80,31 @@
   EXPECT_TRUE(apply(Table, Changes[0]));
 }
 
+// First revision of the epoch that follows a restoration from a copy.
+constexpr std::uint64_t NextEpoch = std::uint64_t{1} << 40;
+
+// Guards against an evacuated zone that gets requests again because the store
+// was restored from a copy without the operator's key.
+TEST(Repair, KeyThatARestoredStoreLostStaysInEffect) {
+  ConfigTable Table;
+  apply(Table, {.Key = "zones/a", .Revision = 10, .Value = "out"});
+  EXPECT_TRUE(
+      changesOf(Table, {.Entries = {}, .Revision = NextEpoch + 4}).empty());
+}
+
+// Guards against a key that no operator wrote again and that never lapses.
+TEST(Repair, KeyThatNobodyWroteAgainLapsesInASettledRead) {
+  ConfigTable Table;
+  apply(Table, {.Key = "zones/a", .Revision = 10, .Value = "out"});
+  apply(Table, {.Key = "moves/s", .Revision = 11, .Value = "record"});
+  const auto Changes = changesOf(Table, {.Entries = {},
+                                         .Revision = NextEpoch + 4,
+                                         .Settled = true,
+                                         .OwnPrefix = "moves/"});
+  ASSERT_EQ(Changes.size(), 1U);
+  EXPECT_EQ(Changes[0].Key, "zones/a");
+  EXPECT_TRUE(Changes[0].Tombstone);
+}
+
 } // namespace
 } // namespace magnolia::policy
