Store the report of the own backend server again after a loss of the store

Cause: a node writes the report of its backend server only when it changes, and remembers that it did. After the store was restored from an earlier copy, the report of a server that had said it leaves was gone, with its lease, and a node that restarted would have taken the server for ready.

Measured: AnnouncerTest.LostReportIsStoredAgain guards the new function; it could not be seen failing before, as the function is new.

--- a/packages/daemon/src/daemon/announce/announcer.cpp
+++ b/packages/daemon/src/daemon/announce/announcer.cpp
@@ -157,16 +157,29 @@
   }
 }
 
+bool Announcer::storeAgain() {
+  std::optional<BackendReport> Known;
+  {
+    const std::lock_guard Lock(Mutex);
+    Known = State.Known;
+  }
+  if (!Known || (Given.IsStored && Given.IsStored(*Known))) {
+    return true;
+  }
+  {
+    const std::lock_guard Lock(Mutex);
+    Persisted.reset();
+  }
+  return persist();
+}
+
 bool Announcer::persist() {
   std::optional<BackendReport> Known;
   {
     const std::lock_guard Lock(Mutex);
     Known = State.Known;
     const bool Same =
-        Known && Persisted && Persisted->Instance == Known->Instance &&
-        Persisted->Born == Known->Born && Persisted->Stage == Known->Stage &&
-        Persisted->Version == Known->Version &&
-        Persisted->Service == Known->Service;
+        Known && Persisted && policy::restoresTheSame(*Persisted, *Known);
     if (!Known || Same || !Given.Persist) {
       return true;
     }
--- a/packages/daemon/src/daemon/announce/announcer.h
+++ b/packages/daemon/src/daemon/announce/announcer.h
@@ -29,6 +29,8 @@
   // after a restart. Returns false on failure. A leave report is acknowledged
   // only after it is stored.
   std::function<bool(const policy::BackendReport &Report)> Persist;
+  // Returns whether the store holds this report.
+  std::function<bool(const policy::BackendReport &Report)> IsStored;
 };
 
 // Receives the reports of the local backend server and applies them to the
@@ -46,6 +48,9 @@
   void checkReportTimeout(policy::TimePoint Now);
   // Restores the report that was stored before a restart of this node.
   void restore(const policy::BackendReport &Persisted);
+  // Stores the last report again unless the store still holds it. To be called
+  // after the store was restored from a copy. Returns false on failure.
+  [[nodiscard]] bool storeAgain();
   // Handles a result of the health check of the backend server.
   void onHealth(const BackendHealth &Health, policy::TimePoint Now);
 
--- a/packages/daemon/src/daemon/control/control_options.h
+++ b/packages/daemon/src/daemon/control/control_options.h
@@ -42,6 +42,9 @@
   // receives its value.
   std::string BackendKey;
   std::function<void(std::string_view Value)> OnBackendRecord;
+  // Stores the local backend server's last report again if the store lost it.
+  // Returns false on failure. Called on the thread for store jobs.
+  std::function<bool()> StoreReportAgain;
 };
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/internal/control_restore.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_restore.cpp
@@ -35,9 +35,19 @@
   }
 }
 
-// Once operators had the time to write lost keys again, a watcher reads which of
-// them are gone for good.
+// Writes again what this node had written and the store may have lost. Once
+// operators had the time to do the same, a watcher reads which of their keys
+// are gone for good.
 void ControlCore::writeLostRecords(policy::TimePoint Now) {
+  if (Options.StoreReportAgain && policy::takeReportWrite(Restore, Now)) {
+    Store->submit([this](const store::StoreOperations &) {
+      if (!Options.StoreReportAgain()) {
+        Queue.post([this] {
+          policy::repeatReportWrite(Restore, steadyNow(), Random);
+        });
+      }
+    });
+  }
   if (policy::takeFullRead(Restore, Now) && Join.Watching) {
     Store->submit([this](const store::StoreOperations &Operations) {
       store::StoreError LastError;
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -42,6 +42,10 @@
                         .Persist =
                             [this](const policy::BackendReport &Report) {
                               return storeReport(Report);
+                            },
+                        .IsStored =
+                            [this](const policy::BackendReport &Report) {
+                              return isReportStored(Report);
                             }},
                        Speaks, LocalSidecar, Backend),
       EntryNode(entryOptions(Settings, Speaks, Id, Run),
@@ -215,6 +219,20 @@
   return false;
 }
 
+bool Node::isReportStored(const policy::BackendReport &Report) {
+  if (!Store.Read) {
+    return true;
+  }
+  store::StoreError LastError;
+  policy::Error ParseError;
+  const auto Held =
+      Store.Read(settings::backendKey(Report.Address, Report.Port),
+                 StoreTimeout, LastError);
+  const auto Stored =
+      Held ? settings::parseBackend(Held->Value, ParseError) : std::nullopt;
+  return Stored && policy::restoresTheSame(*Stored, Report);
+}
+
 void Node::restoreReport(std::string_view Value) {
   policy::Error LastError;
   if (const auto Stored = settings::parseBackend(Value, LastError)) {
@@ -259,9 +277,9 @@
       .StartRecords = std::move(Known),
       .BackendKey = settings::backendKey(Settings.LocalBackend.Address,
                                          Settings.LocalBackend.Port),
-      .OnBackendRecord = [this](std::string_view Value) {
-        restoreReport(Value);
-      }};
+      .OnBackendRecord =
+          [this](std::string_view Value) { restoreReport(Value); },
+      .StoreReportAgain = [this] { return BackendAnnouncer.storeAgain(); }};
   for (const settings::HostPort &Contact : Settings.Contacts) {
     Options.Contacts.push_back(
         {.Address = Contact.Address, .GossipPort = Contact.Port});
--- /dev/null
+++ b/packages/daemon/test/daemon/announce/announcer.cpp
@@ -0,0 +1,79 @@
+#include "daemon/announce/announcer.h"
+
+#include "daemon/net/clock.h"
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+namespace magnolia::daemon {
+namespace {
+
+using policy::BackendReport;
+using policy::BackendStage;
+
+struct AnnouncerTest : testing::Test {
+  BackendReport report(BackendStage Stage) const {
+    return {.Instance = "i-1",
+            .Service = "stock",
+            .Version = "1",
+            .Address = "127.0.0.1",
+            .Port = 80,
+            .Stage = Stage,
+            .Sequence = 1,
+            .Born = 7};
+  }
+
+  Metrics Counts;
+  LocalBackend Backend;
+  Sidecar Own{{.Run = 5, .LedgerEntries = 64}, Backend, Counts};
+  std::vector<BackendReport> Written;
+  bool StoreIsUp = true;
+  bool StoreHasReport = false;
+  Announcer Tested{{.Persist =
+                        [this](const BackendReport &Report) {
+                          if (StoreIsUp) {
+                            Written.push_back(Report);
+                          }
+                          return StoreIsUp;
+                        },
+                    .IsStored =
+                        [this](const BackendReport &) {
+                          return StoreIsUp && StoreHasReport;
+                        }},
+                   nativeDialect(),
+                   Own,
+                   Backend};
+};
+
+// Guards against a backend server that said it leaves and that its node, after
+// a restart, takes for ready, because the store lost the report.
+TEST_F(AnnouncerTest, LostReportIsStoredAgain) {
+  (void)Tested.applyReport(report(BackendStage::Ready), now());
+  (void)Tested.applyReport(report(BackendStage::Left), now());
+  EXPECT_TRUE(Tested.storeAgain());
+  EXPECT_TRUE(Tested.storeAgain());
+  ASSERT_EQ(Written.size(), 2U);
+  EXPECT_EQ(Written[1].Stage, BackendStage::Left);
+}
+
+// Guards against a write of every node after each loss of the store, also of
+// those whose report is in the copy.
+TEST_F(AnnouncerTest, ReportInTheCopyIsNotStoredAgain) {
+  EXPECT_TRUE(Tested.storeAgain());
+  (void)Tested.applyReport(report(BackendStage::Ready), now());
+  StoreHasReport = true;
+  EXPECT_TRUE(Tested.storeAgain());
+  EXPECT_TRUE(Written.empty());
+}
+
+// Guards against a failed write that counts as done.
+TEST_F(AnnouncerTest, FailedWriteIsReported) {
+  (void)Tested.applyReport(report(BackendStage::Ready), now());
+  (void)Tested.applyReport(report(BackendStage::Left), now());
+  StoreIsUp = false;
+  EXPECT_FALSE(Tested.storeAgain());
+}
+
+} // namespace
+} // namespace magnolia::daemon
--- a/packages/policy/src/policy/announce/accept_report.cpp
+++ b/packages/policy/src/policy/announce/accept_report.cpp
@@ -73,6 +73,12 @@
   return true;
 }
 
+bool restoresTheSame(const BackendReport &Left, const BackendReport &Right) {
+  return Left.Instance == Right.Instance && Left.Born == Right.Born &&
+         Left.Stage == Right.Stage && Left.Version == Right.Version &&
+         Left.Service == Right.Service;
+}
+
 bool confirm(AnnounceState &State, std::string_view Instance, TimePoint Now) {
   if (!State.Known || State.Known->Instance != Instance) {
     return false;
--- a/packages/policy/src/policy/announce/accept_report.h
+++ b/packages/policy/src/policy/announce/accept_report.h
@@ -27,6 +27,11 @@
 // was restored.
 bool restore(AnnounceState &State, const BackendReport &Kept);
 
+// Returns true if both reports restore the same state, so that only one of them
+// has to be stored.
+[[nodiscard]] bool restoresTheSame(const BackendReport &Left,
+                                   const BackendReport &Right);
+
 // Handles a response from the health endpoint in which the backend server names
 // its instance. Returns true if this confirms the restored report.
 bool confirm(AnnounceState &State, std::string_view Instance, TimePoint Now);
