Write the cluster key again if a restored store lost it

Cause: a store that was restored from a copy from before the first start of the fleet has no cluster key. The next node that starts would create another one, and it and all later ones could not reach the nodes that run.

Change: a watcher whose full read lacks the key writes its own. If a node that started meanwhile has created another key, watchers from an earlier era replace it, so that all nodes that start later reach the fleet. That one node stays alone until it restarts; it logs 'the store holds another cluster key or none'. Nodes whose key is of the same era never replace one another's key.

--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -51,6 +51,7 @@
   void onStoreResult(const store::WatchResult &Result);
   void checkStoreEpoch(std::uint64_t Epoch, policy::TimePoint Now);
   void writeLostRecords(policy::TimePoint Now);
+  void restoreClusterKey(const store::WatchResult &Read);
   [[nodiscard]] store::PutRequest ownContact(std::uint32_t Slot) const;
   void applyContacts(const store::WatchResult &Result);
   void readContacts(policy::TimePoint Now);
--- a/packages/daemon/src/daemon/control/internal/control_restore.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_restore.cpp
@@ -4,8 +4,12 @@
 #include "daemon/log/log.h"
 #include "policy/core/epoch.h"
 #include "policy/fleet/restore.h"
+#include "settings/record/record_key.h"
 
+#include <algorithm>
 #include <chrono>
+#include <string>
+#include <string_view>
 #include <utility>
 
 namespace magnolia::daemon::internal {
@@ -21,6 +25,9 @@
   const std::uint64_t Epoch = policy::epochOf(Result.StoreRevision);
   checkStoreEpoch(Epoch, Now);
   applyContacts(Result);
+  if (Result.Full) {
+    restoreClusterKey(Result);
+  }
   Config->onStoreResult(Result, policy::hasSettled(Restore, Epoch, Now));
 }
 
@@ -63,4 +70,38 @@
   }
 }
 
+void ControlCore::restoreClusterKey(const store::WatchResult &Read) {
+  // Without records from the start, the key is in a file and not in the store.
+  if (!Options.StartRecords) {
+    return;
+  }
+  const auto Held = std::find_if(Read.Events.begin(), Read.Events.end(),
+                                 [](const store::WatchEvent &Next) {
+                                   return Next.Key == settings::ClusterKeyKey;
+                                 });
+  const bool Found = Held != Read.Events.end();
+  if (Found && Held->Value == Options.Key.Bytes) {
+    return;
+  }
+  const std::uint64_t Epoch = policy::epochOf(Read.StoreRevision);
+  const bool Write = policy::mustWriteClusterKey(
+      Options.Key.Bytes, policy::epochOf(Options.StartRecords->StoreRevision),
+      {.Value = Found ? std::string_view(Held->Value) : std::string_view(),
+       .Epoch = Epoch});
+  log(LogLevel::Error, "the store holds another cluster key or none",
+      {{"era", Epoch}, {"found", Found}, {"written_again", Write}});
+  if (!Write) {
+    return;
+  }
+  Store->submit(
+      [Own = store::PutRequest{.Key = std::string(settings::ClusterKeyKey),
+                               .Value = Options.Key.Bytes,
+                               .Expected = Found ? Held->ModRevision : 0}](
+          const store::StoreOperations &Operations) {
+        store::StoreError LastError;
+        // After a conflict another node has written the key.
+        (void)Operations.Put(Own, CallTimeout, LastError);
+      });
+}
+
 } // namespace magnolia::daemon::internal
