Keep the newer manifest when the store returns an older one

Cause: a store that was restored from a copy holds an earlier manifest until the operator has written the last one again. With revisions that are ordered across the loss it would have come into effect: routes that were added would have been answered with 404 and removed ones served.

A node that starts in between knows only the earlier version.

--- a/packages/daemon/src/daemon/control/fleet_records.cpp
+++ b/packages/daemon/src/daemon/control/fleet_records.cpp
@@ -104,6 +104,16 @@
   if (!Record) {
     return false;
   }
+  // A store that was restored from a copy holds an earlier table until the
+  // operator writes the last one again.
+  if (Records.Routing && Record->Version < Records.Routing->Version) {
+    LastError = {policy::ErrorKind::BadRequest,
+                 "version " + std::to_string(Record->Version) +
+                     " is older than version " +
+                     std::to_string(Records.Routing->Version) +
+                     ", which stays in effect"};
+    return false;
+  }
   Records.Routing = std::make_shared<const RoutingTable>(
       makeRoutingTable(*std::move(Record)));
   return true;
--- a/packages/daemon/test/daemon/control/fleet_records.cpp
+++ b/packages/daemon/test/daemon/control/fleet_records.cpp
@@ -1,5 +1,9 @@
 #include "daemon/control/fleet_records.h"
 
+#include "settings/record/format_record.h"
+#include "settings/record/routing_json.h"
+
+#include <chrono>
 #include <gtest/gtest.h>
 #include <string>
 
@@ -55,5 +59,29 @@
   EXPECT_TRUE(Records.Services.empty());
 }
 
+// First revision of the epoch that follows a restoration from a copy.
+constexpr std::uint64_t NextEpoch = std::uint64_t{1} << 40;
+
+// Guards against a manifest that goes back to the one in the copy from which
+// the store was restored.
+TEST(FleetRecords, OlderManifestDoesNotComeIntoEffect) {
+  FleetRecords Records;
+  policy::Error LastError;
+  const auto Apply = [&](std::uint64_t Version, std::uint64_t Revision) {
+    return applyEntry(Records,
+                      {.Key = "routing/table",
+                       .Revision = Revision,
+                       .Value = settings::formatRouting({.Version = Version})},
+                      policy::TimePoint(), LastError);
+  };
+  EXPECT_TRUE(Apply(7, 40));
+  EXPECT_FALSE(Apply(5, NextEpoch + 30));
+  EXPECT_EQ(LastError.Detail,
+            "version 5 is older than version 7, which stays in effect");
+  EXPECT_EQ(Records.Routing->Version, 7U);
+  EXPECT_TRUE(Apply(8, NextEpoch + 31));
+  EXPECT_EQ(Records.Routing->Version, 8U);
+}
+
 } // namespace
 } // namespace magnolia::daemon
