Continue a rollout across a loss of the store

Cause: an order is identified by the revision of its key. After a loss the operator writes it again with another revision, so that a rollout would have begun anew, also one that had been rolled back; and the store may hold an earlier record of the rollout, so that a completed one would have run again with its old servers gone.

Change: an order of a later era with the version and the time of the last rollout is the same order, on every node that has the record. Between a record that a node holds and one from a later era the further advanced stays in effect; the driver writes it again, also after its end, with the status that the operator reads. An order that is repeated on purpose after a loss, with the same version and time as the last rollout of the service, is not told apart and starts nothing; another time starts it.

--- a/packages/daemon/src/daemon/control/fleet_records.cpp
+++ b/packages/daemon/src/daemon/control/fleet_records.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/fleet_records.h"
 
+#include "policy/rollout/lost_record.h"
 #include "policy/zone/zone.h"
 #include "policy/zone/zone_record.h"
 #include "settings/record/parse_record.h"
@@ -68,7 +69,10 @@
     return false;
   }
   Stored->Rollout.Revision = Entry.Revision;
-  Records.Rollouts[Name] = std::move(Stored->Rollout);
+  const auto Held = Records.Rollouts.find(Name);
+  Records.Rollouts[Name] = policy::recordInEffect(
+      Held == Records.Rollouts.end() ? nullptr : &Held->second,
+      Stored->Rollout);
   return true;
 }
 
@@ -130,7 +134,8 @@
   const auto Rollout = Records.Rollouts.find(Service);
   const bool Started =
       Rollout != Records.Rollouts.end() &&
-      Rollout->second.Id == policy::rolloutIdOf(Requested->second);
+      (policy::carriesOut(Rollout->second, Requested->second) ||
+       policy::mayBeOutdated(Requested->second, Rollout->second));
   return Started ? nullptr : &Requested->second;
 }
 
--- a/packages/daemon/src/daemon/control/fleet_records.h
+++ b/packages/daemon/src/daemon/control/fleet_records.h
@@ -31,7 +31,8 @@
 };
 
 // Returns the rollout request of the service if its rollout has not started,
-// else null.
+// else null. Null also for a request that may be outdated because the store was
+// restored from a copy.
 [[nodiscard]] const policy::RolloutRequest *
 pendingRolloutRequest(const FleetRecords &Records, std::string_view Service);
 
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -361,6 +361,10 @@
     if (Rollout == Records.Rollouts.end()) {
       Rollouts->onRemoved(Service);
     } else {
+      if (!Rollout->second.Stored) {
+        log(LogLevel::Warning, "rollout record of the store is an earlier one",
+            {{"service", Service}, {"rollout", Rollout->second.Id}});
+      }
       Rollouts->onRecord(Rollout->second);
     }
   }
--- a/packages/daemon/src/daemon/control/rollout_runner.cpp
+++ b/packages/daemon/src/daemon/control/rollout_runner.cpp
@@ -9,8 +9,11 @@
 #include "daemon/control/store_worker.h"
 #include "daemon/control/task_queue.h"
 #include "policy/config/push_targets.h"
+#include "policy/core/epoch.h"
+#include "policy/fleet/restore_options.h"
 #include "policy/rollout/advance.h"
 #include "policy/rollout/drive.h"
+#include "policy/rollout/lost_record.h"
 #include "settings/record/format_record.h"
 #include "settings/record/record_key.h"
 #include "store/client/put_resolved.h"
@@ -108,8 +111,12 @@
       continue;
     }
     policy::DriveState &State = DriveStates[Service];
+    const bool Outdated =
+        Last != Records.end() && policy::mayBeOutdated(Requested, Last->second);
     const policy::TimePoint DueAt =
-        RequestDueTimes.try_emplace(Planned->Id, WallNow).first->second;
+        RequestDueTimes.try_emplace(Planned->Id, WallNow).first->second +
+        (Outdated ? policy::RestoreOptions().SettleTime
+                  : policy::Duration::zero());
     if (State.Writing ||
         !policy::shouldDrive(Deps.Membership.self().Node,
                              Deps.Membership.watchers(), Planned->Id, DueAt,
@@ -155,12 +162,19 @@
   }
   planRequests(WallNow);
   for (const auto &[Service, Record] : Records) {
-    if (!policy::hasEnded(Record)) {
-      drive(Record, WallNow);
+    const bool Lost = policy::isLost(Record, storeEpoch());
+    if (!policy::hasEnded(Record) || Lost) {
+      policy::RolloutRecord Driven = Record;
+      Driven.Stored = !Lost;
+      drive(Driven, WallNow);
     }
   }
 }
 
+std::uint64_t RolloutRunner::storeEpoch() const {
+  return policy::epochOf(Deps.Config.table().HighestRevision);
+}
+
 void RolloutRunner::sendReports(policy::TimePoint WallNow) {
   const policy::Member &Self = Deps.Membership.self();
   for (const auto &[Service, Report] :
@@ -215,7 +229,7 @@
            .OperationId = OperationId,
            .Driver = Deps.Membership.self().Address + ":" +
                      std::to_string(Deps.Membership.self().PeerPort)}),
-      .Expected = Next.Revision};
+      .Expected = policy::expectedRevision(Next, storeEpoch())};
   return Deps.Store->submit([this, Request, OperationId,
                              Service = Next.Service](
                                 const store::StoreOperations &Store) {
--- a/packages/daemon/src/daemon/control/rollout_runner.h
+++ b/packages/daemon/src/daemon/control/rollout_runner.h
@@ -75,6 +75,8 @@
   // Returns false if the write cannot be queued.
   [[nodiscard]] bool write(const policy::RolloutRecord &Next);
   void onWritten(const std::string &Service, bool Written);
+  // Returns the newest epoch of the store that this node has heard of.
+  [[nodiscard]] std::uint64_t storeEpoch() const;
   void broadcastVerdict(const std::string &Service,
                         const std::string &RolloutId,
                         const policy::Verdict &Current, std::uint32_t Rounds);
--- a/packages/daemon/test/daemon/control/fleet_records.cpp
+++ b/packages/daemon/test/daemon/control/fleet_records.cpp
@@ -83,5 +83,42 @@
   EXPECT_EQ(Records.Routing->Version, 8U);
 }
 
+policy::ConfigEntry rolloutEntry(policy::RolloutPhase Phase,
+                                 std::uint64_t Revision) {
+  return {.Key = "moves/s",
+          .Revision = Revision,
+          .Value = settings::formatRollout(
+              {.Rollout = {.Service = "s",
+                           .FromVersion = "v1",
+                           .ToVersion = "v2",
+                           .Id = "order-30",
+                           .Start = policy::TimePoint(std::chrono::hours(1)),
+                           .Deadline = policy::TimePoint(std::chrono::hours(2)),
+                           .Phase = Phase,
+                           .Step = 1,
+                           .Share = 0.05},
+               .OperationId = "o",
+               .Driver = "d"})};
+}
+
+// Guards against a completed rollout that runs again, and a request that is
+// pending again, because the store was restored from an earlier copy.
+TEST(FleetRecords, RolloutDoesNotGoBackToTheCopy) {
+  FleetRecords Records;
+  policy::Error LastError;
+  const auto Apply = [&](const policy::ConfigEntry &Entry) {
+    EXPECT_TRUE(applyEntry(Records, Entry, policy::TimePoint(), LastError))
+        << LastError.Detail;
+  };
+  Apply(rolloutEntry(policy::RolloutPhase::Done, 40));
+  Apply(rolloutEntry(policy::RolloutPhase::Shifting, NextEpoch + 35));
+  EXPECT_EQ(Records.Rollouts.at("s").Phase, policy::RolloutPhase::Done);
+  Apply({.Key = "orders/s",
+         .Revision = NextEpoch + 50,
+         .Value = settings::formatRolloutRequest(
+             {.Service = "s", .ToVersion = "v2", .DurationMs = 3'600'000})});
+  EXPECT_EQ(pendingRolloutRequest(Records, "s"), nullptr);
+}
+
 } // namespace
 } // namespace magnolia::daemon
--- a/packages/policy/src/policy/rollout/drive.cpp
+++ b/packages/policy/src/policy/rollout/drive.cpp
@@ -27,6 +27,9 @@
   }
   std::optional<RolloutRecord> Next =
       advance(Record, State.Stats, WallNow, Options);
+  if (!Next && !Record.Stored) {
+    Next = Record;
+  }
   if (!Next) {
     State.DueRevision = 0;
     return std::nullopt;
--- a/packages/policy/src/policy/rollout/drive.h
+++ b/packages/policy/src/policy/rollout/drive.h
@@ -20,8 +20,9 @@
 inline constexpr std::size_t RolloutCollectors = 2;
 
 // Returns the record that this node has to write now by compare-and-swap, or
-// nothing if no write is due or another node has to write it. The state counts
-// the write as started; report its outcome with onWritten(). Held is the
+// nothing if no write is due or another node has to write it. A record that the
+// store lost is due as it is, also after its rollout has ended. The state
+// counts the write as started; report its outcome with onWritten(). Held is the
 // current verdict of the node's own breaker on the new version.
 [[nodiscard]] std::optional<RolloutRecord>
 nextWrite(DriveState &State, const RolloutRecord &Record,
--- a/packages/policy/src/policy/rollout/rollout_record.h
+++ b/packages/policy/src/policy/rollout/rollout_record.h
@@ -41,6 +41,9 @@
   // Revision of the store entry that holds the record, which the next
   // compare-and-swap expects. Not part of the stored value.
   std::uint64_t Revision = 0;
+  // False if the store lost this record and holds an earlier one, or none, at
+  // Revision. Not part of the stored value.
+  bool Stored = true;
 
   bool operator==(const RolloutRecord &) const = default;
 };
--- a/packages/policy/src/policy/rollout/rollout_request.h
+++ b/packages/policy/src/policy/rollout/rollout_request.h
@@ -9,6 +9,7 @@
 #include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 
 namespace magnolia::policy {
 
@@ -26,6 +27,24 @@
 // Returns the id of the rollout that carries out the request.
 [[nodiscard]] std::string rolloutIdOf(const RolloutRequest &Requested);
 
+// Returns the revision of the request whose rollout has the id, or nothing if
+// the rollout carries out no request.
+[[nodiscard]] std::optional<std::uint64_t>
+requestRevisionOf(std::string_view RolloutId);
+
+// Returns true if the record belongs to the rollout of the request. The
+// operator writes a request again, with a new revision, after the store was
+// restored from a copy: one with the same content in a later epoch is the same
+// request.
+[[nodiscard]] bool carriesOut(const RolloutRecord &Record,
+                              const RolloutRequest &Requested);
+
+// Returns true if the request may be an earlier one than that of the record:
+// the store was restored from a copy that holds the earlier request, and the
+// operator has not yet written the later one again.
+[[nodiscard]] bool mayBeOutdated(const RolloutRequest &Requested,
+                                 const RolloutRecord &Record);
+
 // Returns the first record of the rollout, or nothing if Last is already a
 // record of it or no live member serves another version. The other version with
 // the most live members is the old one. The window starts at WallNow.
--- a/packages/policy/test/policy/rollout/drive.cpp
+++ b/packages/policy/test/policy/rollout/drive.cpp
@@ -114,5 +114,19 @@
   EXPECT_TRUE(collectorsOf({}, "m").empty());
 }
 
+// Guards against a status that the operator never reads, because the store lost
+// the last record of a rollout that has ended.
+TEST(Drive, WritesALostRecordAgainAfterTheEnd) {
+  DriveState State;
+  RolloutRecord Ended = shifting();
+  Ended.Phase = RolloutPhase::Done;
+  const auto Write = [&State, &Ended](NodeId Node) {
+    return nextWrite(State, Ended, {}, Node, watchers(), Start + seconds(9));
+  };
+  EXPECT_FALSE(Write(nodeOfRank(0)));
+  Ended.Stored = false;
+  EXPECT_EQ(Write(nodeOfRank(0)), Ended);
+}
+
 } // namespace
 } // namespace magnolia::policy
--- a/packages/policy/test/policy/rollout/rollout_request.cpp
+++ b/packages/policy/test/policy/rollout/rollout_request.cpp
@@ -155,5 +155,57 @@
   EXPECT_FALSE(planRequest(order(), nullptr, OnlyNew, Start));
 }
 
+// First revision of the epoch that follows a restoration from a copy.
+constexpr std::uint64_t NextEpoch = std::uint64_t{1} << 40;
+
+RolloutRequest again(std::uint64_t Counter) {
+  RolloutRequest Requested = order();
+  Requested.Revision = NextEpoch + Counter;
+  return Requested;
+}
+
+// Guards against a rollout that starts anew, with a version that was rolled
+// back, because the operator wrote its request again after a loss of the store
+// or because the copy holds the request at its old revision.
+TEST(PlanRollout, RequestThatIsWrittenAgainIsTheSameOne) {
+  const std::vector<Member> Fleet = {member(1, "v1"), member(3, "v2")};
+  auto Record = planRequest(order(), nullptr, Fleet, Start);
+  ASSERT_TRUE(Record);
+  Record->Phase = RolloutPhase::RolledBack;
+  constexpr std::uint64_t Counters[] = {3, 7, 90};
+  for (const std::uint64_t Counter : Counters) {
+    EXPECT_FALSE(planRequest(again(Counter), &*Record, Fleet, Start))
+        << Counter;
+  }
+}
+
+// Guards against a new request that is taken for an earlier one.
+TEST(PlanRollout, OtherRequestAfterALossIsANewOne) {
+  const std::vector<Member> Fleet = {member(1, "v1"), member(3, "v2"),
+                                     member(4, "v3")};
+  const auto Record = planRequest(order(), nullptr, Fleet, Start);
+  ASSERT_TRUE(Record);
+  RolloutRequest Other = again(90);
+  Other.ToVersion = "v3";
+  EXPECT_TRUE(planRequest(Other, &*Record, Fleet, Start));
+  EXPECT_FALSE(mayBeOutdated(Other, *Record));
+  // Within one epoch the revision alone tells requests apart.
+  RolloutRequest Repeated = order();
+  Repeated.Revision = 8;
+  EXPECT_TRUE(planRequest(Repeated, &*Record, Fleet, Start));
+}
+
+// Guards against a rollout to the version before, which the copy still
+// requests until the operator has written the last request again.
+TEST(PlanRollout, RequestInTheCopyMayBeOutdated) {
+  const std::vector<Member> Fleet = {member(1, "v1"), member(3, "v2")};
+  const auto Record = planRequest(order(), nullptr, Fleet, Start);
+  ASSERT_TRUE(Record);
+  RolloutRequest Earlier = again(5);
+  Earlier.ToVersion = "v1";
+  EXPECT_TRUE(mayBeOutdated(Earlier, *Record));
+  EXPECT_FALSE(mayBeOutdated(again(5), *Record));
+}
+
 } // namespace
 } // namespace magnolia::policy
