Pause between writes of a rollout record that the store lost

Cause: a lost record is due in every tick, every 50 ms, until it is written. A store that is away again at that moment would have been called 20 times a second by each standby of the driver.

Change: the same node writes a lost record at most every 500 ms. Steps and rollbacks are not delayed.

Measured: Drive.PausesBetweenWritesOfALostRecord; it guards new code and fails without the pause by its second expectation.

--- a/packages/policy/src/policy/rollout/drive.cpp
+++ b/packages/policy/src/policy/rollout/drive.cpp
@@ -2,10 +2,16 @@
 
 #include "policy/rollout/advance.h"
 
+#include <chrono>
+
 namespace magnolia::policy {
 
 namespace {
 
+// Pause between two writes of a record that the store lost. Without it, a store
+// that is away again would be called in every tick.
+constexpr Duration RewritePause = std::chrono::milliseconds(500);
+
 // Records the time since when the next record of this revision is due. A new
 // revision restarts the delay of the standbys.
 void markDue(DriveState &State, const RolloutRecord &Record, TimePoint Now) {
@@ -27,7 +33,7 @@
   }
   std::optional<RolloutRecord> Next =
       advance(Record, State.Stats, WallNow, Options);
-  if (!Next && !Record.Stored) {
+  if (!Next && !Record.Stored && WallNow >= State.NextRewrite) {
     Next = Record;
   }
   if (!Next) {
@@ -39,6 +45,7 @@
     return std::nullopt;
   }
   State.Writing = true;
+  State.NextRewrite = WallNow + RewritePause;
   ++State.Writes;
   return Next;
 }
--- a/packages/policy/src/policy/rollout/drive_state.h
+++ b/packages/policy/src/policy/rollout/drive_state.h
@@ -19,6 +19,8 @@
   // True while a write is pending: a node has at most one pending write per
   // rollout.
   bool Writing = false;
+  // Time before which a lost record is not written again.
+  TimePoint NextRewrite;
   std::uint64_t Writes = 0;
   // Writes that lost the compare-and-swap or got no response from the store.
   std::uint64_t FailedWrites = 0;
--- a/packages/policy/test/policy/rollout/drive.cpp
+++ b/packages/policy/test/policy/rollout/drive.cpp
@@ -128,5 +128,22 @@
   EXPECT_EQ(Write(nodeOfRank(0)), Ended);
 }
 
+// Guards against a call in every tick to a store that is away again before the
+// lost record is written.
+TEST(Drive, PausesBetweenWritesOfALostRecord) {
+  DriveState State;
+  RolloutRecord Ended = shifting();
+  Ended.Phase = RolloutPhase::Done;
+  Ended.Stored = false;
+  const auto Write = [&](Duration After) {
+    return nextWrite(State, Ended, {}, nodeOfRank(0), watchers(),
+                     Start + seconds(9) + After);
+  };
+  EXPECT_TRUE(Write(Duration::zero()));
+  onWritten(State, false);
+  EXPECT_FALSE(Write(std::chrono::milliseconds(450)));
+  EXPECT_TRUE(Write(std::chrono::milliseconds(500)));
+}
+
 } // namespace
 } // namespace magnolia::policy
