Read the store again within a second after an outage

Cause: the pause between two failed calls grew to 2 s, which is all the time that a change has to come into effect after its acknowledgement.

Change: the longest pause is 1 s. In a long outage a watcher makes one to two calls a second in place of 0.5 to 1; a node that starts meanwhile likewise.

Measured: Join.BackoffLeavesTimeForAChangeAfterAnOutage fails with the old constant and passes now.

--- a/packages/policy/src/policy/fleet/join_options.h
+++ b/packages/policy/src/policy/fleet/join_options.h
@@ -23,9 +23,10 @@
   // Interval at which a watcher checks its contact record.
   Duration ContactWritePeriod = std::chrono::seconds(30);
   // Upper bound of the first and of the longest delay after failed calls to the
-  // store.
+  // store. A change that the store acknowledges right after it has returned
+  // must be in effect within 2 s, so the longest delay leaves half of that.
   Duration FirstBackoff = std::chrono::milliseconds(200);
-  Duration LongestBackoff = std::chrono::seconds(2);
+  Duration LongestBackoff = std::chrono::seconds(1);
 };
 
 } // namespace magnolia::policy
--- a/packages/policy/test/policy/fleet/join.cpp
+++ b/packages/policy/test/policy/fleet/join.cpp
@@ -70,5 +70,14 @@
   EXPECT_GE(storeBackoff(100, Random, Options), Options.LongestBackoff / 2);
 }
 
+// Guards against a watcher that reads the store again so late after an outage
+// that a change, acknowledged at its end, cannot be in effect within 2 s.
+TEST(Join, BackoffLeavesTimeForAChangeAfterAnOutage) {
+  RandomEngine Random{1};
+  for (int Failures = 1; Failures < 100; ++Failures) {
+    EXPECT_LE(storeBackoff(Failures, Random), std::chrono::seconds(1));
+  }
+}
+
 } // namespace
 } // namespace magnolia::policy
