Repeat the calls after a restoration if their queue is full

Cause: the full read and the write of the report were dropped without a trace if the queue of store jobs was full.

Change: they are scheduled again, as after a failed call.

Measured: the daemon and policy tests pass (90 and 113); a full queue itself was not produced.

--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -51,6 +51,9 @@
   void onStoreResult(const store::WatchResult &Result);
   void checkStoreEpoch(std::uint64_t Epoch, policy::TimePoint Now);
   void writeLostRecords(policy::TimePoint Now);
+  // Return false if the job cannot be queued.
+  [[nodiscard]] bool submitReportWrite();
+  [[nodiscard]] bool submitFullRead();
   void restoreClusterKey(const store::WatchResult &Read);
   [[nodiscard]] store::PutRequest ownContact(std::uint32_t Slot) const;
   void applyContacts(const store::WatchResult &Result);
--- a/packages/daemon/src/daemon/control/internal/control_restore.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_restore.cpp
@@ -46,30 +46,39 @@
 // operators had the time to do the same, a watcher reads which of their keys
 // are gone for good.
 void ControlCore::writeLostRecords(policy::TimePoint Now) {
-  if (Options.StoreReportAgain && policy::takeReportWrite(Restore, Now)) {
-    Store->submit([this](const store::StoreOperations &) {
-      if (!Options.StoreReportAgain()) {
-        Queue.post([this] {
-          policy::repeatReportWrite(Restore, steadyNow(), Random);
-        });
-      }
-    });
+  if (Options.StoreReportAgain && policy::takeReportWrite(Restore, Now) &&
+      !submitReportWrite()) {
+    policy::repeatReportWrite(Restore, Now, Random);
   }
-  if (policy::takeFullRead(Restore, Now) && Join.Watching) {
-    Store->submit([this](const store::StoreOperations &Operations) {
-      store::StoreError LastError;
-      auto Range = Operations.Range({}, CallTimeout, LastError);
-      Queue.post([this, Range = std::move(Range)]() mutable {
-        if (Range) {
-          onStoreResult(store::asWatchResult(*std::move(Range)));
-        } else {
-          policy::repeatFullRead(Restore, steadyNow(), Random);
-        }
-      });
-    });
+  if (policy::takeFullRead(Restore, Now) && Join.Watching &&
+      !submitFullRead()) {
+    policy::repeatFullRead(Restore, Now, Random);
   }
 }
 
+bool ControlCore::submitReportWrite() {
+  return Store->submit([this](const store::StoreOperations &) {
+    if (!Options.StoreReportAgain()) {
+      Queue.post(
+          [this] { policy::repeatReportWrite(Restore, steadyNow(), Random); });
+    }
+  });
+}
+
+bool ControlCore::submitFullRead() {
+  return Store->submit([this](const store::StoreOperations &Operations) {
+    store::StoreError LastError;
+    auto Range = Operations.Range({}, CallTimeout, LastError);
+    Queue.post([this, Range = std::move(Range)]() mutable {
+      if (Range) {
+        onStoreResult(store::asWatchResult(*std::move(Range)));
+      } else {
+        policy::repeatFullRead(Restore, steadyNow(), Random);
+      }
+    });
+  });
+}
+
 void ControlCore::restoreClusterKey(const store::WatchResult &Read) {
   // Without records from the start, the key is in a file and not in the store.
   if (!Options.StartRecords) {
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -277,9 +277,10 @@
       .StartRecords = std::move(Known),
       .BackendKey = settings::backendKey(Settings.LocalBackend.Address,
                                          Settings.LocalBackend.Port),
-      .OnBackendRecord =
-          [this](std::string_view Value) { restoreReport(Value); },
-      .StoreReportAgain = [this] { return BackendAnnouncer.storeAgain(); }};
+      .OnBackendRecord = [this](std::string_view Value) {
+        restoreReport(Value);
+      }};
+  Options.StoreReportAgain = [this] { return BackendAnnouncer.storeAgain(); };
   for (const settings::HostPort &Contact : Settings.Contacts) {
     Options.Contacts.push_back(
         {.Address = Contact.Address, .GossipPort = Contact.Port});
