--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -257,16 +257,17 @@
 }
 
 bool Node::startControl(policy::Error &LastError) {
+  const policy::Member Self = {.Node = Id,
+                               .Address = Settings.Address,
+                               .PeerPort = Settings.PeerPort,
+                               .ControlPort = Settings.ControlPort,
+                               .GossipPort = Settings.GossipPort,
+                               .HttpPort = Settings.HttpPort,
+                               .Region = Settings.Region,
+                               .Zone = Settings.Zone,
+                               .Run = Run};
   ControlOptions Options = {
-      .Self = {.Node = Id,
-               .Address = Settings.Address,
-               .PeerPort = Settings.PeerPort,
-               .ControlPort = Settings.ControlPort,
-               .GossipPort = Settings.GossipPort,
-               .HttpPort = Settings.HttpPort,
-               .Region = Settings.Region,
-               .Zone = Settings.Zone,
-               .Run = Run},
+      .Self = Self,
       .Key = Key,
       .StoreAddress = Settings.Store.Address,
       .StorePort = Settings.Store.Port,
