--- a/packages/store/src/store/client/http_call.h
+++ b/packages/store/src/store/client/http_call.h
@@ -68,10 +68,11 @@
 
 // Passes the body to a parser that takes the text alone or the epoch as well.
 template <typename Parse> auto parseBody(Parse &&Parser, const HttpBody &Body) {
-  if constexpr (std::is_invocable_v<Parse, const HttpBody &>)
+  if constexpr (std::is_invocable_v<Parse, const HttpBody &>) {
     return Parser(Body);
-  else
+  } else {
     return Parser(std::string_view(Body.Text));
+  }
 }
 
 // Sends the call and parses the body of its response.
