--- a/packages/daemon/src/daemon/control/config_runner.h
+++ b/packages/daemon/src/daemon/control/config_runner.h
@@ -60,7 +60,9 @@
   std::uint32_t apply(std::span<const policy::ConfigEntry> Entries, Source From,
                       std::uint32_t Rounds);
 
-  void onStoreResult(store::WatchResult Result);
+  // Settled is true if a key that is absent from a full read counts as deleted
+  // also if it is from before the store was restored from a copy.
+  void onStoreResult(store::WatchResult Result, bool Settled);
   // Applies the records that this node read at startup. They are not pushed,
   // because the other nodes have them already.
   void onStartRecords(store::WatchResult Result);
@@ -90,7 +92,8 @@
 private:
   using ResponseHandler = std::function<void(const wire::ControlBody *)>;
 
-  void applyStore(store::WatchResult Result, std::uint32_t Rounds);
+  void applyStore(store::WatchResult Result, std::uint32_t Rounds,
+                  bool Settled);
   // Applies patches of one key, and reports and pushes the result once.
   policy::PatchOutcome
   applyPatches(std::span<const wire::ValuePatch *const> Patches, Source From,
--- a/packages/daemon/src/daemon/control/fleet_records.cpp
+++ b/packages/daemon/src/daemon/control/fleet_records.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/fleet_records.h"
 
+#include "policy/rollout/lost_record.h"
 #include "policy/zone/zone.h"
 #include "policy/zone/zone_record.h"
 #include "settings/record/parse_record.h"
@@ -69,7 +70,10 @@
     return false;
   }
   Stored->Rollout.Revision = Entry.Revision;
-  Records.Rollouts[Name] = std::move(Stored->Rollout);
+  const auto Held = Records.Rollouts.find(Name);
+  Records.Rollouts[Name] = policy::recordInEffect(
+      Held == Records.Rollouts.end() ? nullptr : &Held->second,
+      Stored->Rollout);
   return true;
 }
 
@@ -105,6 +109,16 @@
   if (!Change) {
     return false;
   }
+  // A store that was restored from a copy holds an earlier table until the
+  // operator writes the last one again.
+  if (Records.Routing && Change->Version < Records.Routing->Version) {
+    LastError = {policy::ErrorKind::BadRequest,
+                 "version " + std::to_string(Change->Version) +
+                     " is older than version " +
+                     std::to_string(Records.Routing->Version) +
+                     ", which stays in effect"};
+    return false;
+  }
   std::optional<RoutingTable> Next = withChange(
       Records.Routing ? *Records.Routing : RoutingTable{}, *Change, LastError);
   if (!Next) {
@@ -127,7 +141,8 @@
   const auto Rollout = Records.Rollouts.find(Service);
   const bool Started =
       Rollout != Records.Rollouts.end() &&
-      Rollout->second.Id == policy::rolloutIdOf(Requested->second);
+      (policy::carriesOut(Rollout->second, Requested->second) ||
+       policy::mayBeOutdated(Requested->second, Rollout->second));
   return Started ? nullptr : &Requested->second;
 }
 
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -7,6 +7,7 @@
 #include "daemon/sidecar/sidecar.h"
 #include "daemon/view/response_recorder.h"
 #include "daemon/view/view_holder.h"
+#include "policy/core/epoch.h"
 #include "policy/fleet/join.h"
 #include "settings/record/format_record.h"
 #include "settings/record/parse_record.h"
@@ -122,8 +123,7 @@
           {.Address = Options.StoreAddress, .Port = Options.StorePort}),
       [this](store::WatchResult Result) {
         Queue.post([this, Result = std::move(Result)]() mutable {
-          applyContacts(Result);
-          Config->onStoreResult(std::move(Result));
+          onStoreResult(std::move(Result));
         });
       },
       Options.Seed,
@@ -226,9 +226,13 @@
   Config->tick(Now);
   Rollouts->tick(Now, wallNow());
   policy::onMembers(Join, Membership->members().size(), Now);
+  if (const std::uint64_t Highest = Config->table().HighestRevision) {
+    checkStoreEpoch(policy::epochOf(Highest), Now);
+  }
   if (Store) {
     readContacts(Now);
     updateStoreWatch(Now);
+    writeLostRecords(Now);
   }
 }
 
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -15,6 +15,7 @@
 #include "daemon/control/task_queue.h"
 #include "daemon/view/local_backend.h"
 #include "policy/fleet/join_state.h"
+#include "policy/fleet/restore_state.h"
 
 #include <memory>
 #include <optional>
@@ -48,6 +49,13 @@
   void run();
   void tick();
   void applyStartRecords();
+  void onStoreResult(store::WatchResult Result);
+  void checkStoreEpoch(std::uint64_t Epoch, policy::TimePoint Now);
+  void writeLostRecords(policy::TimePoint Now);
+  // Return false if the job cannot be queued.
+  [[nodiscard]] bool submitReportWrite();
+  [[nodiscard]] bool submitFullRead();
+  void restoreClusterKey(const store::WatchResult &Read);
   [[nodiscard]] store::PutRequest ownContact(std::uint32_t Slot) const;
   void applyContacts(const store::WatchResult &Result);
   void readContacts(policy::TimePoint Now);
@@ -86,6 +94,7 @@
   bool ViewChangesWithTime = false;
   policy::TimePoint LastView;
   policy::JoinState Join;
+  policy::RestoreState Restore;
   std::thread Thread;
 };
 
--- a/packages/daemon/test/daemon/control/fleet_records.cpp
+++ b/packages/daemon/test/daemon/control/fleet_records.cpp
@@ -1,5 +1,10 @@
 #include "daemon/control/fleet_records.h"
 
+#include "settings/record/format_record.h"
+#include "settings/record/routing_json.h"
+#include "settings/record/routing_text.h"
+
+#include <chrono>
 #include <gtest/gtest.h>
 #include <string>
 
@@ -118,5 +123,66 @@
   }
 }
 
+// First revision of the epoch that follows a restoration from a copy.
+constexpr std::uint64_t NextEpoch = std::uint64_t{1} << 40;
+
+// Guards against a manifest that goes back to the one in the copy from which
+// the store was restored.
+TEST(FleetRecords, OlderManifestDoesNotComeIntoEffect) {
+  FleetRecords Records;
+  policy::Error LastError;
+  const auto Apply = [&](std::uint64_t Version, std::uint64_t Revision) {
+    return applyEntry(Records,
+                      {.Key = "routing/table",
+                       .Revision = Revision,
+                       .Value = settings::formatRouting({.Version = Version})},
+                      policy::TimePoint(), LastError);
+  };
+  EXPECT_TRUE(Apply(7, 40));
+  EXPECT_FALSE(Apply(5, NextEpoch + 30));
+  EXPECT_EQ(LastError.Detail,
+            "version 5 is older than version 7, which stays in effect");
+  EXPECT_EQ(Records.Routing->Version, 7U);
+  EXPECT_TRUE(Apply(8, NextEpoch + 31));
+  EXPECT_EQ(Records.Routing->Version, 8U);
+}
+
+policy::ConfigEntry rolloutEntry(policy::RolloutPhase Phase,
+                                 std::uint64_t Revision) {
+  return {.Key = "moves/s",
+          .Revision = Revision,
+          .Value = settings::formatRollout(
+              {.Rollout = {.Service = "s",
+                           .FromVersion = "v1",
+                           .ToVersion = "v2",
+                           .Id = "order-30",
+                           .Start = policy::TimePoint(std::chrono::hours(1)),
+                           .Deadline = policy::TimePoint(std::chrono::hours(2)),
+                           .Phase = Phase,
+                           .Step = 1,
+                           .Share = 0.05},
+               .OperationId = "o",
+               .Driver = "d"})};
+}
+
+// Guards against a completed rollout that runs again, and a request that is
+// pending again, because the store was restored from an earlier copy.
+TEST(FleetRecords, RolloutDoesNotGoBackToTheCopy) {
+  FleetRecords Records;
+  policy::Error LastError;
+  const auto Apply = [&](const policy::ConfigEntry &Entry) {
+    EXPECT_TRUE(applyEntry(Records, Entry, policy::TimePoint(), LastError))
+        << LastError.Detail;
+  };
+  Apply(rolloutEntry(policy::RolloutPhase::Done, 40));
+  Apply(rolloutEntry(policy::RolloutPhase::Shifting, NextEpoch + 35));
+  EXPECT_EQ(Records.Rollouts.at("s").Phase, policy::RolloutPhase::Done);
+  Apply({.Key = "orders/s",
+         .Revision = NextEpoch + 50,
+         .Value = settings::formatRolloutRequest(
+             {.Service = "s", .ToVersion = "v2", .DurationMs = 3'600'000})});
+  EXPECT_EQ(pendingRolloutRequest(Records, "s"), nullptr);
+}
+
 } // namespace
 } // namespace magnolia::daemon
--- a/packages/daemon/test/daemon/entry/parse_call.cpp
+++ b/packages/daemon/test/daemon/entry/parse_call.cpp
@@ -2,6 +2,8 @@
 
 #include "daemon/entry/entry.h"
 #include "daemon/net/clock.h"
+#include "settings/record/routing_change.h"
+#include "settings/record/routing_lines.h"
 
 #include <gtest/gtest.h>
 
@@ -17,14 +19,14 @@
   RoutedCall() { Routed.RoutesByHost = true; }
 
   void publish(bool Outdated) {
-    settings::RoutingRecord Record{.Version = 7};
-    Record.Routes.push_back({.Name = "r",
-                             .Host = "h.example",
-                             .Prefix = "/known/",
-                             .Targets = {{.Service = "stock"}}});
+    policy::Error LastError;
+    const auto Change = settings::compareRouting(
+        {}, "{\"version\":7}\n[\"h.example\",\"/known/\",\"r\",\"stock\"]",
+        LastError);
+    ASSERT_TRUE(Change) << LastError.Detail;
     ClusterView View;
     View.Routing = std::make_shared<const RoutingTable>(
-        makeRoutingTable(std::move(Record)));
+        *withChange({}, *Change, LastError));
     View.RoutingOutdated = Outdated;
     View.Services["stock"] =
         std::make_shared<const ServiceView>(ServiceView{.Name = "stock"});
--- a/packages/policy/test/policy/rollout/drive.cpp
+++ b/packages/policy/test/policy/rollout/drive.cpp
@@ -114,5 +114,36 @@
   EXPECT_TRUE(collectorsOf({}, "m").empty());
 }
 
+// Guards against a status that the operator never reads, because the store lost
+// the last record of a rollout that has ended.
+TEST(Drive, WritesALostRecordAgainAfterTheEnd) {
+  DriveState State;
+  RolloutRecord Ended = shifting();
+  Ended.Phase = RolloutPhase::Done;
+  const auto Write = [&State, &Ended](NodeId Node) {
+    return nextWrite(State, Ended, {}, Node, watchers(), Start + seconds(9));
+  };
+  EXPECT_FALSE(Write(nodeOfRank(0)));
+  Ended.Stored = false;
+  EXPECT_EQ(Write(nodeOfRank(0)), Ended);
+}
+
+// Guards against a call in every tick to a store that is away again before the
+// lost record is written.
+TEST(Drive, PausesBetweenWritesOfALostRecord) {
+  DriveState State;
+  RolloutRecord Ended = shifting();
+  Ended.Phase = RolloutPhase::Done;
+  Ended.Stored = false;
+  const auto Write = [&](Duration After) {
+    return nextWrite(State, Ended, {}, nodeOfRank(0), watchers(),
+                     Start + seconds(9) + After);
+  };
+  EXPECT_TRUE(Write(Duration::zero()));
+  onWritten(State, false);
+  EXPECT_FALSE(Write(std::chrono::milliseconds(450)));
+  EXPECT_TRUE(Write(std::chrono::milliseconds(500)));
+}
+
 } // namespace
 } // namespace magnolia::policy
