Limit the nesting of JSON from outside before it is parsed

Cause: a record whose value nests lists very deeply was parsed and then copied, route by route or limit by limit; each level of the copy uses stack. A process that reads such an entry ends, and so does every other reader of the same key, at each start again.

Change: policy::parseJson is the one way to parse a text from outside the process. Pages of the platform's store are parsed without a copy and stay as they are.

--- a/packages/ctl/src/ctl/change/diff.cpp
+++ b/packages/ctl/src/ctl/change/diff.cpp
@@ -1,5 +1,7 @@
 #include "ctl/change/diff.h"
 
+#include "policy/core/parse_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <cstddef>
@@ -18,7 +20,7 @@
 // Returns the path of each field, for example routes/0/prefix, with its value.
 Fields fieldsOf(std::string_view Value) {
   Fields Result;
-  const Json Document = Json::parse(Value, nullptr, false);
+  const Json Document = policy::parseJson(Value);
   if (!Document.is_object()) {
     return Result;
   }
--- a/packages/daemon/src/daemon/dialect/native.cpp
+++ b/packages/daemon/src/daemon/dialect/native.cpp
@@ -1,5 +1,6 @@
 #include "daemon/dialect/dialect.h"
 #include "policy/chain/chain_headers.h"
+#include "policy/core/parse_json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -12,7 +13,7 @@
 }
 
 std::optional<BackendHealth> readHealth(const HttpResponse &Response) {
-  const auto Json = nlohmann::json::parse(Response.Body, nullptr, false);
+  const auto Json = policy::parseJson(Response.Body);
   if (!Json.is_object()) {
     return std::nullopt;
   }
--- a/packages/daemon/src/daemon/entry/local_endpoints.cpp
+++ b/packages/daemon/src/daemon/entry/local_endpoints.cpp
@@ -1,6 +1,7 @@
 #include "daemon/entry/local_endpoints.h"
 
 #include "daemon/entry/parse_call.h"
+#include "policy/core/parse_json.h"
 
 #include <nlohmann/json.hpp>
 
@@ -64,7 +65,7 @@
   if (Body.size() > AnnouncementMaximum) {
     return std::nullopt;
   }
-  const auto Json = nlohmann::json::parse(Body, nullptr, false);
+  const auto Json = policy::parseJson(Body);
   if (!Json.is_object() || !readName(Json, "service", State.Service) ||
       !readName(Json, "version", State.Version) ||
       !readNumber(Json, "port", 1, 65'535, State.Port) ||
--- a/packages/settings/src/settings/record/internal/field_reader.cpp
+++ b/packages/settings/src/settings/record/internal/field_reader.cpp
@@ -1,5 +1,6 @@
 #include "settings/record/internal/field_reader.h"
 
+#include "policy/core/parse_json.h"
 #include "settings/record/limits.h"
 #include "settings/record/record_key.h"
 
@@ -23,9 +24,9 @@
   if (Value.size() > MaxSize) {
     failWith("the value has more than " + std::to_string(MaxSize) + " bytes");
   } else {
-    Object = Json::parse(Value, nullptr, false);
+    Object = policy::parseJson(Value);
     if (!Object.is_object()) {
-      failWith("the value is not a JSON object");
+      failWith("the value is not a JSON object or is nested too deeply");
     }
   }
   if (failed()) {
--- a/packages/store/src/store/client/internal/codec.cpp
+++ b/packages/store/src/store/client/internal/codec.cpp
@@ -1,5 +1,6 @@
 #include "store/client/internal/codec.h"
 
+#include "policy/core/parse_json.h"
 #include "store/client/base64.h"
 
 #include <nlohmann/json.hpp>
@@ -12,7 +13,7 @@
 using Json = nlohmann::json;
 
 std::optional<Json> parseObject(std::string_view Body) {
-  Json Document = Json::parse(Body, nullptr, false);
+  Json Document = policy::parseJson(Body);
   if (!Document.is_object())
     return std::nullopt;
   return Document;
