Log an exception of a control task instead of ending the process

Cause: the tasks of the control thread and the calls to the store run without a handler, so that an exception on one unforeseen value ended the node.

Change: the task ends alone, with a log line, and the tasks after it run.

Measured: TaskQueue.AThrowingTaskEndsAlone failed on the code before and passes now. No value that throws is known.

--- a/packages/daemon/src/daemon/control/task_queue.cpp
+++ b/packages/daemon/src/daemon/control/task_queue.cpp
@@ -1,5 +1,9 @@
 #include "daemon/control/task_queue.h"
 
+#include "daemon/log/log.h"
+
+#include <exception>
+#include <string_view>
 #include <utility>
 
 namespace magnolia::daemon {
@@ -28,7 +32,12 @@
     Batch.swap(Tasks);
   }
   for (Task &Work : Batch) {
-    Work();
+    try {
+      Work();
+    } catch (const std::exception &Reason) {
+      log(LogLevel::Error, "task ended by an exception",
+          {{"reason", std::string_view(Reason.what())}});
+    }
   }
   return true;
 }
--- a/packages/daemon/src/daemon/control/task_queue.h
+++ b/packages/daemon/src/daemon/control/task_queue.h
@@ -23,7 +23,8 @@
   bool post(Task Work);
 
   // Waits until the given time for a task and runs all queued tasks. Returns
-  // false once the queue is closed and empty.
+  // false once the queue is closed and empty. A task that throws is logged and
+  // does not end the others.
   bool runFor(std::chrono::steady_clock::time_point Until);
 
   // Refuses further tasks and wakes the consumer.
--- a/packages/daemon/test/daemon/control/task_queue.cpp
+++ b/packages/daemon/test/daemon/control/task_queue.cpp
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <gtest/gtest.h>
+#include <stdexcept>
 
 namespace magnolia::daemon {
 namespace {
@@ -29,5 +30,16 @@
   EXPECT_EQ(Runs, 1);
 }
 
+// Guards against one unforeseen value whose exception ends the process or the
+// tasks after it.
+TEST(TaskQueue, AThrowingTaskEndsAlone) {
+  TaskQueue Queue(2);
+  int Runs = 0;
+  EXPECT_TRUE(Queue.post([] { throw std::out_of_range("no such member"); }));
+  EXPECT_TRUE(Queue.post([&Runs] { ++Runs; }));
+  EXPECT_TRUE(Queue.runFor(std::chrono::steady_clock::now()));
+  EXPECT_EQ(Runs, 1);
+}
+
 } // namespace
 } // namespace magnolia::daemon
