Replace a cluster key in the store that is too short

Cause: with an unusable entry in place of the cluster key every node that starts read the records again and again and never served.

Change: the first node that starts replaces the entry, on the condition that it is unchanged, and logs it. Nodes that run keep the key that they have and cannot talk to the new ones until they restart.

Measured: StartRecords.AnUnusableKeyIsReplaced did not end within 8 s on the code before and passes now.

--- a/packages/daemon/src/daemon/node/start_records.cpp
+++ b/packages/daemon/src/daemon/node/start_records.cpp
@@ -30,7 +30,8 @@
   return {reinterpret_cast<const char *>(Bytes.data()), Bytes.size()};
 }
 
-// Returns the cluster key from the records, or a new one that this call wrote.
+// Returns the cluster key from the records, or a new one that this call wrote
+// because there was none or it was too short.
 std::optional<std::string> readOrCreateKey(const store::StoreOperations &Store,
                                            const store::WatchResult &Records,
                                            store::StoreError &LastError) {
@@ -38,18 +39,21 @@
                                  [](const store::WatchEvent &Next) {
                                    return Next.Key == settings::ClusterKeyKey;
                                  });
+  store::Revision Expected = 0;
   if (Held != Records.Events.end()) {
     if (Held->Value.size() >= wire::ClusterKeyMinimumBytes) {
       return Held->Value;
     }
-    LastError = {store::StoreErrorKind::Malformed,
-                 "the cluster key in the store is too short"};
-    return std::nullopt;
+    // Without a valid key no node starts.
+    log(LogLevel::Error, "the cluster key in the store is too short; it is "
+                         "replaced");
+    Expected = Held->ModRevision;
   }
   std::string NewKey = randomKey();
-  if (!NewKey.empty() &&
-      Store.Put({.Key = std::string(settings::ClusterKeyKey), .Value = NewKey},
-                CallTimeout, LastError)) {
+  if (!NewKey.empty() && Store.Put({.Key = std::string(settings::ClusterKeyKey),
+                                    .Value = NewKey,
+                                    .Expected = Expected},
+                                   CallTimeout, LastError)) {
     return NewKey;
   }
   // Another node was first or the outcome is unknown. The next read returns the
--- a/packages/daemon/test/daemon/node/start_records.cpp
+++ b/packages/daemon/test/daemon/node/start_records.cpp
@@ -19,6 +19,7 @@
   std::string ConcurrentKey;
   int Ranges = 0;
   int Puts = 0;
+  store::PutRequest LastPut;
 
   store::StoreOperations operations() {
     store::StoreOperations Made;
@@ -32,6 +33,7 @@
         [this](const store::PutRequest &Request, std::chrono::milliseconds,
                store::StoreError &LastError) -> std::optional<store::Revision> {
       ++Puts;
+      LastPut = Request;
       if (!ConcurrentKey.empty()) {
         Entries.push_back({.Key = Request.Key, .Value = ConcurrentKey});
         LastError = {store::StoreErrorKind::Conflict, "exists"};
@@ -72,5 +74,19 @@
   EXPECT_EQ(Second.Puts, 1);
 }
 
+// Guards against one unusable entry in place of the cluster key that keeps
+// every node from starting.
+TEST(StartRecords, AnUnusableKeyIsReplaced) {
+  for (const char *Odd : {"", "short"}) {
+    CountingStore Store;
+    Store.Entries = {{.Key = std::string(settings::ClusterKeyKey),
+                      .Value = Odd,
+                      .ModRevision = 3}};
+    const StartRecords Made = readStartRecords(Store.operations());
+    EXPECT_GE(Made.Key.Bytes.size(), wire::ClusterKeyMinimumBytes) << Odd;
+    EXPECT_EQ(Store.LastPut.Expected, 3U) << Odd;
+  }
+}
+
 } // namespace
 } // namespace magnolia::daemon
