--- /dev/null
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
@@ -0,0 +1,147 @@
+#include "daemon/sidecar/sidecar_call.h"
+
+#include "daemon/net/clock.h"
+#include "daemon/net/socket.h"
+#include "daemon/sidecar/backend_headers.h"
+#include "policy/admission/admit.h"
+
+#include <algorithm>
+#include <utility>
+
+// The end of a request that was sent: the response of the backend server, or
+// its absence.
+
+namespace magnolia::daemon {
+
+using policy::ErrorKind;
+
+namespace {
+
+// Status of a refusal whose kind the backend server names in a header.
+constexpr std::uint16_t RefusalStatus = 503;
+constexpr std::uint16_t MisdirectedStatus = 421;
+
+} // namespace
+
+bool SidecarCall::isForOtherRequest(const HttpResponse &Response) const {
+  const std::string *Id =
+      findOptionalHeader(Response.Headers, Owner.dialect().Headers.RequestId);
+  return Id && *Id != SentId;
+}
+
+bool SidecarCall::handleResponse(policy::TimePoint Now) {
+  HttpResponse Response = Connection->Reader.takeResponse();
+  if (isForOtherRequest(Response) && Response.KeepAlive) {
+    // This is a second response to an earlier request; the one to this request
+    // may follow.
+    Owner.metrics().count(Counter::BackendExtraAnswers);
+    Connection->Reader.begin(Request.Method);
+    return false;
+  }
+  if (isForOtherRequest(Response)) {
+    handleBrokenResponse(Now,
+                         "the backend server responded to another request");
+    return true;
+  }
+  const bool Reusable = Response.KeepAlive && !Connection->Reader.hasBytes() &&
+                        HeadLeft.empty() && BodyLeft.empty();
+  if (Reusable) {
+    Owner.pool().give(std::move(Connection), Now);
+  }
+  Connection.reset();
+  const Dialect &Speaks = Owner.dialect();
+  if (Speaks.ReadWorkTime) {
+    if (const auto Percent = Speaks.ReadWorkTime(Response)) {
+      Owner.onWorkTime(*Percent, Now);
+    }
+  }
+  Owner.onBackendIncarnation(incarnationOf(Speaks, Response.Headers), Now);
+  if (const auto Refusal = refusalIn(Response)) {
+    Owner.metrics().count(Counter::BackendSheds);
+    Owner.finishRun(Request, false);
+    Owner.complete({.Latency = Now - Sent, .Failed = true}, Now);
+    finish(callErrorResponse(*Refusal, "refused by the backend server"));
+    return true;
+  }
+  Owner.finishRun(Request, true);
+  constexpr std::uint16_t FirstServerError = 500;
+  Owner.complete(
+      {.Latency = Now - Sent, .Failed = Response.Status >= FirstServerError},
+      Now);
+  Owner.metrics().time(Timing::Backend, Now - Sent);
+  CallResponse Ended;
+  Ended.Status = Response.Status;
+  const std::string *Length = findHeader(Response.Headers, "Content-Length");
+  const bool KeepLength = Length && !hasBody(Response.Status, Request.Method);
+  const std::string Kept = KeepLength ? *Length : std::string();
+  removeHopByHop(Response.Headers);
+  std::erase_if(Response.Headers, [&Speaks](const HttpHeader &Header) {
+    return isReservedHeader(Speaks, Header);
+  });
+  if (KeepLength) {
+    Response.Headers.push_back({"Content-Length", Kept});
+  }
+  Ended.Headers = std::move(Response.Headers);
+  Ended.Body = std::move(Response.Body);
+  finish(std::move(Ended));
+  return true;
+}
+
+std::optional<ErrorKind>
+SidecarCall::refusalIn(const HttpResponse &Response) const {
+  const HeaderNames &Names = Owner.dialect().Headers;
+  if (!Names.ExpectedInstance.empty() && Response.Status == MisdirectedStatus) {
+    Owner.onOtherInstance();
+    return ErrorKind::StaleIncarnation;
+  }
+  if (Names.Draining.empty()) {
+    return findOptionalHeader(Response.Headers, Names.NotRun)
+               ? std::optional(ErrorKind::Overloaded)
+               : std::nullopt;
+  }
+  if (Response.Status != RefusalStatus) {
+    return std::nullopt;
+  }
+  if (findOptionalHeader(Response.Headers, Names.Draining)) {
+    Owner.onBackendDraining();
+    return ErrorKind::Draining;
+  }
+  return findOptionalHeader(Response.Headers, Names.NotRun)
+             ? std::optional(ErrorKind::Overloaded)
+             : std::nullopt;
+}
+
+// The backend server may close an idle connection just as a request is sent. An
+// idempotent request is then sent again on a new connection.
+void SidecarCall::handleBrokenResponse(policy::TimePoint Now,
+                                       std::string Reason) {
+  const bool Repeat =
+      Connection->Reused && !ReceivedBytes && Request.Idempotent;
+  Connection.reset();
+  if (Repeat) {
+    Connection = Owner.pool().open(
+        std::min(Request.Deadline, Now + Owner.options().ConnectTimeout));
+    if (Connection) {
+      send(Now);
+      return;
+    }
+  }
+  Connection.reset();
+  Owner.metrics().count(Counter::BackendBrokenAnswers);
+  Owner.onConnectFailure(Now);
+  Owner.finishRun(Request, true);
+  Owner.complete({.Latency = Now - Sent, .Failed = true}, Now);
+  finish(callErrorResponse(ErrorKind::BackendBrokenAnswer, std::move(Reason)));
+}
+
+void SidecarCall::handleOversizedResponse(policy::TimePoint Now) {
+  Connection.reset();
+  Owner.finishRun(Request, true);
+  Owner.complete({.Latency = Now - Sent}, Now);
+  finish(callErrorResponse(
+      ErrorKind::AnswerTooLarge,
+      "the answer body is over " +
+          std::to_string(Owner.options().ResponseLimits.BodyBytes) + " bytes"));
+}
+
+} // namespace magnolia::daemon
