Parse the response that arrives together with one to an earlier request

Cause: after a response to another request was skipped, the sidecar waited for more bytes and did not look at those already read. If the response to this request came in the same packet, the caller waited until the deadline and was told 504 although the backend server had answered.

Change: all responses among the buffered bytes are taken before the next wait. The fixture of the sidecar tests moves to a header of its own; its tests are unchanged.

--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -222,22 +222,7 @@
     }
     ReceivedBytes = true;
     Connection->Reader.commit(static_cast<std::size_t>(Count));
-    switch (Connection->Reader.read()) {
-    case HttpReadStatus::NeedMore:
-      continue;
-    case HttpReadStatus::Ready:
-      if (handleResponse(Now)) {
-        return;
-      }
-      continue;
-    case HttpReadStatus::BodyTooLarge:
-      handleOversizedResponse(Now);
-      return;
-    case HttpReadStatus::HeadTooLarge:
-    case HttpReadStatus::Malformed:
-      handleBrokenResponse(
-          Now, "the backend server's response is malformed or has no "
-               "stated length");
+    if (takeResponses(Now)) {
       return;
     }
   }
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -46,6 +46,9 @@
   void send(policy::TimePoint Now);
   void sendMore();
   void readResponse(policy::TimePoint Now);
+  // Handles the responses among the buffered bytes. Returns false if more bytes
+  // are needed.
+  [[nodiscard]] bool takeResponses(policy::TimePoint Now);
   // Returns false if the response belongs to an earlier request and the one to
   // this request is still expected.
   [[nodiscard]] bool handleResponse(policy::TimePoint Now);
--- a/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
@@ -23,6 +23,29 @@
 
 } // namespace
 
+bool SidecarCall::takeResponses(policy::TimePoint Now) {
+  for (;;) {
+    switch (Connection->Reader.read()) {
+    case HttpReadStatus::NeedMore:
+      return false;
+    case HttpReadStatus::Ready:
+      if (handleResponse(Now)) {
+        return true;
+      }
+      continue;
+    case HttpReadStatus::BodyTooLarge:
+      handleOversizedResponse(Now);
+      return true;
+    case HttpReadStatus::HeadTooLarge:
+    case HttpReadStatus::Malformed:
+      handleBrokenResponse(
+          Now, "the backend server's response is malformed or has no "
+               "stated length");
+      return true;
+    }
+  }
+}
+
 bool SidecarCall::isForOtherRequest(const HttpResponse &Response) const {
   const std::string *Id =
       findOptionalHeader(Response.Headers, Owner.dialect().Headers.RequestId);
--- a/packages/daemon/test/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call.cpp
@@ -1,75 +1,17 @@
 #include "daemon/sidecar/sidecar_call.h"
 
-#include "../support/scripted_backend.h"
+#include "../support/sidecar_fixture.h"
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
-#include <memory>
-
 namespace magnolia::daemon {
 namespace {
 
 using policy::ErrorKind;
 using test::plainResponse;
-using test::ScriptedBackend;
-
-constexpr SidecarOptions Options{
-    .Run = 5,
-    .ResponseLimits = {.HeadBytes = 4096, .BodyBytes = 64},
-    .ConnectTimeout = std::chrono::seconds(5),
-    .MaxWaiting = 4,
-    .LedgerEntries = 64};
-
-// A sidecar in front of a scripted backend server.
-struct SidecarCallTest : testing::Test {
-  void startBackend(ScriptedBackend::Script Script) {
-    Scripted = std::make_unique<ScriptedBackend>(std::move(Script));
-    attach(Scripted->port());
-  }
-
-  void attach(std::uint16_t Port) {
-    const LocalBackendState State{.Service = "stock",
-                                  .Version = "1",
-                                  .Address = "127.0.0.1",
-                                  .Port = Port,
-                                  .Slots = 1,
-                                  .Present = true};
-    Backend.update(State);
-    Own.apply(State, now());
-  }
-
-  CallRequest request(const char *Method = "GET") {
-    CallRequest NewRequest;
-    NewRequest.Id = {.Origin = 1, .Run = 1, .Sequence = ++Sequence};
-    NewRequest.Service = "stock";
-    NewRequest.Method = Method;
-    NewRequest.Target = "/a";
-    NewRequest.Idempotent = NewRequest.Method == "GET";
-    NewRequest.Deadline = now() + test::TestTimeout;
-    return NewRequest;
-  }
 
-  static void finish(SidecarCall &Call) {
-    while (!Call.done()) {
-      (void)waitReadable(Call.fd(), Call.nextCheck());
-      Call.advance(now());
-    }
-  }
-
-  CallResponse run(CallRequest Request) {
-    SidecarCall Call(Own, std::move(Request));
-    Call.start(now());
-    finish(Call);
-    return std::move(Call.response());
-  }
-
-  Metrics Counts;
-  LocalBackend Backend;
-  Sidecar Own{Options, Backend, Counts};
-  std::unique_ptr<ScriptedBackend> Scripted;
-  std::uint64_t Sequence = 0;
-};
+struct SidecarCallTest : test::SidecarFixture {};
 
 struct ResponseRow {
   const char *Failure;
@@ -135,7 +77,7 @@
   EXPECT_EQ(run(Fenced).Kind, ErrorKind::Fenced);
 
   CallRequest Stale = request("POST");
-  Stale.SidecarRun = Options.Run - 1;
+  Stale.SidecarRun = test::SmallLimits.Run - 1;
   EXPECT_EQ(run(Stale).Kind, ErrorKind::StaleIncarnation);
 
   CallRequest Keyed = request("POST");
--- a/packages/daemon/test/daemon/support/scripted_backend.h
+++ b/packages/daemon/test/daemon/support/scripted_backend.h
@@ -5,13 +5,17 @@
 #include "daemon/net/connection_server.h"
 #include "daemon/net/socket.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
+#include <cstring>
 #include <functional>
 #include <mutex>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -23,7 +27,10 @@
 // by a function. An empty response closes the connection; the text "hang" keeps
 // it open until the peer closes it. After a response that
 // contains [cut] the connection is closed, after one that contains [reset] it
-// is reset.
+// is reset. Of a response with [split], the part behind it is sent byte by
+// byte. Of one with [endless] or [slow], the part behind it is sent again and
+// again until the peer closes the connection; with [slow] a byte per
+// millisecond.
 class ScriptedBackend {
 public:
   using Script = std::function<std::string(const std::string &Request)>;
@@ -46,11 +53,16 @@
   }
 
   std::atomic<int> Hanging = 0;
+  // Connections that have sent a request, and bytes of endless responses that
+  // the peer or the kernel has accepted.
+  std::atomic<int> Connections = 0;
+  std::atomic<std::size_t> EndlessBytes = 0;
   bool Started = false;
 
 private:
   void serve(Session &Accepted) {
     std::string Bytes;
+    int Answered = 0;
     for (;;) {
       const std::size_t End = wholeRequest(Bytes);
       if (End == 0) {
@@ -59,6 +71,7 @@
         }
         continue;
       }
+      Connections += Answered++ == 0 ? 1 : 0;
       const std::string Request = Bytes.substr(0, End);
       Bytes.erase(0, End);
       {
@@ -76,6 +89,9 @@
         reset(Accepted.fd(), Raw);
         return;
       }
+      if (sendMarked(Accepted.fd(), Raw)) {
+        continue;
+      }
       if (Raw.empty() ||
           !sendAll(Accepted.fd(), Raw, {}, now() + TestTimeout) ||
           Raw.find("[cut]") != std::string::npos) {
@@ -84,6 +100,50 @@
     }
   }
 
+  // Sends a response with the marker [split], [endless] or [slow]. Returns
+  // false if it has none.
+  bool sendMarked(int Fd, const std::string &Raw) {
+    constexpr std::size_t ChunkBytes = 65'536;
+    for (const char *Marker : {"[split]", "[endless]", "[slow]"}) {
+      const std::size_t At = Raw.find(Marker);
+      if (At == std::string::npos) {
+        continue;
+      }
+      const std::string Repeated = Raw.substr(At + std::strlen(Marker));
+      bool Sent = sendAll(Fd, Raw.substr(0, At), {}, now() + TestTimeout);
+      if (Marker == std::string_view("[split]")) {
+        for (const char &Byte : Repeated) {
+          Sent = Sent && sendAll(Fd, {&Byte, 1}, {}, now() + TestTimeout);
+        }
+        return true;
+      }
+      const bool Slow = Marker == std::string_view("[slow]");
+      std::string Chunk = Repeated;
+      while (!Slow && Chunk.size() < ChunkBytes) {
+        Chunk += Repeated;
+      }
+      while (Sent && waitToSend(Fd, Slow)) {
+        const std::string_view Next = Slow ? nextByte(Repeated) : Chunk;
+        Sent = sendAll(Fd, Next, {}, now() + TestTimeout);
+        EndlessBytes += Next.size();
+      }
+      return true;
+    }
+    return false;
+  }
+
+  std::string_view nextByte(const std::string &Repeated) {
+    return std::string_view(Repeated).substr(EndlessBytes % Repeated.size(), 1);
+  }
+
+  // Waits a millisecond before a slow byte. Returns false once the peer has
+  // closed the connection.
+  static bool waitToSend(int Fd, bool Slow) {
+    pollfd Poll{.fd = Fd, .events = POLLRDHUP, .revents = 0};
+    const auto Pause = std::chrono::milliseconds(Slow ? 1 : 0);
+    return !waitReady({&Poll, 1}, now() + Pause, {});
+  }
+
   // Sends the bytes and sets a zero linger time, so that the close that follows
   // resets the connection.
   static void reset(int Fd, const std::string &Raw) {
