Trust a response on a reused connection only with its request id

Cause: a response without a request id on a reused connection was taken for the response to the request just sent. A refusal of an earlier request, written once more without its id, told the caller of a non-idempotent request 'not run' while the backend server ran it, or sent the request to a second one; status 421 also took the backend server out of service. A response with the ids of two requests was judged by the first. A health check on an idle connection took such bytes for its own response, and left the real one for the next request.

Change: if backend servers echo the request id (a property of the dialect), a response on a reused connection needs it; without it, or with the ids of two requests, the connection is closed and the outcome is unknown. A response to a health check that names a request is discarded with its connection.

Measured: the rows without an id (refusals with 503, 429, 421, 400, split, and before the response; a success) and with two ids of SidecarRefusals.ReusedConnectionTable failed on the code before, for idempotent and other requests, as did BackendWatchTest.ResponseToARequestIsNoHealthReport; all pass now.

--- a/packages/daemon/src/daemon/dialect/dialect.h
+++ b/packages/daemon/src/daemon/dialect/dialect.h
@@ -28,6 +28,9 @@
   // True if the caller's request id is forwarded unchanged to the backend
   // server, false if the node assigns an id to each request.
   bool KeepsRequestId = false;
+  // True if backend servers echo the request id in each response, so that one
+  // without it belongs to no known request.
+  bool EchoesRequestId = false;
   // True if backend servers report how long their cold start lasts.
   bool ReportsColdStart = false;
   // True if backend servers abort a request when its connection closes.
--- a/packages/daemon/src/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.cpp
@@ -3,6 +3,7 @@
 #include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
+#include "daemon/sidecar/backend_headers.h"
 
 #include <algorithm>
 #include <utility>
@@ -74,7 +75,7 @@
   }
   Owner.metrics().count(Counter::LoadPolls);
   const auto Response = readLoad(*Connection, Path);
-  if (!Response) {
+  if (!Response || namesRequest(*Response)) {
     return;
   }
   if (!Opts.FromSettings && Response->KeepAlive &&
@@ -127,6 +128,18 @@
   }
 }
 
+// A check has no request id, so a response with one belongs to an earlier
+// request. The one to the check may follow, and the connection is closed.
+bool BackendWatch::namesRequest(const HttpResponse &Response) const {
+  const std::string *Id =
+      findOptionalHeader(Response.Headers, Owner.dialect().Headers.RequestId);
+  if (!Id || Id->empty()) {
+    return false;
+  }
+  Owner.metrics().count(Counter::BackendExtraAnswers);
+  return true;
+}
+
 // A lagging endpoint may still report an earlier incarnation, so only a later
 // one counts.
 void BackendWatch::applyHealth(const HttpResponse &Response) {
--- a/packages/daemon/src/daemon/sidecar/backend_watch.h
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.h
@@ -45,6 +45,7 @@
   [[nodiscard]] std::optional<HttpResponse> readLoad(BackendConnection &To,
                                                      const std::string &Path);
   [[nodiscard]] std::unique_ptr<BackendConnection> connect();
+  [[nodiscard]] bool namesRequest(const HttpResponse &Response) const;
   void applyHealth(const HttpResponse &Response);
 
   Sidecar &Owner;
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -52,7 +52,10 @@
   // Returns false if the response belongs to an earlier request and the one to
   // this request is still expected.
   [[nodiscard]] bool handleResponse(policy::TimePoint Now);
-  [[nodiscard]] bool isForOtherRequest(const HttpResponse &Response) const;
+  enum class Origin : std::uint8_t { ThisRequest, OtherRequest, Unknown };
+  // Returns whose response it is, by the request ids that it echoes. The first
+  // response on a connection needs none.
+  [[nodiscard]] Origin originOf(const HttpResponse &Response) const;
   // Returns the error kind if the backend server states in the response that it
   // did not run the request.
   [[nodiscard]] std::optional<policy::ErrorKind>
--- a/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
@@ -46,24 +46,38 @@
   }
 }
 
-bool SidecarCall::isForOtherRequest(const HttpResponse &Response) const {
-  const std::string *Id =
-      findOptionalHeader(Response.Headers, Owner.dialect().Headers.RequestId);
-  return Id && *Id != SentId;
+SidecarCall::Origin SidecarCall::originOf(const HttpResponse &Response) const {
+  const Dialect &Speaks = Owner.dialect();
+  bool IsThis = false;
+  bool IsOther = false;
+  for (const HttpHeader &Header : Response.Headers) {
+    if (!Header.Value.empty() &&
+        equalNames(Header.Name, Speaks.Headers.RequestId)) {
+      (Header.Value == SentId ? IsThis : IsOther) = true;
+    }
+  }
+  if (IsOther) {
+    return IsThis ? Origin::Unknown : Origin::OtherRequest;
+  }
+  const bool NeedsId = Speaks.EchoesRequestId && Connection->Reused;
+  return IsThis || !NeedsId ? Origin::ThisRequest : Origin::Unknown;
 }
 
 bool SidecarCall::handleResponse(policy::TimePoint Now) {
   HttpResponse Response = Connection->Reader.takeResponse();
-  if (isForOtherRequest(Response) && Response.KeepAlive) {
+  const Origin From = originOf(Response);
+  if (From == Origin::OtherRequest && Response.KeepAlive) {
     // This is a second response to an earlier request; the one to this request
     // may follow.
     Owner.metrics().count(Counter::BackendExtraAnswers);
     Connection->Reader.begin(Request.Method);
     return false;
   }
-  if (isForOtherRequest(Response)) {
-    handleBrokenResponse(Now,
-                         "the backend server responded to another request");
+  if (From != Origin::ThisRequest) {
+    handleBrokenResponse(
+        Now, From == Origin::OtherRequest
+                 ? "the backend server responded to another request"
+                 : "the response does not name the request that it belongs to");
     return true;
   }
   const bool Reusable = Response.KeepAlive && !Connection->Reader.hasBytes() &&
--- /dev/null
+++ b/packages/daemon/test/daemon/sidecar/backend_watch.cpp
@@ -0,0 +1,63 @@
+#include "daemon/sidecar/backend_watch.h"
+
+#include "../support/echo_dialect.h"
+#include "../support/sidecar_fixture.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <chrono>
+#include <string>
+#include <thread>
+
+namespace magnolia::daemon {
+namespace {
+
+using test::plainResponse;
+
+struct BackendWatchTest : test::SidecarFixture {
+  BackendWatchTest() : SidecarFixture(&test::echoDialect()) {}
+
+  // Checks the health of the backend server until the given number of checks
+  // has ended. Returns false if they take too long.
+  bool watch(int Wanted) {
+    const policy::TimePoint Until = now() + test::TestTimeout;
+    BackendWatch Watch(Own, Backend,
+                       {.LoadPath = [] { return std::string("/health"); },
+                        .Interval = std::chrono::milliseconds(1),
+                        .FromSettings = false,
+                        .OnHealth = [this](const BackendHealth &,
+                                           policy::TimePoint) { ++Reports; },
+                        .AfterCheck = [this](policy::TimePoint) { ++Checks; }});
+    while (Checks < Wanted && now() < Until) {
+      std::this_thread::yield();
+    }
+    return Checks >= Wanted;
+  }
+
+  std::atomic<int> Checks = 0;
+  std::atomic<int> Reports = 0;
+};
+
+// Guards against an earlier response, written once more, that is taken for the
+// state of the backend server, and against a health response that is then taken
+// for the response to a request.
+TEST_F(BackendWatchTest, ResponseToARequestIsNoHealthReport) {
+  startBackend([](const std::string &Request) {
+    const std::string Answer = plainResponse("ok", "Request-Id: r1\r\n");
+    return Request.find("/health") != std::string::npos
+               ? Answer + plainResponse("")
+               : Answer;
+  });
+  CallRequest First = request("GET");
+  First.Headers = {{"Request-Id", "r1"}};
+  EXPECT_EQ(run(First).Kind, std::nullopt);
+  EXPECT_TRUE(watch(1));
+  EXPECT_EQ(Reports, 0);
+  bool ClosedEarly = false;
+  EXPECT_FALSE(
+      Own.pool().takeIdle(now(), policy::Duration::max(), ClosedEarly));
+}
+
+} // namespace
+} // namespace magnolia::daemon
--- a/packages/daemon/test/daemon/sidecar/sidecar_call_refusals.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call_refusals.cpp
@@ -54,6 +54,69 @@
   }
 };
 
+struct ReusedRow {
+  const char *Failure;
+  std::string First;
+  std::string Second;
+  std::optional<ErrorKind> Expected;
+};
+
+// Guards against a refusal of an earlier request, written once more, that is
+// taken for the response to the next request on the connection: a caller is
+// told that a request did not run which did, or it runs at a second backend
+// server.
+TEST_F(SidecarRefusals, ReusedConnectionTable) {
+  const std::string Ok = plainResponse("ok", echo("r1"));
+  const std::string Refused = refusal(echo("r1"));
+  const std::string Answer = plainResponse("ok", echo("r2"));
+  const auto Broken = ErrorKind::BackendBrokenAnswer;
+  const ReusedRow Rows[] = {
+      {"the refusal of the request itself", Ok, refusal(echo("r2")),
+       ErrorKind::Overloaded},
+      {"a refusal in several packets", Ok, "[split]" + refusal(echo("r2")),
+       ErrorKind::Overloaded},
+      {"an earlier refusal before the response", Refused, Refused + Answer,
+       std::nullopt},
+      {"an earlier refusal in several packets", Refused,
+       "[split]" + Refused + Answer, std::nullopt},
+      {"two earlier refusals in one packet", Refused,
+       Refused + Refused + Answer, std::nullopt},
+      {"an earlier refusal as the last bytes", Refused, Refused + "[cut]",
+       Broken},
+      {"an earlier refusal that ends the connection", Refused,
+       refusal(echo("r1") + "Connection: close\r\n"), Broken},
+      {"an earlier refusal of another instance", Refused,
+       refusal(echo("r1"), 421) + Answer, std::nullopt},
+      {"a refusal without an id", Ok, refusal(""), Broken},
+      {"a refusal without an id in several packets", Ok,
+       "[split]" + refusal(""), Broken},
+      {"a refusal without an id before the response", Ok, refusal("") + Answer,
+       Broken},
+      {"a refusal of another instance without an id", Ok, refusal("", 421),
+       Broken},
+      {"a refusal with status 429 without an id", Ok, refusal("", 429), Broken},
+      {"a refusal with status 400 without an id", Ok, refusal("", 400), Broken},
+      {"a response without an id", Ok, plainResponse("other"), Broken},
+      {"a refusal with an empty id", Ok, refusal("Request-Id: \r\n") + "[cut]",
+       Broken},
+      {"a refusal with the ids of two requests", Ok,
+       refusal(echo("r2") + echo("r1")) + "[cut]", Broken},
+      {"a refusal after the complete response", Ok,
+       Answer + refusal(echo("r2")), std::nullopt},
+  };
+  for (const ReusedRow &Row : Rows) {
+    for (const bool Idempotent : {false, true}) {
+      const CallResponse Response =
+          runSecond(Row.First, Row.Second, Idempotent);
+      EXPECT_EQ(Response.Kind, Row.Expected) << Row.Failure << Idempotent;
+      EXPECT_TRUE(Response.Kind || Response.Body == "ok") << Row.Failure;
+      EXPECT_TRUE(Backend.state().Present) << Row.Failure;
+      EXPECT_EQ(Scripted->requests().size(), 2U) << Row.Failure;
+      EXPECT_EQ(Own.admissionState().InFlight, 0U) << Row.Failure;
+    }
+  }
+}
+
 struct FirstRow {
   const char *Failure;
   std::string Raw;
--- a/packages/daemon/test/daemon/support/echo_dialect.h
+++ b/packages/daemon/test/daemon/support/echo_dialect.h
@@ -15,6 +15,7 @@
                        .ExpectedInstance = "Expected-Instance",
                        .NotRun = "Not-Executed"};
     Changed.KeepsRequestId = true;
+    Changed.EchoesRequestId = true;
     Changed.DropsOnClose = true;
     Changed.ReadHealth = [](const HttpResponse &Response) {
       constexpr std::uint16_t Ok = 200;
