Send a repeated non-idempotent request on a new connection

Cause: a request that a backend server refused may be sent to it again, with the same id. If the server writes the first refusal once more, the id cannot tell it from one of the second attempt: the caller is told 'not run', or the request goes to another backend server, while it runs.

Change: a repeat of a non-idempotent request, and one without an id, uses a new connection if backend servers echo request ids. Repeats are few: the retry budget limits them.

Measured: SidecarRefusals.RepeatUsesANewConnection failed on the code before and passes now.

--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -139,7 +139,9 @@
       Request.Idempotent || !Owner.dialect().DropsOnClose
           ? policy::Duration::max()
           : MaxNonIdempotentIdle;
-  Connection = Owner.pool().takeIdle(Now, LongestIdle, ClosedEarly);
+  if (!needsNewConnection()) {
+    Connection = Owner.pool().takeIdle(Now, LongestIdle, ClosedEarly);
+  }
   if (ClosedEarly) {
     Owner.onConnectFailure(Now);
   }
@@ -153,6 +155,15 @@
   return Connection != nullptr;
 }
 
+bool SidecarCall::needsNewConnection() const {
+  const Dialect &Speaks = Owner.dialect();
+  if (Request.Idempotent || !Speaks.EchoesRequestId) {
+    return false;
+  }
+  const std::string *Id = findHeader(Request.Headers, Speaks.Headers.RequestId);
+  return Request.Repeat || !Id || Id->empty();
+}
+
 void SidecarCall::send(policy::TimePoint Now) {
   Connection->Reader.begin(Request.Method);
   Head = requestHead(backendRequest(Now), Request.Service, Request.Body.size());
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -41,6 +41,9 @@
 
   void run(policy::TimePoint Now);
   [[nodiscard]] bool connect(policy::TimePoint Now);
+  // True if a refusal of an earlier attempt, or of another request without an
+  // id, could not be told from one of this attempt.
+  [[nodiscard]] bool needsNewConnection() const;
   // Start and continue sending the request to the backend server. A broken
   // connection is detected when the response is read.
   void send(policy::TimePoint Now);
--- a/packages/daemon/test/daemon/sidecar/sidecar_call_refusals.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call_refusals.cpp
@@ -156,6 +156,18 @@
   EXPECT_EQ(Scripted->Connections, 2);
 }
 
+// Guards against a request that was refused, is sent to the same backend server
+// again, and is taken for refused once more because the first refusal is
+// written a second time. Both carry the same id.
+TEST_F(SidecarRefusals, RepeatUsesANewConnection) {
+  startBackend([](const std::string &) { return refusal(echo("r1")); });
+  EXPECT_EQ(run(requestWithId("r1", false)).Kind, ErrorKind::Overloaded);
+  CallRequest Repeat = requestWithId("r1", false);
+  Repeat.Repeat = true;
+  EXPECT_EQ(run(Repeat).Kind, ErrorKind::Overloaded);
+  EXPECT_EQ(Scripted->Connections, 2);
+}
+
 // Guards against a refusal that ends a request whose body the backend server
 // has not read completely, and a connection that is reused in the middle of it.
 TEST_F(SidecarRefusals, RefusalBeforeTheWholeBodyEndsTheConnection) {
