Limit lines after the head and interim responses in the HTTP reader

Cause: the size of a chunk, its extension and the trailers were buffered until their line ended, without a limit, and interim responses were skipped without one. One connection could fill the memory of the node, from a backend server or from a caller.

Change: what is buffered after the head is limited to the size of a head, and interim responses before a final one to 16. More is malformed.

Measured: HttpReader.EndlessLinesAfterTheHeadAreRejected failed on the code before (the reader asked for more) and passes now.

--- a/packages/daemon/src/daemon/http/reader.cpp
+++ b/packages/daemon/src/daemon/http/reader.cpp
@@ -17,6 +17,8 @@
 
 constexpr std::size_t ReadBytes = 16'384;
 constexpr unsigned FirstFinalStatus = 200;
+// More interim responses to one request than any server has a use for.
+constexpr std::size_t MaxInterimResponses = 16;
 
 template <class Parser>
 void setUp(std::optional<Parser> &Created, const HttpLimits &Limits) {
@@ -63,6 +65,8 @@
   std::optional<RequestParser> Request;
   std::optional<ResponseParser> Response;
   bool SkipBody = false;
+  // Interim responses before the current one.
+  std::size_t Interim = 0;
   std::string Bytes;
   std::size_t Begin = 0;
   std::size_t End = 0;
@@ -83,9 +87,13 @@
           To.put(boost::asio::const_buffer(Bytes.data() + Begin, End - Begin),
                  ParseError);
       if (ParseError == beast::error::need_more) {
-        return End - Begin > Limits.HeadBytes && !To.is_header_done()
-                   ? HttpReadStatus::HeadTooLarge
-                   : HttpReadStatus::NeedMore;
+        if (End - Begin <= Limits.HeadBytes) {
+          return HttpReadStatus::NeedMore;
+        }
+        // After the head, only the line of a chunk or the trailers are parsed
+        // as a whole.
+        return To.is_header_done() ? HttpReadStatus::Malformed
+                                   : HttpReadStatus::HeadTooLarge;
       }
       if (ParseError) {
         return statusOf(ParseError);
@@ -105,6 +113,9 @@
         return Status;
       }
       // The final response follows an interim one.
+      if (++Interim > MaxInterimResponses) {
+        return HttpReadStatus::Malformed;
+      }
       start();
     }
   }
@@ -123,6 +134,7 @@
 
 void HttpReader::begin(std::string_view Method) {
   Impl->SkipBody = Method == "HEAD";
+  Impl->Interim = 0;
   Impl->start();
 }
 
--- a/packages/daemon/src/daemon/http/reader.h
+++ b/packages/daemon/src/daemon/http/reader.h
@@ -53,7 +53,9 @@
   [[nodiscard]] std::span<char> prepare();
   void commit(std::size_t Count);
 
-  // Parses the buffered bytes. Returns Ready once the message is complete.
+  // Parses the buffered bytes. Returns Ready once the message is complete. Each
+  // line after the head is limited to the size of a head, and the number of
+  // interim responses before a final one to 16.
   [[nodiscard]] HttpReadStatus read();
   // Handles a clean close by the remote side. Returns Ready for a response
   // without a stated length, which ends this way, and Malformed for any other
--- a/packages/daemon/test/daemon/http/reader.cpp
+++ b/packages/daemon/test/daemon/http/reader.cpp
@@ -106,6 +106,22 @@
   }
 }
 
+// Guards against memory that grows with a line that never ends after the head.
+TEST(HttpReader, EndlessLinesAfterTheHeadAreRejected) {
+  const std::string Filler(2 * Small.HeadBytes, '0');
+  for (const char *Start : {"", "1;", "0\r\nA: "}) {
+    HttpReader Response(HttpReader::Kind::Response, Small);
+    Response.begin("GET");
+    feed(Response, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                       (Start + Filler));
+    EXPECT_EQ(Response.read(), Status::Malformed) << Start;
+    HttpReader Request(HttpReader::Kind::Request, Small);
+    feed(Request, "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                      (Start + Filler));
+    EXPECT_EQ(Request.read(), Status::Malformed) << Start;
+  }
+}
+
 // Guards against a truncated response that counts as complete when the
 // connection ends, and against a response without a length that never ends.
 TEST(HttpReader, EndOfConnectionTable) {
