End responses of a backend server that never end

Cause: the sidecar read a response until the socket was empty. A backend server that sends as fast as its bytes are parsed, with interim responses, chunk lines or responses to other requests, held the fiber beyond the deadline. Health checks and the connections of cancelled requests were read in the same way.

Change: at most 64 reads happen before the deadline is checked and other work gets its turn; after 16 responses to other requests the response counts as broken. A health check ends at its deadline.

--- a/packages/daemon/src/daemon/sidecar/backend_pool.h
+++ b/packages/daemon/src/daemon/sidecar/backend_pool.h
@@ -29,6 +29,11 @@
 inline constexpr policy::Duration EarlyCloseTime =
     std::chrono::milliseconds(500);
 
+// Reads from one connection, of up to 16 KiB or more each, before the deadline
+// is checked and other work gets its turn. A backend server may send faster
+// than its bytes are parsed.
+inline constexpr int BackendReadsPerTurn = 64;
+
 // Idle connections to the local backend server. The most recently used one is
 // reused first, so that surplus connections time out and are closed.
 class BackendPool {
--- a/packages/daemon/src/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.cpp
@@ -113,7 +113,7 @@
                Until)) {
     return std::nullopt;
   }
-  for (;;) {
+  while (now() < Until) {
     const auto Count = receiveSome(To.Socket.fd(), To.Reader.prepare());
     if (Count < 0 || (Count == 0 && !waitReadable(To.Socket.fd(), Until))) {
       return std::nullopt;
@@ -126,6 +126,7 @@
                  : std::nullopt;
     }
   }
+  return std::nullopt;
 }
 
 // A check has no request id, so a response with one belongs to an earlier
--- a/packages/daemon/src/daemon/sidecar/cancelled_connections.cpp
+++ b/packages/daemon/src/daemon/sidecar/cancelled_connections.cpp
@@ -17,7 +17,7 @@
 
 // True if the response is complete or the connection has ended.
 bool hasEnded(BackendConnection &Connection) {
-  for (;;) {
+  for (int Reads = 0; Reads < BackendReadsPerTurn; ++Reads) {
     const auto Count =
         receiveSome(Connection.Socket.fd(), Connection.Reader.prepare());
     if (Count <= 0) {
@@ -28,6 +28,7 @@
       return true;
     }
   }
+  return false;
 }
 
 } // namespace
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -216,7 +216,7 @@
 }
 
 void SidecarCall::readResponse(policy::TimePoint Now) {
-  for (;;) {
+  for (int Reads = 0; Reads < BackendReadsPerTurn; ++Reads) {
     const auto Count =
         receiveSome(Connection->Socket.fd(), Connection->Reader.prepare());
     if (Count == 0) {
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -83,6 +83,8 @@
   std::string_view HeadLeft;
   std::string_view BodyLeft;
   bool ReceivedBytes = false;
+  // Responses to other requests that were skipped.
+  int ExtraResponses = 0;
   // True once the request is listed among the running requests.
   bool Registered = false;
   policy::TimePoint Arrived{};
--- a/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
@@ -21,6 +21,9 @@
 constexpr std::uint16_t RefusalStatus = 503;
 constexpr std::uint16_t MisdirectedStatus = 421;
 
+// Responses to other requests that are skipped before the one to this request.
+constexpr int MaxExtraResponses = 16;
+
 } // namespace
 
 bool SidecarCall::takeResponses(policy::TimePoint Now) {
@@ -70,6 +73,11 @@
     // This is a second response to an earlier request; the one to this request
     // may follow.
     Owner.metrics().count(Counter::BackendExtraAnswers);
+    if (++ExtraResponses > MaxExtraResponses) {
+      handleBrokenResponse(
+          Now, "the backend server only responds to other requests");
+      return true;
+    }
     Connection->Reader.begin(Request.Method);
     return false;
   }
--- a/packages/daemon/test/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/test/daemon/sidecar/backend_watch.cpp
@@ -39,6 +39,31 @@
   std::atomic<int> Reports = 0;
 };
 
+struct EndlessRow {
+  const char *Failure;
+  std::string Raw;
+};
+
+// Guards against a health response without end that stops the checks and the
+// shutdown of the node.
+TEST_F(BackendWatchTest, EndlessResponseEndsTheCheck) {
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const EndlessRow Rows[] = {
+      {"interim responses", "[endless]HTTP/1.1 100 Continue\r\n\r\n"},
+      {"a head", "HTTP/1.1 200 OK\r\n[endless]A: b\r\n"},
+      {"a chunk extension", Chunked + "1;[endless]x"},
+      {"a body", "HTTP/1.1 200 OK\r\n\r\n[endless]x"},
+      {"a slow head", "HTTP/1.1 200 OK\r\nA: [slow]x"},
+  };
+  for (const EndlessRow &Row : Rows) {
+    Checks = Reports = 0;
+    startBackend([&Row](const std::string &) { return Row.Raw; });
+    EXPECT_TRUE(watch(2)) << Row.Failure;
+    EXPECT_EQ(Reports, 0) << Row.Failure;
+  }
+}
+
 // Guards against an earlier response, written once more, that is taken for the
 // state of the backend server, and against a health response that is then taken
 // for the response to a request.
