Test that a frame of another request ends a peer exchange

The hop between nodes already compares the id of each frame with that of the request: a refusal with another id ends the exchange as lost, and the fence decides. The test shows it.

--- a/packages/daemon/test/daemon/peer/peer_exchange.cpp
+++ b/packages/daemon/test/daemon/peer/peer_exchange.cpp
@@ -85,6 +85,20 @@
   EXPECT_EQ(Test.at(milliseconds(921)), ExchangeStatus::Lost);
 }
 
+// Guards against the refusal of another request, written by a faulty sidecar,
+// that is taken for the response to this one.
+TEST(PeerExchange, ResponseToAnotherRequestIsLost) {
+  ExchangeWithTest Test;
+  CallResponse Refusal =
+      callErrorResponse(policy::ErrorKind::Overloaded, "refused");
+  policy::RequestId Other = Test.Request.Id;
+  --Other.Sequence;
+  EXPECT_TRUE(queueResponse(Test.Sidecar, Other, Refusal));
+  EXPECT_TRUE(queueResponse(Test.Sidecar, Test.Request.Id, Refusal));
+  EXPECT_TRUE(Test.Sidecar.flush(now() + std::chrono::seconds(10)));
+  EXPECT_EQ(Test.at(milliseconds(1)), ExchangeStatus::Lost);
+}
+
 // Guards against a closed connection that is reported as unresponsive only.
 TEST(PeerExchange, ClosedConnectionIsLostAtOnce) {
   ExchangeWithTest Test;
