Abort a call to the store that does not end at its deadline

Cause: the timeouts of cpp-httplib bound each read, not the response. A head or a chunk size that arrives byte by byte kept a call for as long as the store sent; the thread of the watch no longer followed the store, and that of the jobs wrote nothing. Bodies were already bounded.

Change: the connection pool has a thread that stops the connection of a call 500 ms after its deadline. The outcome is the same as of a lost response: Timeout, or OutcomeUnknown if the call may have had an effect.

--- a/packages/store/src/store/client/http_call.cpp
+++ b/packages/store/src/store/client/http_call.cpp
@@ -144,13 +144,13 @@
                                      std::chrono::milliseconds Timeout,
                                      StoreError &LastError) {
   ++State.Counts->Calls[static_cast<std::size_t>(Call.Kind)];
-  const auto Connection = State.Pool.acquire();
+  Timeout = std::max(Timeout, std::chrono::milliseconds(1));
+  const Clock::time_point Deadline = Clock::now() + Timeout;
+  const auto Connection = State.Pool.acquire(Deadline);
   if (!Connection) {
     return fail(State, Call, StoreErrorKind::Unavailable,
                 "the client is closed", LastError);
   }
-  Timeout = std::max(Timeout, std::chrono::milliseconds(1));
-  const Clock::time_point Deadline = Clock::now() + Timeout;
   setTimeouts(*Connection, Timeout);
   Response Result;
   const httplib::Result Sent =
--- a/packages/store/src/store/client/internal/connection_pool.cpp
+++ b/packages/store/src/store/client/internal/connection_pool.cpp
@@ -9,6 +9,8 @@
 namespace magnolia::store::internal {
 namespace {
 
+using Clock = std::chrono::steady_clock;
+
 // TCP keepalive: idle time before the first probe, interval between probes, and
 // number of unanswered probes after which the connection is closed. A
 // connection may stop responding without a reset, also during a pending watch.
@@ -28,18 +30,49 @@
 }
 
 // A call that has acquired its connection but not yet connected cannot be
-// stopped; close() retries at this interval.
+// stopped; a stop is retried at this interval.
 constexpr std::chrono::milliseconds StopInterval{5};
 
+// Time after its deadline that a call has to end by itself.
+constexpr std::chrono::milliseconds AbortAfter{500};
+
 } // namespace
 
 ConnectionPool::ConnectionPool(const HttpStoreOptions &Options)
     : Address(Options.Address), Port(Options.Port),
-      MaxIdle(Options.MaxIdleConnections) {}
+      MaxIdle(Options.MaxIdleConnections),
+      Watcher([this] { abortLateCalls(); }) {}
+
+ConnectionPool::~ConnectionPool() {
+  {
+    const std::lock_guard Lock(Mutex);
+    Closed = true;
+  }
+  Changed.notify_all();
+  Watcher.join();
+}
 
-ConnectionPool::~ConnectionPool() = default;
+void ConnectionPool::abortLateCalls() {
+  std::unique_lock Lock(Mutex);
+  while (!Closed) {
+    const Clock::time_point Now = Clock::now();
+    Clock::time_point Next = Clock::time_point::max();
+    for (const Use &Call : InUse) {
+      if (Now >= Call.AbortAt) {
+        Call.Connection->stop();
+      }
+      Next = std::min(Next, std::max(Call.AbortAt, Now + StopInterval));
+    }
+    if (InUse.empty()) {
+      Changed.wait(Lock);
+    } else {
+      Changed.wait_until(Lock, Next);
+    }
+  }
+}
 
-std::shared_ptr<httplib::Client> ConnectionPool::acquire() {
+std::shared_ptr<httplib::Client>
+ConnectionPool::acquire(Clock::time_point Deadline) {
   const std::lock_guard Lock(Mutex);
   if (Closed)
     return nullptr;
@@ -53,14 +86,17 @@
     Connection = std::move(Idle.back());
     Idle.pop_back();
   }
-  InUse.push_back(Connection);
+  InUse.push_back({.Connection = Connection, .AbortAt = Deadline + AbortAfter});
+  Changed.notify_all();
   return Connection;
 }
 
 void ConnectionPool::release(const std::shared_ptr<httplib::Client> &Connection,
                              bool Reusable) {
   const std::lock_guard Lock(Mutex);
-  InUse.erase(std::remove(InUse.begin(), InUse.end(), Connection), InUse.end());
+  std::erase_if(InUse, [&Connection](const Use &Call) {
+    return Call.Connection == Connection;
+  });
   if (Reusable && !Closed && Idle.size() < MaxIdle)
     Idle.push_back(Connection);
   Returned.notify_all();
@@ -69,10 +105,11 @@
 void ConnectionPool::close() {
   std::unique_lock Lock(Mutex);
   Closed = true;
+  Changed.notify_all();
   Idle.clear();
   while (!InUse.empty()) {
-    for (const auto &Connection : InUse)
-      Connection->stop();
+    for (const Use &Call : InUse)
+      Call.Connection->stop();
     Returned.wait_for(Lock, StopInterval);
   }
 }
--- a/packages/store/src/store/client/internal/connection_pool.h
+++ b/packages/store/src/store/client/internal/connection_pool.h
@@ -3,9 +3,12 @@
 
 #include "store/client/http_store.h"
 
+#include <chrono>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
+#include <string>
+#include <thread>
 #include <vector>
 
 namespace httplib {
@@ -23,8 +26,11 @@
   ConnectionPool(const ConnectionPool &) = delete;
   ConnectionPool &operator=(const ConnectionPool &) = delete;
 
-  // Null after close().
-  [[nodiscard]] std::shared_ptr<httplib::Client> acquire();
+  // Null after close(). The call on the connection is aborted if it has not
+  // ended soon after the deadline: the timeouts of the client bound single
+  // reads only.
+  [[nodiscard]] std::shared_ptr<httplib::Client>
+  acquire(std::chrono::steady_clock::time_point Deadline);
 
   // Returns a connection to the pool. One with a lost response is not reused.
   void release(const std::shared_ptr<httplib::Client> &Connection,
@@ -34,6 +40,13 @@
   void close();
 
 private:
+  struct Use {
+    std::shared_ptr<httplib::Client> Connection;
+    std::chrono::steady_clock::time_point AbortAt;
+  };
+
+  void abortLateCalls();
+
   std::string Address;
   std::uint16_t Port;
   std::size_t MaxIdle;
@@ -41,7 +54,9 @@
   std::condition_variable Returned;
   bool Closed = false;
   std::vector<std::shared_ptr<httplib::Client>> Idle;
-  std::vector<std::shared_ptr<httplib::Client>> InUse;
+  std::vector<Use> InUse;
+  std::condition_variable Changed;
+  std::thread Watcher;
 };
 
 } // namespace magnolia::store::internal
