Do not pass on a status that promises 'not run' without a statement

Cause: a 408, 429 or 503 of a backend server was returned unchanged also if the server did not state that it had not run the request. Callers take these statuses as a promise; a non-idempotent request that ran would be sent again.

Change: if callers take statuses as promises (a property of the dialect), such a response to a non-idempotent request becomes OutcomeUnknown (502). Responses to idempotent requests are passed on unchanged.

--- a/packages/daemon/src/daemon/dialect/dialect.h
+++ b/packages/daemon/src/daemon/dialect/dialect.h
@@ -31,6 +31,9 @@
   // True if backend servers echo the request id in each response, so that one
   // without it belongs to no known request.
   bool EchoesRequestId = false;
+  // True if callers take status 408, 421, 429 or 503 as a promise that a
+  // request did not run and never will.
+  bool PromisesByStatus = false;
   // True if backend servers report how long their cold start lasts.
   bool ReportsColdStart = false;
   // True if backend servers abort a request when its connection closes.
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -63,6 +63,9 @@
   // did not run the request.
   [[nodiscard]] std::optional<policy::ErrorKind>
   refusalIn(const HttpResponse &Response) const;
+  // True if the status would tell the caller that the request did not run,
+  // which the backend server did not state.
+  [[nodiscard]] bool promisesFalsely(const HttpResponse &Response) const;
   void handleBrokenResponse(policy::TimePoint Now, std::string Reason);
   void handleOversizedResponse(policy::TimePoint Now);
   void refuseUnsent(policy::ErrorKind Kind, std::string Detail,
--- a/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
@@ -6,6 +6,8 @@
 #include "policy/admission/admit.h"
 
 #include <algorithm>
+#include <array>
+#include <string>
 #include <utility>
 
 // The end of a request that was sent: the response of the backend server, or
@@ -21,6 +23,10 @@
 constexpr std::uint16_t RefusalStatus = 503;
 constexpr std::uint16_t MisdirectedStatus = 421;
 
+// Statuses by which callers learn that a request did not run. A 421 is always a
+// refusal.
+constexpr std::array<std::uint16_t, 3> PromiseStatuses = {408, 429, 503};
+
 // Responses to other requests that are skipped before the one to this request.
 constexpr int MaxExtraResponses = 16;
 
@@ -114,6 +120,14 @@
       {.Latency = Now - Sent, .Failed = Response.Status >= FirstServerError},
       Now);
   Owner.metrics().time(Timing::Backend, Now - Sent);
+  if (promisesFalsely(Response)) {
+    finish(callErrorResponse(ErrorKind::OutcomeUnknown,
+                             "the backend server responded with status " +
+                                 std::to_string(Response.Status) +
+                                 " and does not state that it did not run the "
+                                 "request"));
+    return true;
+  }
   CallResponse Ended;
   Ended.Status = Response.Status;
   const std::string *Length = findHeader(Response.Headers, "Content-Length");
@@ -132,6 +146,12 @@
   return true;
 }
 
+bool SidecarCall::promisesFalsely(const HttpResponse &Response) const {
+  return Owner.dialect().PromisesByStatus && !Request.Idempotent &&
+         std::find(PromiseStatuses.begin(), PromiseStatuses.end(),
+                   Response.Status) != PromiseStatuses.end();
+}
+
 std::optional<ErrorKind>
 SidecarCall::refusalIn(const HttpResponse &Response) const {
   const HeaderNames &Names = Owner.dialect().Headers;
--- a/packages/daemon/test/daemon/sidecar/sidecar_call_refusals.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call_refusals.cpp
@@ -143,6 +143,24 @@
   }
 }
 
+// Guards against a status that promises callers 'not run' and comes from a
+// backend server that does not state so: the request may have run.
+TEST_F(SidecarRefusals, StatusWithoutAStatementPromisesNothing) {
+  for (const char *Status : {"408", "429", "503"}) {
+    for (const bool Idempotent : {false, true}) {
+      startBackend([Status](const std::string &) {
+        return "HTTP/1.1 " + std::string(Status) + " X\r\n" + echo("r1") +
+               "Content-Length: 0\r\n\r\n";
+      });
+      const CallResponse Response = run(requestWithId("r1", Idempotent));
+      EXPECT_EQ(Response.Kind, Idempotent
+                                   ? std::nullopt
+                                   : std::optional(ErrorKind::OutcomeUnknown))
+          << Status;
+    }
+  }
+}
+
 // Guards against a refusal that arrives on an idle connection and is taken for
 // the response to the next request.
 TEST_F(SidecarRefusals, BytesOnAnIdleConnectionEndIt) {
--- a/packages/daemon/test/daemon/support/echo_dialect.h
+++ b/packages/daemon/test/daemon/support/echo_dialect.h
@@ -16,6 +16,7 @@
                        .NotRun = "Not-Executed"};
     Changed.KeepsRequestId = true;
     Changed.EchoesRequestId = true;
+    Changed.PromisesByStatus = true;
     Changed.DropsOnClose = true;
     Changed.ReadHealth = [](const HttpResponse &Response) {
       constexpr std::uint16_t Ok = 200;
