--- a/packages/settings/src/settings/record/internal/routing_line.cpp
+++ b/packages/settings/src/settings/record/internal/routing_line.cpp
@@ -1,5 +1,6 @@
 #include "settings/record/internal/routing_line.h"
 
+#include "policy/core/parse_json.h"
 #include "settings/record/internal/field_reader.h"
 #include "settings/record/limits.h"
 
@@ -176,7 +177,7 @@
 
 std::optional<HostRoute> parseRouteLine(std::string_view Line,
                                         policy::Error &LastError) {
-  FieldReader Fields("route", Json::parse(Line, nullptr, false), RouteFields);
+  FieldReader Fields("route", policy::parseJson(Line), RouteFields);
   HostRoute Route;
   readRouteFields(Fields, Route);
   Route.Idempotent = Fields.optionalFlag("idempotent").value_or(false);
@@ -187,7 +188,7 @@
 
 std::optional<ServiceLimits> parseServiceLine(std::string_view Line,
                                               policy::Error &LastError) {
-  FieldReader Fields("service", Json::parse(Line, nullptr, false));
+  FieldReader Fields("service", policy::parseJson(Line));
   ServiceLimits Service = readServiceFields(Fields);
   return Fields.report(LastError) ? std::nullopt
                                   : std::optional(std::move(Service));
