--- a/packages/daemon/test/daemon/control/control_server.cpp
+++ b/packages/daemon/test/daemon/control/control_server.cpp
@@ -4,11 +4,14 @@
 #include "daemon/control/control_client.h"
 #include "policy/core/error.h"
 
+#include <chrono>
 #include <future>
 #include <gtest/gtest.h>
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 #include <wire/control.pb.h>
 
 namespace magnolia::daemon {
@@ -67,5 +70,37 @@
   EXPECT_EQ(Server->refused(), 1U);
 }
 
+// Guards against a node that stops late because a fetch with a long timeout is
+// in flight to a node that does not respond.
+TEST(ControlServer, AStoppedClientCancelsLongCalls) {
+  policy::Error LastError;
+  std::vector<ControlReply> Held;
+  std::promise<void> Received;
+  const auto Server = ControlServer::open(
+      {.Address = "127.0.0.1", .Port = Port}, Key,
+      [&](const wire::ControlBody &, ControlReply Reply) {
+        Held.push_back(std::move(Reply));
+        Received.set_value();
+        return true;
+      },
+      LastError);
+  ASSERT_TRUE(Server) << LastError.Detail;
+  const auto Start = std::chrono::steady_clock::now();
+  bool Failed = false;
+  {
+    ControlClient Client(Key, 1);
+    Client.call(
+        {.Address = "127.0.0.1", .Port = Port}, {},
+        [&Failed](const std::optional<wire::ControlBody> &Response) {
+          Failed = !Response;
+        },
+        std::chrono::seconds(60));
+    Received.get_future().wait();
+  }
+  EXPECT_TRUE(Failed);
+  EXPECT_LT(std::chrono::steady_clock::now() - Start, std::chrono::seconds(30));
+  Held.at(0)({});
+}
+
 } // namespace
 } // namespace magnolia::daemon
