Look up the sources of a fetch by node id

Cause: liveMember() searched all members for each source of each pending key, on every tick of 50 ms: 19,000 members at the planned size.

Change: MembershipRunner::find() uses the index of the member table.

--- a/packages/daemon/src/daemon/control/config_runner_fetch.cpp
+++ b/packages/daemon/src/daemon/control/config_runner_fetch.cpp
@@ -167,12 +167,8 @@
 }
 
 const policy::Member *ConfigRunner::liveMember(policy::NodeId Node) const {
-  const std::span<const policy::Member> Members = Membership.members();
-  const auto Found =
-      std::find_if(Members.begin(), Members.end(), [&](const auto &Record) {
-        return Record.Node == Node && policy::isLive(Record);
-      });
-  return Found == Members.end() ? nullptr : &*Found;
+  const policy::Member *const Found = Membership.find(Node);
+  return Found != nullptr && policy::isLive(*Found) ? Found : nullptr;
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/membership_runner.cpp
+++ b/packages/daemon/src/daemon/control/membership_runner.cpp
@@ -6,6 +6,7 @@
 #include "daemon/control/gossip_socket.h"
 #include "daemon/control/task_queue.h"
 #include "policy/config/push_targets.h"
+#include "policy/membership/gossip.h"
 #include "policy/membership/sync.h"
 
 #include <optional>
@@ -80,6 +81,10 @@
   return policy::members(State);
 }
 
+const policy::Member *MembershipRunner::find(policy::NodeId Node) const {
+  return policy::findMember(State, Node);
+}
+
 std::uint64_t MembershipRunner::generation() const {
   return State.Table.Generation;
 }
--- a/packages/daemon/src/daemon/control/membership_runner.h
+++ b/packages/daemon/src/daemon/control/membership_runner.h
@@ -46,6 +46,8 @@
   [[nodiscard]] const policy::Member &self() const;
   // Members in every state.
   [[nodiscard]] std::span<const policy::Member> members() const;
+  // Returns the member, or null for an unknown node.
+  [[nodiscard]] const policy::Member *find(policy::NodeId Node) const;
   // Incremented by every change of the member table.
   [[nodiscard]] std::uint64_t generation() const;
   // The live members of all zones that watch the store, in a fixed order.
