--- a/packages/daemon/src/daemon/control/fleet_records.cpp
+++ b/packages/daemon/src/daemon/control/fleet_records.cpp
@@ -1,9 +1,11 @@
 #include "daemon/control/fleet_records.h"
 
+#include "policy/rollout/lost_record.h"
 #include "policy/zone/zone.h"
 #include "policy/zone/zone_record.h"
 #include "settings/record/parse_record.h"
 #include "settings/record/record_key.h"
+#include "settings/record/routing_change.h"
 #include "settings/record/routing_json.h"
 
 #include <optional>
@@ -68,7 +70,10 @@
     return false;
   }
   Stored->Rollout.Revision = Entry.Revision;
-  Records.Rollouts[Name] = std::move(Stored->Rollout);
+  const auto Held = Records.Rollouts.find(Name);
+  Records.Rollouts[Name] = policy::recordInEffect(
+      Held == Records.Rollouts.end() ? nullptr : &Held->second,
+      Stored->Rollout);
   return true;
 }
 
@@ -99,13 +104,29 @@
                  "the routing table was deleted; the last one stays in effect"};
     return false;
   }
-  std::optional<settings::RoutingRecord> Record =
-      settings::parseRouting(Entry.Value, LastError);
-  if (!Record) {
+  const std::optional<settings::RoutingChange> Change =
+      settings::compareRouting(Records.RoutingLines, Entry.Value, LastError);
+  if (!Change) {
     return false;
   }
-  Records.Routing = std::make_shared<const RoutingTable>(
-      makeRoutingTable(*std::move(Record)));
+  // A store that was restored from a copy holds an earlier table until the
+  // operator writes the last one again.
+  if (Records.Routing && Change->Version < Records.Routing->Version) {
+    LastError = {policy::ErrorKind::BadRequest,
+                 "version " + std::to_string(Change->Version) +
+                     " is older than version " +
+                     std::to_string(Records.Routing->Version) +
+                     ", which stays in effect"};
+    return false;
+  }
+  std::optional<RoutingTable> Next = withChange(
+      Records.Routing ? *Records.Routing : RoutingTable{}, *Change, LastError);
+  if (!Next) {
+    return false;
+  }
+  Records.Routing = std::make_shared<const RoutingTable>(*std::move(Next));
+  Records.RoutesChanged = Change->AddedRoutes.size();
+  settings::remember(Records.RoutingLines, Entry.Value, *Change);
   return true;
 }
 
@@ -120,7 +141,8 @@
   const auto Rollout = Records.Rollouts.find(Service);
   const bool Started =
       Rollout != Records.Rollouts.end() &&
-      Rollout->second.Id == policy::rolloutIdOf(Requested->second);
+      (policy::carriesOut(Rollout->second, Requested->second) ||
+       policy::mayBeOutdated(Requested->second, Rollout->second));
   return Started ? nullptr : &Requested->second;
 }
 
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -15,8 +15,10 @@
 #include "daemon/control/task_queue.h"
 #include "daemon/view/local_backend.h"
 #include "policy/fleet/join_state.h"
+#include "policy/fleet/restore_state.h"
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 
@@ -47,6 +49,13 @@
   void run();
   void tick();
   void applyStartRecords();
+  void onStoreResult(store::WatchResult Result);
+  void checkStoreEpoch(std::uint64_t Epoch, policy::TimePoint Now);
+  void writeLostRecords(policy::TimePoint Now);
+  // Return false if the job cannot be queued.
+  [[nodiscard]] bool submitReportWrite();
+  [[nodiscard]] bool submitFullRead();
+  void restoreClusterKey(const store::WatchResult &Read);
   [[nodiscard]] store::PutRequest ownContact(std::uint32_t Slot) const;
   void applyContacts(const store::WatchResult &Result);
   void readContacts(policy::TimePoint Now);
@@ -54,6 +63,7 @@
   void writeContact();
   void publishView(policy::TimePoint Now);
   void onEntry(const policy::ConfigEntry &Entry, ConfigRunner::Source From);
+  void applyPendingRouting();
   void onBackend(const LocalBackendState &Backend);
   [[nodiscard]] bool onCall(wire::ControlBody Body, ControlReply Reply);
   void handleRequest(const wire::ControlBody &Request,
@@ -73,13 +83,18 @@
   std::unique_ptr<RolloutRunner> Rollouts;
   std::unique_ptr<ControlServer> Server;
   FleetRecords Records;
+  // Origin of the newest routing table if it has not been parsed yet.
+  std::optional<ConfigRunner::Source> PendingRouting;
   bool Draining = false;
   // Member table generation from which the published view was built.
   std::uint64_t ViewGeneration = 0;
   bool ViewDirty = true;
+  // Whether the published view says so; see ClusterView.
+  bool RoutingOutdated = false;
   bool ViewChangesWithTime = false;
   policy::TimePoint LastView;
   policy::JoinState Join;
+  policy::RestoreState Restore;
   std::thread Thread;
 };
 
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -41,19 +41,31 @@
 
   void run(policy::TimePoint Now);
   [[nodiscard]] bool connect(policy::TimePoint Now);
+  // True if a refusal of an earlier attempt, or of another request without an
+  // id, could not be told from one of this attempt.
+  [[nodiscard]] bool needsNewConnection() const;
   // Start and continue sending the request to the backend server. A broken
   // connection is detected when the response is read.
   void send(policy::TimePoint Now);
   void sendMore();
   void readResponse(policy::TimePoint Now);
+  // Handles the responses among the buffered bytes. Returns false if more bytes
+  // are needed.
+  [[nodiscard]] bool takeResponses(policy::TimePoint Now);
   // Returns false if the response belongs to an earlier request and the one to
   // this request is still expected.
   [[nodiscard]] bool handleResponse(policy::TimePoint Now);
-  [[nodiscard]] bool isForOtherRequest(const HttpResponse &Response) const;
+  enum class Origin : std::uint8_t { ThisRequest, OtherRequest, Unknown };
+  // Returns whose response it is, by the request ids that it echoes. The first
+  // response on a connection needs none.
+  [[nodiscard]] Origin originOf(const HttpResponse &Response) const;
   // Returns the error kind if the backend server states in the response that it
   // did not run the request.
   [[nodiscard]] std::optional<policy::ErrorKind>
   refusalIn(const HttpResponse &Response) const;
+  // True if the status would tell the caller that the request did not run,
+  // which the backend server did not state.
+  [[nodiscard]] bool promisesFalsely(const HttpResponse &Response) const;
   void handleBrokenResponse(policy::TimePoint Now, std::string Reason);
   void handleOversizedResponse(policy::TimePoint Now);
   void refuseUnsent(policy::ErrorKind Kind, std::string Detail,
@@ -74,6 +86,8 @@
   std::string_view HeadLeft;
   std::string_view BodyLeft;
   bool ReceivedBytes = false;
+  // Responses to other requests that were skipped.
+  int ExtraResponses = 0;
   // True once the request is listed among the running requests.
   bool Registered = false;
   policy::TimePoint Arrived{};
--- a/packages/settings/src/settings/record/internal/field_reader.cpp
+++ b/packages/settings/src/settings/record/internal/field_reader.cpp
@@ -1,8 +1,11 @@
 #include "settings/record/internal/field_reader.h"
 
+#include "policy/core/parse_json.h"
 #include "settings/record/limits.h"
 #include "settings/record/record_key.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace magnolia::settings::internal {
@@ -23,9 +26,9 @@
   if (Value.size() > MaxSize) {
     failWith("the value has more than " + std::to_string(MaxSize) + " bytes");
   } else {
-    Object = Json::parse(Value, nullptr, false);
+    Object = policy::parseJson(Value);
     if (!Object.is_object()) {
-      failWith("the value is not a JSON object");
+      failWith("the value is not a JSON object or is nested too deeply");
     }
   }
   if (failed()) {
@@ -41,9 +44,33 @@
   }
 }
 
+FieldReader::FieldReader(std::string_view What, Json Array,
+                         std::span<const char *const> Places)
+    : What(What), Object(std::move(Array)), Places(Places) {
+  if (!Object.is_array()) {
+    failWith("expected a JSON array");
+    Object = Json::array();
+  }
+}
+
 const Json *FieldReader::find(const char *Name) const {
+  if (failed()) {
+    return nullptr;
+  }
+  if (Object.is_array()) {
+    const auto Place = static_cast<std::size_t>(
+        std::distance(Places.begin(), std::find(Places.begin(), Places.end(),
+                                                std::string_view(Name))));
+    return Place < std::min(Places.size(), Object.size()) ? &Object[Place]
+                                                          : nullptr;
+  }
   const auto Found = Object.find(Name);
-  return failed() || Found == Object.end() ? nullptr : &*Found;
+  return Found == Object.end() ? nullptr : &*Found;
+}
+
+bool FieldReader::isText(const char *Name) const {
+  const Json *Field = find(Name);
+  return Field != nullptr && Field->is_string();
 }
 
 std::string FieldReader::text(const char *Name, std::size_t MaxSize) {
