Store a report that arrives during the write of an earlier one

Cause: after a restoration of the store the report of the backend server is written again from the job thread. A leave report that arrives meanwhile could be stored first and then be overwritten by the earlier one; a node that restarts would use the leaving server again. Also, a report that could not be read, for example because the store rejects calls, was taken for a lost one and written.

Change: writes go on until the last report is the one stored; a read that fails is repeated later and nothing is written.

Measured: ReportDuringAWriteIsStoredAfterIt fails with a single write in place of the loop (one write) and passes now.

--- a/packages/daemon/src/daemon/announce/announcer.cpp
+++ b/packages/daemon/src/daemon/announce/announcer.cpp
@@ -163,9 +163,13 @@
     const std::lock_guard Lock(Mutex);
     Known = State.Known;
   }
-  if (!Known || (Given.IsStored && Given.IsStored(*Known))) {
+  if (!Known || !Given.IsStored) {
     return true;
   }
+  const std::optional<bool> Stored = Given.IsStored(*Known);
+  if (!Stored || *Stored) {
+    return Stored.has_value();
+  }
   {
     const std::lock_guard Lock(Mutex);
     Persisted.reset();
@@ -173,23 +177,24 @@
   return persist();
 }
 
+// A report that arrives during a write is stored after it, so that the store
+// does not keep the earlier one.
 bool Announcer::persist() {
-  std::optional<BackendReport> Known;
-  {
-    const std::lock_guard Lock(Mutex);
-    Known = State.Known;
-    const bool Same =
-        Known && Persisted && policy::restoresTheSame(*Persisted, *Known);
-    if (!Known || Same || !Given.Persist) {
-      return true;
+  while (const std::optional<BackendReport> Unstored = unstoredReport()) {
+    if (!Given.Persist(*Unstored)) {
+      return false;
     }
+    const std::lock_guard Lock(Mutex);
+    Persisted = Unstored;
   }
-  if (!Given.Persist(*Known)) {
-    return false;
-  }
-  const std::lock_guard Lock(Mutex);
-  Persisted = Known;
   return true;
 }
 
+std::optional<BackendReport> Announcer::unstoredReport() const {
+  const std::lock_guard Lock(Mutex);
+  const bool IsStored = State.Known && Persisted &&
+                        policy::restoresTheSame(*Persisted, *State.Known);
+  return IsStored || !Given.Persist ? std::nullopt : State.Known;
+}
+
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/announce/announcer.h
+++ b/packages/daemon/src/daemon/announce/announcer.h
@@ -29,8 +29,10 @@
   // after a restart. Returns false on failure. A leave report is acknowledged
   // only after it is stored.
   std::function<bool(const policy::BackendReport &Report)> Persist;
-  // Returns whether the store holds this report.
-  std::function<bool(const policy::BackendReport &Report)> IsStored;
+  // Returns whether the store holds this report, or nothing if it cannot be
+  // read.
+  std::function<std::optional<bool>(const policy::BackendReport &Report)>
+      IsStored;
 };
 
 // Receives the reports of the local backend server and applies them to the
@@ -58,13 +60,15 @@
   void apply(const policy::BackendReport &Known, policy::TimePoint Now);
   // Stores the last report if it changed. Returns false if that failed.
   [[nodiscard]] bool persist();
+  // Returns the last report if the store does not hold it.
+  [[nodiscard]] std::optional<policy::BackendReport> unstoredReport() const;
 
   const AnnouncerOptions Given;
   const Dialect &Speaks;
   Sidecar &Own;
   LocalBackend &Backend;
   // Locked while a report is applied, so that reports take effect in order.
-  std::mutex Mutex;
+  mutable std::mutex Mutex;
   policy::AnnounceState State;
   // Last report that was stored.
   std::optional<policy::BackendReport> Persisted;
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -219,15 +219,18 @@
   return false;
 }
 
-bool Node::isReportStored(const policy::BackendReport &Report) {
+std::optional<bool> Node::isReportStored(const policy::BackendReport &Report) {
   if (!Store.Read) {
     return true;
   }
   store::StoreError LastError;
-  policy::Error ParseError;
   const auto Held =
       Store.Read(settings::backendKey(Report.Address, Report.Port),
                  StoreTimeout, LastError);
+  if (!Held && LastError.Kind != store::StoreErrorKind::NotFound) {
+    return std::nullopt;
+  }
+  policy::Error ParseError;
   const auto Stored =
       Held ? settings::parseBackend(Held->Value, ParseError) : std::nullopt;
   return Stored && policy::restoresTheSame(*Stored, Report);
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -92,7 +92,8 @@
   readinessResponse(const HttpRequest &Request) const;
   [[nodiscard]] bool isKnownService(std::string_view Service) const;
   [[nodiscard]] bool storeReport(const policy::BackendReport &Report);
-  [[nodiscard]] bool isReportStored(const policy::BackendReport &Report);
+  [[nodiscard]] std::optional<bool>
+  isReportStored(const policy::BackendReport &Report);
   void restoreReport(std::string_view Value);
   [[nodiscard]] std::string healthPath() const;
   void publishStatic();
--- a/packages/daemon/test/daemon/announce/announcer.cpp
+++ b/packages/daemon/test/daemon/announce/announcer.cpp
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <optional>
+#include <utility>
 #include <vector>
 
 namespace magnolia::daemon {
@@ -28,10 +31,15 @@
   LocalBackend Backend;
   Sidecar Own{{.Run = 5, .LedgerEntries = 64}, Backend, Counts};
   std::vector<BackendReport> Written;
+  // Happens once, during the next write.
+  std::function<void()> OnWrite;
   bool StoreIsUp = true;
   bool StoreHasReport = false;
   Announcer Tested{{.Persist =
                         [this](const BackendReport &Report) {
+                          if (const auto Event = std::exchange(OnWrite, {})) {
+                            Event();
+                          }
                           if (StoreIsUp) {
                             Written.push_back(Report);
                           }
@@ -39,7 +47,8 @@
                         },
                     .IsStored =
                         [this](const BackendReport &) {
-                          return StoreIsUp && StoreHasReport;
+                          return StoreIsUp ? std::optional(StoreHasReport)
+                                           : std::nullopt;
                         }},
                    nativeDialect(),
                    Own,
@@ -75,5 +84,28 @@
   EXPECT_FALSE(Tested.storeAgain());
 }
 
+// Guards against a leave report that is overwritten by an earlier report whose
+// write began before it.
+TEST_F(AnnouncerTest, ReportDuringAWriteIsStoredAfterIt) {
+  (void)Tested.applyReport(report(BackendStage::Ready), now());
+  OnWrite = [this] {
+    (void)Tested.applyReport(report(BackendStage::Left), now());
+  };
+  EXPECT_TRUE(Tested.storeAgain());
+  ASSERT_EQ(Written.size(), 2U);
+  EXPECT_EQ(Written[1].Stage, BackendStage::Left);
+}
+
+// Guards against writes to a store that rejects calls: a report that cannot be
+// read is not taken for a lost one.
+TEST_F(AnnouncerTest, UnreadableReportIsNotWritten) {
+  (void)Tested.applyReport(report(BackendStage::Ready), now());
+  StoreIsUp = false;
+  bool Tried = false;
+  OnWrite = [&Tried] { Tried = true; };
+  EXPECT_FALSE(Tested.storeAgain());
+  EXPECT_FALSE(Tried);
+}
+
 } // namespace
 } // namespace magnolia::daemon
