End the pause of a fetch when a newer version is announced

Cause: after failed fetches a node pauses for the key, up to 30 s after a value that its table refused. A newer version that was announced meanwhile waited for the same pause, longer than the time in which it has to be in effect.

Change: a higher announced revision ends the pause.

Measured: ANewerVersionEndsThePause failed before (no fetch) and passes now.

--- a/packages/policy/src/policy/config/fetch.cpp
+++ b/packages/policy/src/policy/config/fetch.cpp
@@ -126,6 +126,7 @@
   if (Heard.Held.Revision > Fetch.Known) {
     Fetch.Known = Heard.Held.Revision;
     Fetch.Bytes = 0;
+    Fetch.NotBefore = {};
   }
   if (Heard.Held.Revision == Fetch.Known) {
     Fetch.Bytes = std::max(Fetch.Bytes, Heard.Held.Bytes);
--- a/packages/policy/test/policy/config/fetch.cpp
+++ b/packages/policy/test/policy/config/fetch.cpp
@@ -191,6 +191,22 @@
   EXPECT_TRUE(take(Given).empty());
 }
 
+// Guards against a new version that waits for the pause which an earlier one
+// caused, longer than the time in which it has to be in effect.
+TEST(ConfigFetch, ANewerVersionEndsThePause) {
+  Fixture Given = holder();
+  hear(Given, 9, 1);
+  const std::vector<FetchCall> First = take(Given);
+  ASSERT_EQ(First.size(), 1U);
+  end(Given, First[0], FetchOutcome::Refused);
+  hear(Given, 9, 2);
+  EXPECT_TRUE(take(Given).empty());
+  hear(Given, 10, 3);
+  const std::vector<FetchCall> Next = take(Given);
+  ASSERT_EQ(Next.size(), 1U);
+  EXPECT_EQ(Next[0].From, 3U);
+}
+
 // Guards against a node that announces a revision that it does not have and is
 // asked without pause.
 TEST(ConfigFetch, ANodeWithLessThanItAnnouncedIsNotAskedAtOnce) {
