Destroy the control threads before what they use

Cause: the node destroyed its announcer, sidecar and store client before the control threads. The job that stores a report again after a restoration of the store could still use them while the process stops.

Change: the control threads are declared after these objects.

Found in review; no test shows the crash.

--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -101,15 +101,16 @@
   void announce(const LocalBackendState &Announced);
 
   std::optional<store::WatchResult> Known;
-  // Outlives the traffic threads, which report their responses to it. Null if
-  // the settings have [static] backend servers.
-  std::unique_ptr<ControlThread> Control;
   // For calls outside of the control thread. Without operations if the node has
   // no store.
   store::StoreOperations Store;
   PeerPool Peers;
   Sidecar LocalSidecar;
   Announcer BackendAnnouncer;
+  // Outlives the traffic threads, which report their responses to it, and is
+  // destroyed before the objects above, which its threads use. Null if the
+  // settings have [static] backend servers.
+  std::unique_ptr<ControlThread> Control;
   std::atomic<bool> Stopping = false;
   Entry EntryNode;
   PeerServiceOptions PeerOptions;
