Run control calls on fibers in place of gRPC

Change: control calls are frames of the same sealed protobuf messages on TCP connections, run on one fiber loop of the control thread; magnoliactl uses Boost.Asio. gRPC is no longer needed. Nodes of the build before cannot exchange control calls with this one.

--- a/packages/ctl/src/ctl/node/call_node.h
+++ b/packages/ctl/src/ctl/node/call_node.h
@@ -18,8 +18,9 @@
     const settings::HostPort &Node, const wire::ControlBody &Request,
     std::chrono::milliseconds Timeout, policy::Error &LastError)>;
 
-// Returns a caller over gRPC that authenticates messages with the cluster key.
-[[nodiscard]] NodeCaller grpcNodeCaller(std::string ClusterKey);
+// Returns a caller that opens a TCP connection for each request and
+// authenticates messages with the cluster key.
+[[nodiscard]] NodeCaller tcpNodeCaller(std::string ClusterKey);
 
 // Formats the address as ADDRESS:PORT for messages.
 [[nodiscard]] std::string toString(const settings::HostPort &Node);
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -69,7 +69,7 @@
     if (!Key) {
       return usageError(Error);
     }
-    Run.CallNode = ctl::grpcNodeCaller(Key->Bytes);
+    Run.CallNode = ctl::tcpNodeCaller(Key->Bytes);
   }
   if (Options->Store) {
     Run.Store = store::httpStore(
--- a/packages/daemon/src/daemon/control/config_traffic.h
+++ b/packages/daemon/src/daemon/control/config_traffic.h
@@ -7,7 +7,7 @@
 namespace magnolia::daemon {
 
 // Counters of the configuration's propagation since start. Written by the
-// control thread and the threads of the gRPC library.
+// control thread and the fibers that run control calls.
 struct ConfigTraffic {
   std::atomic<std::uint64_t> FetchesStarted = 0;
   std::atomic<std::uint64_t> FetchesFailed = 0;
--- a/packages/daemon/src/daemon/control/control_endpoint.h
+++ b/packages/daemon/src/daemon/control/control_endpoint.h
@@ -7,7 +7,7 @@
 
 namespace magnolia::daemon {
 
-// Address at which a node serves the Control service.
+// Address at which a node serves control calls.
 struct ControlEndpoint {
   std::string Address;
   std::uint16_t Port = 0;
--- a/packages/daemon/src/daemon/control/control_server.cpp
+++ b/packages/daemon/src/daemon/control/control_server.cpp
@@ -1,102 +1,114 @@
 #include "daemon/control/control_server.h"
 
+#include "daemon/control/control_frames.h"
+#include "daemon/net/clock.h"
+#include "daemon/net/socket.h"
 #include "policy/core/error.h"
 #include "wire/seal/control_seal.h"
 
+#include <sys/eventfd.h>
+
+#include <array>
 #include <chrono>
-#include <grpcpp/grpcpp.h>
+#include <mutex>
+#include <optional>
 #include <utility>
-#include <wire/control.grpc.pb.h>
 
 namespace magnolia::daemon {
 
 namespace {
 
-constexpr int MaximumMessageBytes = 8 << 20;
-constexpr std::chrono::milliseconds ShutdownLimit{500};
-
-} // namespace
-
-class ControlServer::Service final : public wire::Control::CallbackService {
-public:
-  Service(std::string ClusterKey, ControlHandler Handler)
-      : ClusterKey(std::move(ClusterKey)), Handler(std::move(Handler)) {}
-
-  grpc::ServerUnaryReactor *Call(grpc::CallbackServerContext *Context,
-                                 const wire::SealedMessage *Request,
-                                 wire::SealedMessage *Response) override {
-    grpc::ServerUnaryReactor *const Reactor = Context->DefaultReactor();
-    BytesReceived += Request->ByteSizeLong();
-    policy::Error LastError;
-    std::optional<wire::ControlBody> Body =
-        wire::open(ClusterKey, *Request, LastError);
-    if (!Body) {
-      ++Refused;
-      Reactor->Finish({grpc::StatusCode::UNAUTHENTICATED, LastError.Detail});
-      return Reactor;
-    }
-    const bool Accepted =
-        Handler(std::move(*Body),
-                [this, Reactor, Response](const wire::ControlBody &Sent) {
-                  *Response = wire::seal(ClusterKey, Sent);
-                  BytesSent += Response->ByteSizeLong();
-                  Reactor->Finish(grpc::Status::OK);
-                });
-    if (!Accepted) {
-      ++Refused;
-      Reactor->Finish(
-          {grpc::StatusCode::RESOURCE_EXHAUSTED, "the control queue is full"});
-    }
-    return Reactor;
+constexpr std::size_t MaximumConnections = 256;
+constexpr policy::Duration IdleTimeout = std::chrono::seconds(10);
+// Maximum time for the bytes of one message to arrive or leave.
+constexpr policy::Duration TransferTimeout = std::chrono::seconds(5);
+// Maximum time for the control thread to respond.
+constexpr policy::Duration HandlerTimeout = std::chrono::seconds(30);
+
+// Response of the handler, which may come after the connection has closed.
+struct PendingReply {
+  UniqueFd Ready{::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)};
+  std::mutex Mutex;
+  std::optional<wire::ControlBody> Response;
+
+  void set(wire::ControlBody Sent) {
+    const std::lock_guard Lock(Mutex);
+    Response = std::move(Sent);
+    ::eventfd_write(Ready.fd(), 1);
   }
 
-  const std::string ClusterKey;
-  const ControlHandler Handler;
-  std::atomic<std::uint64_t> Refused = 0;
-  std::atomic<std::uint64_t> BytesReceived = 0;
-  std::atomic<std::uint64_t> BytesSent = 0;
+  [[nodiscard]] std::optional<wire::ControlBody> take() {
+    const std::lock_guard Lock(Mutex);
+    return std::move(Response);
+  }
 };
 
-std::unique_ptr<ControlServer>
-ControlServer::open(const ControlEndpoint &Listen, std::string ClusterKey,
-                    ControlHandler Handler, policy::Error &LastError) {
-  std::unique_ptr<ControlServer> Result(new ControlServer(
-      std::make_unique<Service>(std::move(ClusterKey), std::move(Handler))));
-  grpc::ServerBuilder Builder;
-  int Port = 0;
-  Builder.AddListeningPort(Listen.Address + ":" + std::to_string(Listen.Port),
-                           grpc::InsecureServerCredentials(), &Port);
-  Builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
-  Builder.SetMaxReceiveMessageSize(MaximumMessageBytes);
-  Builder.RegisterService(Result->Implementation.get());
-  Result->Server = Builder.BuildAndStart();
-  if (!Result->Server || Port == 0) {
-    LastError = {policy::ErrorKind::Internal, "cannot serve gRPC on " +
-                                                  Listen.Address + ":" +
-                                                  std::to_string(Listen.Port)};
-    return nullptr;
-  }
-  return Result;
+// Returns nothing if the caller closes the connection before the response.
+std::optional<wire::ControlBody> awaitReply(PendingReply &Reply, int Fd) {
+  std::array<pollfd, 2> Fds = {
+      {{.fd = Reply.Ready.fd(), .events = POLLIN, .revents = 0},
+       {.fd = Fd, .events = POLLRDHUP, .revents = 0}}};
+  (void)waitReady(Fds, now() + HandlerTimeout, {});
+  return Fds[0].revents != 0 ? Reply.take() : std::nullopt;
 }
 
-ControlServer::ControlServer(std::unique_ptr<Service> Implementation)
-    : Implementation(std::move(Implementation)) {}
+} // namespace
 
-ControlServer::~ControlServer() {
-  if (Server) {
-    Server->Shutdown(std::chrono::system_clock::now() + ShutdownLimit);
-    Server->Wait();
-  }
+std::unique_ptr<ControlServer>
+ControlServer::open(const ControlEndpoint &Listen, std::string ClusterKey,
+                    ControlHandler Handler, FiberPool &Fibers,
+                    policy::Error &LastError) {
+  std::unique_ptr<ControlServer> Opened(new ControlServer(
+      Listen, std::move(ClusterKey), std::move(Handler), Fibers));
+  return Opened->Connections.start(LastError) ? std::move(Opened) : nullptr;
 }
 
-std::uint64_t ControlServer::refused() const { return Implementation->Refused; }
-
-std::uint64_t ControlServer::bytesReceived() const {
-  return Implementation->BytesReceived;
+ControlServer::ControlServer(const ControlEndpoint &Listen, std::string Secret,
+                             ControlHandler Handle, FiberPool &Fibers)
+    : ClusterKey(std::move(Secret)), Handler(std::move(Handle)),
+      Connections({.Address = Listen.Address,
+                   .Port = Listen.Port,
+                   .Maximum = MaximumConnections,
+                   .Serve = [this](const Session &S) { serve(S); },
+                   .Refuse = {},
+                   .Fibers = &Fibers}) {}
+
+void ControlServer::serve(const Session &Accepted) {
+  ControlFrames Incoming(Accepted.fd());
+  wire::SealedMessage Request;
+  while (Incoming.hasBytes() || Accepted.waitForRequest(now() + IdleTimeout)) {
+    if (!Incoming.receive(Request, now() + TransferTimeout)) {
+      return;
+    }
+    BytesReceived += Request.ByteSizeLong();
+    if (!answer(Accepted.fd(), Request)) {
+      return;
+    }
+  }
 }
 
-std::uint64_t ControlServer::bytesSent() const {
-  return Implementation->BytesSent;
+bool ControlServer::answer(int Fd, const wire::SealedMessage &Request) {
+  policy::Error LastError;
+  std::optional<wire::ControlBody> Body =
+      wire::open(ClusterKey, Request, LastError);
+  if (!Body) {
+    ++Refused;
+    return false;
+  }
+  const auto Reply = std::make_shared<PendingReply>();
+  if (!Handler(std::move(*Body), [Reply](wire::ControlBody Response) {
+        Reply->set(std::move(Response));
+      })) {
+    ++Refused;
+    return false;
+  }
+  const std::optional<wire::ControlBody> Response = awaitReply(*Reply, Fd);
+  if (!Response) {
+    return false;
+  }
+  const wire::SealedMessage Sealed = wire::seal(ClusterKey, *Response);
+  BytesSent += Sealed.ByteSizeLong();
+  return sendControlFrame(Fd, Sealed, now() + TransferTimeout);
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -60,7 +60,7 @@
                    Rollouts->onOwnVerdict(Service, RolloutId, Held);
                  });
                }),
-      Client(Options.Key.Bytes, Options.Self.Node) {}
+      Fibers(1, {}), Client(Options.Key.Bytes, Options.Self.Node, Fibers) {}
 
 bool ControlCore::open(policy::Error &LastError) {
   const policy::Member &Self = Options.Self;
@@ -101,7 +101,7 @@
       [this](wire::ControlBody Body, ControlReply Reply) {
         return onCall(std::move(Body), std::move(Reply));
       },
-      LastError);
+      Fibers, LastError);
   if (!Server) {
     return false;
   }
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -13,6 +13,7 @@
 #include "daemon/control/rollout_runner.h"
 #include "daemon/control/store_worker.h"
 #include "daemon/control/task_queue.h"
+#include "daemon/net/fiber_pool.h"
 #include "daemon/view/local_backend.h"
 #include "policy/fleet/join_state.h"
 #include "policy/fleet/restore_state.h"
@@ -75,6 +76,8 @@
   policy::RandomEngine Random;
   TaskQueue Queue;
   RolloutBreakers Breakers;
+  // Runs the control calls of both directions.
+  FiberPool Fibers;
   ControlClient Client;
   std::unique_ptr<GossipSocket> Gossip;
   std::unique_ptr<StoreWorker> Store;
--- a/packages/daemon/test/daemon/control/config_runner.cpp
+++ b/packages/daemon/test/daemon/control/config_runner.cpp
@@ -8,6 +8,7 @@
 #include "daemon/control/gossip_socket.h"
 #include "daemon/control/membership_runner.h"
 #include "daemon/control/task_queue.h"
+#include "daemon/net/fiber_pool.h"
 #include "policy/config/apply.h"
 #include "policy/config/patch.h"
 #include "policy/core/error.h"
@@ -47,7 +48,7 @@
 
 // One node: its control thread's objects, which the test runs itself.
 struct Peer {
-  explicit Peer(policy::NodeId Node) : Client(test::Key.Bytes, Node) {
+  explicit Peer(policy::NodeId Node) : Client(test::Key.Bytes, Node, Fibers) {
     Self.Node = Node;
     Self.Address = "127.0.0.1";
     Self.PeerPort = 1;
@@ -75,7 +76,7 @@
                 Reply(std::move(Response));
               });
         },
-        LastError);
+        Fibers, LastError);
   }
   Peer(const Peer &) = delete;
   Peer &operator=(const Peer &) = delete;
@@ -115,6 +116,7 @@
       [this](const wire::ControlBody &Body, wire::ControlBody &Response) {
         handle(Body, Response);
       };
+  FiberPool Fibers{1, {}};
   ControlClient Client;
   std::unique_ptr<GossipSocket> Gossip;
   std::unique_ptr<MembershipRunner> Membership;
--- a/packages/daemon/test/daemon/control/control_server.cpp
+++ b/packages/daemon/test/daemon/control/control_server.cpp
@@ -2,6 +2,7 @@
 
 #include "../support/test_node.h"
 #include "daemon/control/control_client.h"
+#include "daemon/net/fiber_pool.h"
 #include "policy/core/error.h"
 
 #include <chrono>
@@ -21,7 +22,8 @@
 const std::string Key = "a cluster key of the test";
 
 std::optional<wire::ControlBody> callWith(const std::string &ClusterKey) {
-  ControlClient Client(ClusterKey, 1);
+  FiberPool Fibers(1, {});
+  ControlClient Client(ClusterKey, 1, Fibers);
   std::promise<std::optional<wire::ControlBody>> Response;
   wire::ControlBody Body;
   Body.mutable_verdict()->set_service("catalogue");
@@ -37,6 +39,7 @@
 TEST(ControlServer, RefusesAnUnknownSender) {
   int Handled = 0;
   policy::Error LastError;
+  FiberPool Fibers(1, {});
   const auto Server = ControlServer::open(
       {.Address = "127.0.0.1", .Port = Port}, Key,
       [&Handled](const wire::ControlBody &Body, const ControlReply &Reply) {
@@ -44,7 +47,7 @@
         Reply(Body);
         return true;
       },
-      LastError);
+      Fibers, LastError);
   ASSERT_TRUE(Server) << LastError.Detail;
 
   EXPECT_FALSE(callWith("another key of sufficient length"));
@@ -61,10 +64,11 @@
 // thread is full.
 TEST(ControlServer, EndsACallThatTheHandlerRefuses) {
   policy::Error LastError;
+  FiberPool Fibers(1, {});
   const auto Server = ControlServer::open(
       {.Address = "127.0.0.1", .Port = Port}, Key,
       [](const wire::ControlBody &, const ControlReply &) { return false; },
-      LastError);
+      Fibers, LastError);
   ASSERT_TRUE(Server) << LastError.Detail;
   EXPECT_FALSE(callWith(Key));
   EXPECT_EQ(Server->refused(), 1U);
@@ -74,6 +78,7 @@
 // in flight to a node that does not respond.
 TEST(ControlServer, AStoppedClientCancelsLongCalls) {
   policy::Error LastError;
+  FiberPool Fibers(1, {});
   std::vector<ControlReply> Held;
   std::promise<void> Received;
   const auto Server = ControlServer::open(
@@ -83,12 +88,12 @@
         Received.set_value();
         return true;
       },
-      LastError);
+      Fibers, LastError);
   ASSERT_TRUE(Server) << LastError.Detail;
   const auto Start = std::chrono::steady_clock::now();
   bool Failed = false;
   {
-    ControlClient Client(Key, 1);
+    ControlClient Client(Key, 1, Fibers);
     Client.call(
         {.Address = "127.0.0.1", .Port = Port}, {},
         [&Failed](const std::optional<wire::ControlBody> &Response) {
--- a/packages/policy/src/policy/config/exchange.h
+++ b/packages/policy/src/policy/config/exchange.h
@@ -15,8 +15,8 @@
 
 namespace magnolia::policy {
 
-// Byte limit of the entries in one response, below the 4 MiB message limit of
-// gRPC.
+// Byte limit of the entries in one response, below the 4 MiB limit of control
+// messages.
 inline constexpr std::size_t ExchangeMaxBytes = std::size_t{2} << 20;
 
 // Number of large values announced in one message.
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -126,7 +126,7 @@
         "TCP port for other nodes; the node's identity is the hash of address "
         "and peer port.")),
     required(number<&N::ControlPort>("node", "control_port", {}, 1, Port, {},
-                                     "TCP port for control calls (gRPC).")),
+                                     "TCP port for control calls.")),
     required(number<&N::GossipPort>("node", "gossip_port", {}, 1, Port, {},
                                     "UDP port for membership.")),
     text<&N::Region>("node", "region", "default", 1, NameBytes,
--- a/packages/wire/src/wire/frame/limits.h
+++ b/packages/wire/src/wire/frame/limits.h
@@ -16,6 +16,13 @@
 inline constexpr std::size_t FrameMaximumBytes =
     BodyChunkBytes + std::size_t{256} * 1024;
 
+// Largest body of an authenticated control message. A larger one is rejected
+// before its tag is computed.
+inline constexpr std::size_t MaxSealedBody = std::size_t{4} * 1024 * 1024;
+
+// Largest frame on a control connection: the body, its tag and their encoding.
+inline constexpr std::size_t ControlFrameMaximumBytes = MaxSealedBody + 4096;
+
 // Maximum number of headers in one peer request or response.
 inline constexpr std::size_t HeaderMaximumCount = 256;
 
--- a/packages/wire/src/wire/seal/control_seal.h
+++ b/packages/wire/src/wire/seal/control_seal.h
@@ -3,18 +3,14 @@
 
 #include "policy/core/error.h"
 #include "wire/control.pb.h"
+#include "wire/frame/limits.h"
 #include "wire/types.pb.h"
 
-#include <cstddef>
 #include <optional>
 #include <string_view>
 
 namespace magnolia::wire {
 
-// Largest body of an authenticated message in bytes. A larger one is rejected
-// before its tag is computed.
-inline constexpr std::size_t MaxSealedBody = 4U * 1024 * 1024;
-
 // Serialises the body and authenticates it with the tag of wire/seal/seal.h
 // for control messages, under the cluster key.
 [[nodiscard]] SealedMessage seal(std::string_view Key, const ControlBody &Body);
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -5,7 +5,7 @@
 PACKAGES=(
   g++ cmake ninja-build pkg-config ccache git python3
   clang-format clang-tidy
-  libgrpc++-dev protobuf-compiler protobuf-compiler-grpc libprotobuf-dev
+  protobuf-compiler libprotobuf-dev
   libboost-dev libboost-context-dev libboost-log-dev libcpp-httplib-dev libinih-dev libxxhash-dev
   nlohmann-json3-dev libssl-dev libgtest-dev libgmock-dev libbenchmark-dev
 )
