Test responses that are broken off at any byte

Cause: operators of similar systems saw a 200 with a short body after a backend server stopped in the head of its response. The fixture's ledger holds 4,096 entries, because the test sends more requests than 64.

--- a/packages/daemon/test/daemon/support/scripted_backend.h
+++ b/packages/daemon/test/daemon/support/scripted_backend.h
@@ -27,10 +27,10 @@
 // by a function. An empty response closes the connection; the text "hang" keeps
 // it open until the peer closes it. After a response that
 // contains [cut] the connection is closed, after one that contains [reset] it
-// is reset. Of a response with [split], the part behind it is sent byte by
-// byte. Of one with [endless] or [slow], the part behind it is sent again and
-// again until the peer closes the connection; with [slow] a byte per
-// millisecond.
+// is reset; the marker [close] at the end is not sent itself. Of a response
+// with [split], the part behind it is sent byte by byte. Of one with [endless]
+// or [slow], the part behind it is sent again and again until the peer closes
+// the connection; with [slow] a byte per millisecond.
 class ScriptedBackend {
 public:
   using Script = std::function<std::string(const std::string &Request)>;
@@ -60,6 +60,8 @@
   bool Started = false;
 
 private:
+  static constexpr std::string_view CloseMarker = "[close]";
+
   void serve(Session &Accepted) {
     std::string Bytes;
     int Answered = 0;
@@ -89,6 +91,12 @@
         reset(Accepted.fd(), Raw);
         return;
       }
+      if (Raw.ends_with(CloseMarker)) {
+        const std::size_t Sent = Raw.size() - CloseMarker.size();
+        (void)sendAll(Accepted.fd(), std::string_view(Raw).substr(0, Sent), {},
+                      now() + TestTimeout);
+        return;
+      }
       if (sendMarked(Accepted.fd(), Raw)) {
         continue;
       }
--- a/packages/daemon/test/daemon/support/sidecar_fixture.h
+++ b/packages/daemon/test/daemon/support/sidecar_fixture.h
@@ -17,7 +17,7 @@
     .ResponseLimits = {.HeadBytes = 4096, .BodyBytes = 64},
     .ConnectTimeout = std::chrono::seconds(5),
     .MaxWaiting = 4,
-    .LedgerEntries = 64};
+    .LedgerEntries = 4096};
 
 inline SidecarOptions withDialect(const Dialect *Speaks) {
   SidecarOptions Changed = SmallLimits;
