End a planned stop without cutting requests

Cause: at a stop the listener was shut down with established connections in its backlog, which reset them; requests were accepted however long they could take and were cut at the end of the process; the node closed its port for callers first, so that the calls of requests which its backend server still ran failed. Change: the backlog is accepted before the listener closes; a late request runs only with a deadline before the end of the node, or is rejected as not run; requests of other nodes end before the callers' port closes; the platform's grace_s sets the time.

--- a/packages/daemon/src/daemon/dialect/dialect.h
+++ b/packages/daemon/src/daemon/dialect/dialect.h
@@ -7,11 +7,13 @@
 #include "policy/announce/backend_report.h"
 #include "policy/core/error.h"
 #include "policy/core/error_kind.h"
+#include "policy/core/types.h"
 #include "store/client/http_store.h"
 #include "store/core/store_operations.h"
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -59,6 +61,10 @@
       nullptr;
   // Returns the HTTP status of an error response of the system.
   std::uint16_t (*StatusOf)(policy::ErrorKind Kind) = nullptr;
+  // Returns the time from the signal to stop until the process is killed, if
+  // the [interface] keys of the settings state it. Null if they never do.
+  std::optional<policy::Duration> (*ReadStopGrace)(
+      const std::map<std::string, std::string> &InterfaceKeys) = nullptr;
   store::StoreOperations (*OpenStore)(const store::HttpStoreOptions &Options) =
       nullptr;
 };
--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -13,6 +13,8 @@
 
 #include <atomic>
 #include <cstdint>
+#include <optional>
+#include <string>
 
 namespace magnolia::daemon {
 
@@ -55,12 +57,25 @@
     return Options.Speaks ? *Options.Speaks : nativeDialect();
   }
 
+  // Makes new requests end before the node does.
+  void beginStop(policy::TimePoint End) {
+    StopEnd = End.time_since_epoch().count();
+  }
+  // Returns the time at which a stopping node ends.
+  [[nodiscard]] std::optional<policy::TimePoint> stopEnd() const {
+    const policy::Duration::rep End = StopEnd;
+    return End == 0 ? std::nullopt
+                    : std::optional(policy::TimePoint(policy::Duration(End)));
+  }
+
   const EntryOptions Options;
   const Parts Use;
   ServiceTable Services;
 
 private:
   std::atomic<std::uint64_t> Sequence = 0;
+  // Time since the epoch of the clock; 0 until the node stops.
+  std::atomic<policy::Duration::rep> StopEnd = 0;
 };
 
 // Returns the random engine of the calling thread.
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -4,6 +4,7 @@
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
 #include "policy/overload/admit_service.h"
+#include "policy/overload/late_request.h"
 #include "policy/probe/next_probe.h"
 #include "policy/retry/plan_next.h"
 #include "policy/route/choose.h"
@@ -74,6 +75,18 @@
   if (const auto Refusal = policy::checkFirst(State, Now)) {
     return Refusal;
   }
+  if (const auto StopEnd = Owner.stopEnd()) {
+    const bool HasObjective = Call.Request.Objective != policy::TimePoint{};
+    const auto Deadline = policy::deadlineBeforeStop(
+        {.Deadline = State.Deadline,
+         .Objective =
+             HasObjective ? Call.Request.Objective - Now : policy::Duration{}},
+        Now, *StopEnd);
+    if (!Deadline) {
+      return ErrorKind::Shutdown;
+    }
+    State.Deadline = Call.Request.Deadline = *Deadline;
+  }
   ServiceRuntime &Runtime = *Call.Runtime;
   const std::lock_guard Lock(Runtime.Mutex);
   policy::recordRequest(Runtime.Probes, Now);
--- a/packages/daemon/src/daemon/net/connection_server.cpp
+++ b/packages/daemon/src/daemon/net/connection_server.cpp
@@ -34,7 +34,8 @@
 }
 
 ConnectionServer::ConnectionServer(Options Opts)
-    : Opts(std::move(Opts)), StopFd(::eventfd(0, EFD_CLOEXEC)) {}
+    : Opts(std::move(Opts)), StopFd(::eventfd(0, EFD_CLOEXEC)),
+      AcceptWake(::eventfd(0, EFD_CLOEXEC)) {}
 
 ConnectionServer::~ConnectionServer() {
   stopAccepting();
@@ -67,7 +68,7 @@
   if (Stopping.exchange(true) || !Listener.valid()) {
     return;
   }
-  ::shutdown(Listener.fd(), SHUT_RDWR);
+  ::eventfd_write(AcceptWake.fd(), 1);
   {
     std::unique_lock Lock(Mutex);
     Ended.wait(Lock, [this] { return !Accepting; });
@@ -106,19 +107,32 @@
 std::uint64_t ConnectionServer::refused() const { return Refused; }
 
 void ConnectionServer::acceptLoop() {
-  while (!Stopping) {
+  for (;;) {
+    // Connections that were established before the stop are still accepted.
+    const bool Last = Stopping;
     UniqueFd Fd(::accept4(Listener.fd(), nullptr, nullptr,
                           SOCK_CLOEXEC | SOCK_NONBLOCK));
     if (Fd.valid()) {
       accepted(std::move(Fd));
+    } else if (errno == EINTR || errno == ECONNABORTED) {
+      continue;
+    } else if (Last) {
+      return;
     } else if (errno == EAGAIN) {
-      (void)waitReadable(Listener.fd(), now() + LongestAcceptWait);
-    } else if (!Stopping && errno != EINTR && errno != ECONNABORTED) {
+      awaitConnection();
+    } else {
       (void)waitReady({}, now() + AcceptPause, {});
     }
   }
 }
 
+void ConnectionServer::awaitConnection() {
+  std::array<pollfd, 2> Fds = {
+      {{.fd = Listener.fd(), .events = POLLIN, .revents = 0},
+       {.fd = AcceptWake.fd(), .events = POLLIN, .revents = 0}}};
+  (void)waitReady(Fds, now() + LongestAcceptWait, {});
+}
+
 void ConnectionServer::accepted(UniqueFd Fd) {
   setUpSocket(Fd.fd());
   std::unique_lock Lock(Mutex);
--- a/packages/daemon/src/daemon/net/connection_server.h
+++ b/packages/daemon/src/daemon/net/connection_server.h
@@ -65,7 +65,7 @@
 
   [[nodiscard]] bool start(policy::Error &LastError);
 
-  // Stops accepting connections.
+  // Accepts the connections that are established already and then no more.
   void stopAccepting();
   // Shuts down all connections immediately.
   void shutDownAll();
@@ -73,12 +73,16 @@
   // Returns false if some are still being served at the deadline.
   [[nodiscard]] bool drain(policy::TimePoint Deadline);
 
+  // False once stopAccepting has been called.
+  [[nodiscard]] bool accepting() const { return !Stopping; }
   [[nodiscard]] std::uint16_t port() const;
   [[nodiscard]] std::size_t connections() const;
   [[nodiscard]] std::uint64_t refused() const;
 
 private:
   void acceptLoop();
+  // Waits for a connection or the stop.
+  void awaitConnection();
   void startServing(std::list<Session>::iterator It);
   void accepted(UniqueFd Fd);
   void serve(std::list<Session>::iterator It);
@@ -86,6 +90,8 @@
   const Options Opts;
   UniqueFd Listener;
   UniqueFd StopFd;
+  // Becomes readable when no more connections are accepted.
+  UniqueFd AcceptWake;
   std::thread Acceptor;
   // Guarded by the mutex.
   bool Accepting = false;
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -22,6 +22,12 @@
 constexpr std::chrono::milliseconds StoreTimeout{350};
 constexpr std::chrono::milliseconds ReportLeaseDuration{600'000};
 
+// Part of the grace period of a stop that is left for the end of the process
+// after its last request.
+constexpr std::chrono::milliseconds ReservedForExit{1000};
+// Time after the last deadline for the responses to be sent.
+constexpr std::chrono::milliseconds LastResponses{200};
+
 } // namespace
 
 Node::Node(settings::NodeSettings Given, wire::ClusterKey ClusterKey,
@@ -348,6 +354,11 @@
 
 void Node::beginStop() {
   Stopping = true;
+  StopEnd =
+      now() + (Settings.ShutdownGrace.count() > 0
+                   ? Settings.ShutdownGrace - ReservedForExit
+                   : Settings.ShutdownAnnounce + Settings.ShutdownTimeout);
+  EntryNode.beginStop(StopEnd);
   CallerRequests.beginClose();
 }
 
@@ -360,13 +371,13 @@
 }
 
 bool Node::finishStop() {
-  const policy::TimePoint Deadline = now() + Settings.ShutdownTimeout;
-  // The connections of callers are drained first, because their requests may
-  // need the peer connections.
-  HttpServer.stopAccepting();
-  const bool CallersDone = HttpServer.drain(Deadline);
+  // Requests of other nodes end first: the local backend server, which runs
+  // them, may still make calls through this node.
+  const policy::TimePoint Deadline = StopEnd + LastResponses;
   PeerServer.stopAccepting();
   const bool PeersDone = PeerServer.drain(Deadline);
+  HttpServer.stopAccepting();
+  const bool CallersDone = HttpServer.drain(Deadline);
   if (Control) {
     Control->announceLeft();
   }
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -52,14 +52,18 @@
   // Announces that the node is leaving. It still serves callers, but its
   // backend server gets no new requests.
   void beginDrain();
-  // Stops accepting requests and waits for those in flight. Returns false if
-  // some did not end in time.
+  // Stops accepting requests and waits for those in flight. To be called after
+  // beginStop. Returns false if some did not end in time.
   [[nodiscard]] bool finishStop();
 
   // Port for callers. If the settings give port 0, it is the one that the
   // system chose.
   [[nodiscard]] std::uint16_t httpPort() const { return HttpServer.port(); }
 
+  // Returns whether other nodes may open connections; false once finishStop has
+  // begun.
+  [[nodiscard]] bool acceptsPeers() const { return PeerServer.accepting(); }
+
   // Returns whether callers may send requests: the node is not stopping and has
   // a routing table if it needs one.
   [[nodiscard]] bool isReady() const;
@@ -112,6 +116,9 @@
   // settings have [static] backend servers.
   std::unique_ptr<ControlThread> Control;
   std::atomic<bool> Stopping = false;
+  // Deadline of the last request. Set before Stopping is acted on, by the
+  // thread that stops the node.
+  policy::TimePoint StopEnd{};
   Entry EntryNode;
   PeerServiceOptions PeerOptions;
   PeerService PeerRequests;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -191,6 +191,10 @@
                  "the log file " + Settings->LogFile + " cannot be opened"});
   }
   const daemon::Dialect &Speaks = dialectOf(*Settings);
+  if (Speaks.ReadStopGrace) {
+    Settings->ShutdownGrace = Speaks.ReadStopGrace(Settings->InterfaceKeys)
+                                  .value_or(policy::Duration{});
+  }
   std::optional<store::WatchResult> Known;
   if (KeyInStore) {
     daemon::StartRecords Start = daemon::readStartRecords(
--- a/packages/daemon/test/daemon/entry/end_to_end.cpp
+++ b/packages/daemon/test/daemon/entry/end_to_end.cpp
@@ -237,6 +237,55 @@
   EXPECT_TRUE(EntryNode->Running.finishStop());
 }
 
+// Guards against requests that arrive late in a planned stop, run, and are cut
+// without a response when the node ends.
+TEST_F(EndToEnd, AStoppingNodeRejectsWhatCannotEndInTime) {
+  start([](const std::string &) { return plainResponse("ok"); });
+  settings::NodeSettings Settings = EntryNode->Running.Settings;
+  Settings.PeerPort = freePort();
+  Settings.ShutdownTimeout = std::chrono::milliseconds(5000);
+  TestNode Stopping(std::move(Settings));
+  Stopping.Running.beginStop();
+  const std::string Late =
+      Stopping.ask(request("POST", "/", "", "Magnolia-Deadline-Ms: 9000\r\n"));
+  EXPECT_THAT(Late, HasSubstr("Magnolia-Error: Shutdown"));
+  EXPECT_THAT(Late, HasSubstr("Magnolia-Run: no"));
+  EXPECT_THAT(Late, HasSubstr("Connection: close"));
+  EXPECT_EQ(Backend->requests().size(), 0U);
+  EXPECT_EQ(bodyOf(Stopping.ask(
+                request("POST", "/", "", "Magnolia-Deadline-Ms: 3000\r\n"))),
+            "ok");
+  EXPECT_TRUE(Stopping.Running.finishStop());
+}
+
+// Guards against a request that fails because the node beside its backend
+// server stops, although the backend server only needs one more call.
+TEST_F(EndToEnd, AStoppingNodeServesTheCallsOfItsBackendServer) {
+  std::promise<void> Reached;
+  std::promise<void> Released;
+  start([&](const std::string &) {
+    Reached.set_value();
+    Released.get_future().wait();
+    return plainResponse(BackendNode->ask(
+        "GET /-/health HTTP/1.1\r\nConnection: close\r\n\r\n"));
+  });
+  const UniqueFd Caller = EntryNode->connect();
+  ASSERT_TRUE(
+      sendAll(Caller.fd(), request("POST", "/"), {}, now() + TestTimeout));
+  Reached.get_future().wait();
+  BackendNode->Running.beginStop();
+  BackendNode->Running.beginDrain();
+  std::future<bool> Stopped = std::async(
+      std::launch::async, [this] { return BackendNode->Running.finishStop(); });
+  while (BackendNode->Running.acceptsPeers()) {
+    std::this_thread::yield();
+  }
+  Released.set_value();
+  EXPECT_THAT(TestNode::readResponse(Caller.fd()),
+              HasSubstr("{\"status\":\"ok\"}"));
+  EXPECT_TRUE(Stopped.get());
+}
+
 // Guards against a request that keeps running after its caller has
 // disconnected.
 TEST_F(EndToEnd, DisconnectedCallerCancelsItsRequest) {
--- a/packages/policy/src/policy/overload/fwd.h
+++ b/packages/policy/src/policy/overload/fwd.h
@@ -3,6 +3,7 @@
 
 namespace magnolia::policy {
 
+struct LateRequest;
 struct OverloadOptions;
 struct OverloadState;
 
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -46,6 +47,9 @@
   // platform.
   std::string Interface;
 
+  // Keys of section [interface], which only that interface knows.
+  std::map<std::string, std::string> InterfaceKeys;
+
   // Addresses to listen on for callers, for announcements of the local backend
   // server, for readiness checks and for metrics. Those with port 0 are served
   // on HttpPort.
@@ -103,6 +107,9 @@
   Milliseconds ShutdownAnnounce{};
   Milliseconds ShutdownDrain{};
   Milliseconds ShutdownTimeout{};
+  // Time from the signal to stop until the process is killed, as the interface
+  // states it; 0 if unknown. It replaces the sum of the times above.
+  std::chrono::nanoseconds ShutdownGrace{};
   Milliseconds SilentAfter{};
   Milliseconds JoinDelay{};
   Milliseconds StartJitter{};
--- a/packages/settings/src/settings/node/read_settings.cpp
+++ b/packages/settings/src/settings/node/read_settings.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::size_t StaticMaximum = 1024;
+constexpr std::size_t InterfaceKeysMaximum = 256;
 constexpr std::string_view StaticPrefix = "service.";
 constexpr std::string_view StaticRange = "name,address,peer_port,zone,version";
 
@@ -47,7 +48,7 @@
   if (Known.empty()) {
     return place(Section, Key) +
            ": no such section; accepted: node, listen, local, backend, store, "
-           "contacts, static, limits, log";
+           "contacts, static, limits, log, interface";
   }
   return place(Section, Key) + ": no such key; accepted: " + Known;
 }
@@ -69,6 +70,17 @@
   return true;
 }
 
+bool readInterfaceKey(ParseState &State, std::string_view Key,
+                      std::string_view Text) {
+  if (State.Result.InterfaceKeys.size() == InterfaceKeysMaximum) {
+    State.Fault = place("interface", Key) + ": more than " +
+                  std::to_string(InterfaceKeysMaximum) + " keys";
+    return false;
+  }
+  State.Result.InterfaceKeys.emplace(Key, Text);
+  return true;
+}
+
 bool readKey(ParseState &State, std::string_view Section, std::string_view Key,
              std::string_view Text) {
   if (!State.Seen.emplace(Section, Key).second) {
@@ -78,6 +90,9 @@
   if (Section == "static") {
     return readStatic(State, Key, Text);
   }
+  if (Section == "interface") {
+    return readInterfaceKey(State, Key, Text);
+  }
   const SettingEntry *Entry = findEntry(Section, Key);
   if (!Entry) {
     State.Fault = unknownKey(Section, Key);
@@ -238,6 +253,13 @@
        << StaticRange
        << " | empty | One backend server; N is any text. At most "
        << StaticMaximum << " entries. |\n";
+  Page << "\n## [interface]\n\n"
+          "Optional: limits of the deployment under the names of the selected "
+          "interface. The platform interface reads grace_s, the seconds from "
+          "the signal to stop until the process is killed; they replace "
+          "shutdown_announce_ms and shutdown_timeout_ms as the time in which "
+          "requests must end. Other keys are ignored. At most "
+       << InterfaceKeysMaximum << " keys.\n";
   return Page.str();
 }
 
