Store a backend server's report with one call

Change: ReportStore, moved out of Node, remembers the revision of the entry, also from the read at the start; only the entry of a server that leaves has a lease. The entry of an instance that is lost for good now stays until its address is used again.

--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -17,11 +17,6 @@
 
 namespace {
 
-// Timeout of each call to the store that delays the response to a backend
-// server's report. The backend server gives up after 1 s.
-constexpr std::chrono::milliseconds StoreTimeout{350};
-constexpr std::chrono::milliseconds ReportLeaseDuration{600'000};
-
 // Part of the grace period of a stop that is left for the end of the process
 // after its last request.
 constexpr std::chrono::milliseconds ReservedForExit{1000};
@@ -35,7 +30,7 @@
     : Settings(std::move(Given)), Key(std::move(ClusterKey)), Speaks(Dialect),
       Id(policy::nodeIdOf(Settings.Address, Settings.PeerPort)),
       Run(wallClockIncarnation()), Known(std::move(Records)),
-      Store(openStore(Settings, Speaks)),
+      Reports(openStore(Settings, Speaks)),
       Peers(poolOptions(Settings, {.Node = Id, .Run = Run, .Key = Key})),
       LocalSidecar(sidecarOptions(Settings, Speaks, Run), Backend, Counts),
       BackendAnnouncer({.Address = Settings.LocalBackend.Address,
@@ -47,11 +42,11 @@
                             },
                         .Persist =
                             [this](const policy::BackendReport &Report) {
-                              return storeReport(Report);
+                              return Reports.write(Report);
                             },
                         .IsStored =
                             [this](const policy::BackendReport &Report) {
-                              return isReportStored(Report);
+                              return Reports.holds(Report);
                             }},
                        Speaks, LocalSidecar, Backend),
       EntryNode(entryOptions(Settings, Speaks, Id, Run),
@@ -106,6 +101,7 @@
 }
 
 bool Node::start(policy::Error &LastError) {
+  takeReportRevision();
   if (!Settings.Static.empty()) {
     publishStatic();
   }
@@ -197,49 +193,17 @@
   return !View->Routing || View->Routing->Services->contains(Service);
 }
 
-// Without a store no report can be restored, so none has to be stored.
-bool Node::storeReport(const policy::BackendReport &Report) {
-  if (!Store.Put) {
-    return true;
+void Node::takeReportRevision() {
+  if (!Known) {
+    return;
   }
-  store::StoreError LastError;
-  store::PutRequest Request = {
-      .Key = settings::backendKey(Report.Address, Report.Port),
-      .Value = settings::formatBackend(Report)};
-  const auto Lease =
-      Store.GrantLease(ReportLeaseDuration, StoreTimeout, LastError);
-  if (Lease) {
-    Request.Lease = *Lease;
-    bool Stored = Store.Put(Request, StoreTimeout, LastError).has_value();
-    if (!Stored && LastError.Kind == store::StoreErrorKind::Conflict) {
-      Request.Expected = LastError.Current;
-      Stored = Store.Put(Request, StoreTimeout, LastError).has_value();
+  const std::string Key = settings::backendKey(Settings.LocalBackend.Address,
+                                               Settings.LocalBackend.Port);
+  for (const store::WatchEvent &Entry : Known->Events) {
+    if (Entry.Key == Key) {
+      Reports.setRevision(Key, Entry.ModRevision);
     }
-    if (Stored) {
-      return true;
-    }
-  }
-  log(LogLevel::Warning, "cannot store the report of the backend server",
-      {{"instance", std::string_view(Report.Instance)},
-       {"reason", std::string_view(LastError.Detail)}});
-  return false;
-}
-
-std::optional<bool> Node::isReportStored(const policy::BackendReport &Report) {
-  if (!Store.Read) {
-    return true;
-  }
-  store::StoreError LastError;
-  const auto Held =
-      Store.Read(settings::backendKey(Report.Address, Report.Port),
-                 StoreTimeout, LastError);
-  if (!Held && LastError.Kind != store::StoreErrorKind::NotFound) {
-    return std::nullopt;
   }
-  policy::Error ParseError;
-  const auto Stored =
-      Held ? settings::parseBackend(Held->Value, ParseError) : std::nullopt;
-  return Stored && policy::restoresTheSame(*Stored, Report);
 }
 
 void Node::restoreReport(std::string_view Value) {
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -2,6 +2,7 @@
 #define DAEMON_NODE_NODE_H
 
 #include "daemon/announce/announcer.h"
+#include "daemon/announce/report_store.h"
 #include "daemon/control/control_thread.h"
 #include "daemon/dialect/dialect.h"
 #include "daemon/dump/dump.h"
@@ -95,9 +96,8 @@
   [[nodiscard]] HttpResponse
   readinessResponse(const HttpRequest &Request) const;
   [[nodiscard]] bool isKnownService(std::string_view Service) const;
-  [[nodiscard]] bool storeReport(const policy::BackendReport &Report);
-  [[nodiscard]] std::optional<bool>
-  isReportStored(const policy::BackendReport &Report);
+  // Takes the revision of the stored report from the records of the start.
+  void takeReportRevision();
   void restoreReport(std::string_view Value);
   [[nodiscard]] std::string healthPath() const;
   void publishStatic();
@@ -105,9 +105,7 @@
   void announce(const LocalBackendState &Announced);
 
   std::optional<store::WatchResult> Known;
-  // For calls outside of the control thread. Without operations if the node has
-  // no store.
-  store::StoreOperations Store;
+  ReportStore Reports;
   PeerPool Peers;
   Sidecar LocalSidecar;
   Announcer BackendAnnouncer;
