Count the time of a request that waits behind another

Cause: a request sent before the response to an earlier one had its time counted from its parse, so it was passed on with more time than its caller has left. No test covered pipelined requests in the service. The prober looked at its budgets 50 times a second, which allow a probe every few seconds. Change: a request that has arrived before the response to the one ahead is written counts from the start of that one; the prober sleeps until a budget allows a probe, 100 ms at most.

--- a/packages/daemon/src/daemon/entry/http_service.cpp
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -66,23 +66,29 @@
 
 void HttpService::serve(Session &Accepted) {
   HttpReader Reader(HttpReader::Kind::Request, Options.Limits);
+  // Start of the previous request if the next one arrived during it.
+  std::optional<policy::TimePoint> WaitedSince;
   for (;;) {
-    std::optional<HttpRequest> Request = readRequest(Reader, Accepted);
+    std::optional<HttpRequest> Request =
+        readRequest(Reader, Accepted, WaitedSince);
     if (!Request) {
       return;
     }
     const policy::TimePoint Start = now();
+    Request->Arrived = WaitedSince.value_or(Start);
+    Reader.begin();
     const std::string Method = Request->Method;
     const bool KeepAlive = Request->KeepAlive;
     HttpResponse Response = Handle(std::move(*Request), Accepted.fd());
     Response.KeepAlive = KeepAlive && !Closing;
     const bool KeepOpen = Response.KeepAlive;
+    const bool NextWaits = Reader.hasBytes() || hasInput(Accepted.fd());
+    WaitedSince = NextWaits ? std::optional(Start) : std::nullopt;
     const bool Written = write(Accepted.fd(), Response, Method);
     Counts.time(Timing::Request, now() - Start);
     if (!Written || !KeepOpen) {
       return;
     }
-    Reader.begin();
   }
 }
 
@@ -94,8 +100,9 @@
   (void)write(Fd, Response, {});
 }
 
-std::optional<HttpRequest> HttpService::readRequest(HttpReader &Reader,
-                                                    Session &Accepted) {
+std::optional<HttpRequest>
+HttpService::readRequest(HttpReader &Reader, Session &Accepted,
+                         std::optional<policy::TimePoint> &WaitedSince) {
   bool ContinueSent = false;
   HttpServiceOptions Current = currentOptions();
   Reader.limit(Current.Limits);
@@ -126,6 +133,9 @@
       Reader.commit(static_cast<std::size_t>(Count));
     } else if (Count < 0 || !awaitBytes(Reader, Accepted, Current, HeadStart)) {
       return std::nullopt;
+    } else {
+      // The last bytes of the request arrived during this wait.
+      WaitedSince.reset();
     }
   }
 }
@@ -192,7 +202,8 @@
   const std::string *Named =
       findHeader(Request.Headers, Speaks.Headers.RequestId);
   const std::string Id = Named ? *Named : std::string();
-  auto Call = parseCall(Owner, std::move(Request), now(), LastError);
+  const policy::TimePoint Arrived = Request.Arrived;
+  auto Call = parseCall(Owner, std::move(Request), Arrived, LastError);
   if (!Call) {
     Counts.countError(LastError.Kind);
     log(LogLevel::Warning, "request rejected",
--- a/packages/daemon/src/daemon/entry/http_service.h
+++ b/packages/daemon/src/daemon/entry/http_service.h
@@ -36,7 +36,9 @@
                   const settings::CallerLimits &Configured);
 
 // Serves connections: reads requests, passes them to the handler and writes the
-// responses in order.
+// responses in order. A request that a caller sends before the response to an
+// earlier one waits, and its time counts from the start of that one, the
+// earliest time at which it can have arrived.
 class HttpService {
 public:
   // Returns the response to a request received on the descriptor.
@@ -57,9 +59,10 @@
 
 private:
   // Reads one request. Returns nothing if the connection has ended or must be
-  // closed.
-  [[nodiscard]] std::optional<HttpRequest> readRequest(HttpReader &Reader,
-                                                       Session &Accepted);
+  // closed. Resets WaitedSince if the request had not arrived before the call.
+  [[nodiscard]] std::optional<HttpRequest>
+  readRequest(HttpReader &Reader, Session &Accepted,
+              std::optional<policy::TimePoint> &WaitedSince);
   [[nodiscard]] HttpServiceOptions currentOptions() const;
   // Returns false if the connection ended or no more bytes arrived in time.
   [[nodiscard]] static bool awaitBytes(const HttpReader &Reader,
--- a/packages/daemon/src/daemon/entry/prober.cpp
+++ b/packages/daemon/src/daemon/entry/prober.cpp
@@ -4,6 +4,7 @@
 #include "policy/probe/next_probe.h"
 #include "policy/route/feedback.h"
 
+#include <algorithm>
 #include <chrono>
 #include <optional>
 
@@ -11,7 +12,9 @@
 
 namespace {
 
-constexpr auto ProbeInterval = std::chrono::milliseconds(20);
+constexpr policy::Duration ProbeInterval = std::chrono::milliseconds(20);
+// Longest time between two checks. Requests add to the budget in the meantime.
+constexpr policy::Duration LongestPause = std::chrono::milliseconds(100);
 constexpr policy::Duration IdleCloseInterval = std::chrono::seconds(1);
 constexpr policy::Duration ProbeTimeout = std::chrono::milliseconds(100);
 
@@ -30,10 +33,11 @@
 
 void Prober::run() {
   policy::TimePoint NextIdleClose{};
+  policy::Duration Pause = ProbeInterval;
   std::unique_lock Lock(Mutex);
-  while (!Wake.wait_for(Lock, ProbeInterval, [this] { return Stopping; })) {
+  while (!Wake.wait_for(Lock, Pause, [this] { return Stopping; })) {
     Lock.unlock();
-    probeServices();
+    Pause = std::clamp(probeServices(), ProbeInterval, LongestPause);
     const policy::TimePoint Now = now();
     if (Now >= NextIdleClose) {
       Owner.Use.Peers.closeIdle(Now);
@@ -43,10 +47,14 @@
   }
 }
 
-void Prober::probeServices() {
+policy::Duration Prober::probeServices() {
+  policy::Duration Pause = LongestPause;
   for (const auto &[Name, Runtime] : Owner.Services.all()) {
     probeService(*Runtime);
+    const std::lock_guard Lock(Runtime->Mutex);
+    Pause = std::min(Pause, policy::untilNextProbe(Runtime->Probes, now()));
   }
+  return Pause;
 }
 
 void Prober::probeService(ServiceRuntime &Runtime) {
--- a/packages/daemon/src/daemon/entry/prober.h
+++ b/packages/daemon/src/daemon/entry/prober.h
@@ -20,7 +20,8 @@
 
 private:
   void run();
-  void probeServices();
+  // Returns the time until the budget of a service may allow the next probe.
+  [[nodiscard]] policy::Duration probeServices();
   void probeService(ServiceRuntime &Runtime);
 
   Entry &Owner;
--- a/packages/daemon/src/daemon/http/message.h
+++ b/packages/daemon/src/daemon/http/message.h
@@ -1,6 +1,8 @@
 #ifndef DAEMON_HTTP_MESSAGE_H
 #define DAEMON_HTTP_MESSAGE_H
 
+#include "policy/core/types.h"
+
 #include <cstddef>
 #include <cstdint>
 #include <string>
@@ -26,6 +28,8 @@
   std::string Body;
   // False if the connection closes after the response.
   bool KeepAlive = true;
+  // Time from which the time budget of the request counts.
+  policy::TimePoint Arrived{};
 };
 
 struct HttpResponse {
--- a/packages/daemon/src/daemon/net/socket.cpp
+++ b/packages/daemon/src/daemon/net/socket.cpp
@@ -180,6 +180,11 @@
   return ::recv(Fd, &Byte, 1, MSG_PEEK) < 0 && errno == EAGAIN;
 }
 
+bool hasInput(int Fd) {
+  char Byte = 0;
+  return ::recv(Fd, &Byte, 1, MSG_PEEK) > 0;
+}
+
 bool waitReady(std::span<pollfd> Fds, policy::TimePoint Deadline,
                policy::Duration Spin) {
   if (FiberLoop *Loop = FiberLoop::current()) {
--- a/packages/daemon/src/daemon/net/socket.h
+++ b/packages/daemon/src/daemon/net/socket.h
@@ -59,6 +59,9 @@
 // True if an idle connection is still open and has no unexpected input.
 [[nodiscard]] bool isUsable(int Fd);
 
+// True if bytes have arrived that were not read yet.
+[[nodiscard]] bool hasInput(int Fd);
+
 // Waits until one of the descriptors is ready or the deadline passes. On a
 // fiber, other fibers run during the wait. A thread first polls for the spin
 // time without sleeping, because a sleeping thread takes tens of microseconds
--- a/packages/policy/src/policy/probe/next_probe.cpp
+++ b/packages/policy/src/policy/probe/next_probe.cpp
@@ -72,6 +72,19 @@
   return Oldest->Spec.Node;
 }
 
+Duration untilNextProbe(const ProbeBudget &Budget, TimePoint Now) {
+  if (Budget.Since == TimePoint{} || Budget.Tokens >= 1) {
+    return Duration{0};
+  }
+  if (Budget.Options.FloorPerSecond <= 0) {
+    return Duration::max();
+  }
+  const std::chrono::duration<double> Wait((1 - Budget.Tokens) /
+                                           Budget.Options.FloorPerSecond);
+  const auto At = Budget.FilledAt + std::chrono::duration_cast<Duration>(Wait);
+  return std::max(At - Now, Duration{0});
+}
+
 double probesAllowed(const ProbeBudget &Budget, TimePoint Now) {
   const double Elapsed = Budget.Since == TimePoint{}
                              ? 0
--- a/packages/policy/src/policy/probe/next_probe.h
+++ b/packages/policy/src/policy/probe/next_probe.h
@@ -19,6 +19,10 @@
                                               TimePoint Now,
                                               RandomEngine &Random);
 
+// Returns the time until the budget allows a probe if no requests add to it; 0
+// if it allows one now.
+[[nodiscard]] Duration untilNextProbe(const ProbeBudget &Budget, TimePoint Now);
+
 // Returns the maximum number of probes that the options allow since the first
 // use.
 [[nodiscard]] double probesAllowed(const ProbeBudget &Budget, TimePoint Now);
--- a/packages/policy/test/policy/probe/next_probe.cpp
+++ b/packages/policy/test/policy/probe/next_probe.cpp
@@ -65,5 +65,20 @@
   EXPECT_EQ(Budget.Probes, 1U);
 }
 
+// Guards against a prober that wakes up many times a second although its budget
+// allows a probe every few seconds.
+TEST(NextProbe, TimeUntilTheBudgetAllowsAProbe) {
+  const TimePoint Now{std::chrono::seconds(100)};
+  ProbeBudget Budget;
+  Budget.Options.FloorPerSecond = 0.5;
+  EXPECT_EQ(untilNextProbe(Budget, Now), Duration{0});
+  Budget.Since = Budget.FilledAt = Now;
+  Budget.Tokens = 0;
+  EXPECT_EQ(untilNextProbe(Budget, Now), std::chrono::seconds(2));
+  EXPECT_EQ(untilNextProbe(Budget, Now + std::chrono::seconds(3)), Duration{0});
+  Budget.Tokens = 1;
+  EXPECT_EQ(untilNextProbe(Budget, Now), Duration{0});
+}
+
 } // namespace
 } // namespace magnolia::policy
