Read responses of the store with bounded lines

Each client also had a thread that aborted late calls. Change: StoreConnection reads responses with Boost.Beast under one deadline for the whole exchange, with limits for the head, lines and body; the abort thread is gone. cpp-httplib is used by stand-ins, benches and tests only. Measured: LongLines.EndTheCall ended the test process on the code before; the 13 tests of the store pass now, ctest 10 of 10.

--- a/packages/store/src/store/client/http_call.cpp
+++ b/packages/store/src/store/client/http_call.cpp
@@ -1,8 +1,7 @@
 #include "store/client/http_call.h"
 
 #include "policy/core/epoch.h"
-
-#include <httplib.h>
+#include "store/client/internal/store_connection.h"
 
 #include <algorithm>
 #include <charconv>
@@ -13,12 +12,13 @@
 
 using Clock = std::chrono::steady_clock;
 
+using internal::ConnectionFailure;
+using internal::ConnectionResponse;
+
 struct Response {
   int Status = 0;
   std::string Body;
   std::uint64_t Epoch = 0;
-  bool TooLarge = false;
-  bool Late = false;
 };
 
 std::string describe(const HttpStoreState &State, const HttpCall &Call) {
@@ -35,53 +35,47 @@
   return std::nullopt;
 }
 
-httplib::Request requestOf(const HttpStoreState &State, const HttpCall &Call,
-                           Clock::time_point Deadline, Response &Result) {
-  httplib::Request Request;
-  Request.method = Call.Method;
-  Request.path = Call.Query.empty()
-                     ? Call.Path
-                     : httplib::append_query_params(Call.Path, Call.Query);
-  if (!Call.Body.empty()) {
-    Request.set_header("Content-Type", "application/json");
-    Request.body = Call.Body;
+// Percent-encodes everything but the unreserved characters of RFC 3986.
+std::string encoded(std::string_view Text) {
+  constexpr std::string_view Unreserved = "-._~";
+  constexpr std::string_view Digits = "0123456789ABCDEF";
+  std::string Result;
+  for (const char Next : Text) {
+    const auto Byte = static_cast<unsigned char>(Next);
+    const bool Alphanumeric = (Next >= 'a' && Next <= 'z') ||
+                              (Next >= 'A' && Next <= 'Z') ||
+                              (Next >= '0' && Next <= '9');
+    if (Alphanumeric || Unreserved.find(Next) != std::string_view::npos) {
+      Result += Next;
+    } else {
+      Result += {'%', Digits[Byte >> 4U], Digits[Byte & 0xFU]};
+    }
   }
-  Request.response_handler = [&Result](const httplib::Response &Head) {
-    Result.Status = Head.status;
-    return true;
-  };
-  const std::size_t MaxSize = State.Options.MaxResponseSize;
-  Request.content_receiver = [&Result, MaxSize,
-                              Deadline](const char *Data, std::size_t Size,
-                                        std::uint64_t, std::uint64_t) {
-    Result.TooLarge = Result.Body.size() + Size > MaxSize;
-    Result.Late = Clock::now() > Deadline;
-    if (!Result.TooLarge && !Result.Late)
-      Result.Body.append(Data, Size);
-    return !Result.TooLarge && !Result.Late;
-  };
-  return Request;
+  return Result;
 }
 
-void setTimeouts(httplib::Client &Connection,
-                 std::chrono::milliseconds Timeout) {
-  Connection.set_connection_timeout(Timeout);
-  Connection.set_read_timeout(Timeout);
-  Connection.set_write_timeout(Timeout);
+std::string targetOf(const HttpCall &Call) {
+  std::string Target = Call.Path;
+  char Separator = '?';
+  for (const auto &[Name, Value] : Call.Query) {
+    Target += Separator + encoded(Name) + '=' + encoded(Value);
+    Separator = '&';
+  }
+  return Target;
 }
 
 // Error kind of a call without a complete response.
-StoreErrorKind kindOfLostResponse(const HttpCall &Call, httplib::Error Error,
-                                  const Response &Result, bool Expired) {
+StoreErrorKind kindOfLostResponse(const HttpCall &Call,
+                                  ConnectionFailure Failure) {
   // Only a failed connect proves that the store did not receive the call.
-  if (Error == httplib::Error::Connection ||
-      Error == httplib::Error::ConnectionTimeout)
+  if (Failure == ConnectionFailure::NotConnected)
     return StoreErrorKind::Unavailable;
   if (Call.HasEffect)
     return StoreErrorKind::OutcomeUnknown;
-  if (Result.TooLarge)
+  if (Failure == ConnectionFailure::BodyTooLarge)
     return StoreErrorKind::TooLarge;
-  return Expired ? StoreErrorKind::Timeout : StoreErrorKind::Unavailable;
+  return Failure == ConnectionFailure::TimedOut ? StoreErrorKind::Timeout
+                                                : StoreErrorKind::Unavailable;
 }
 
 StoreErrorKind kindOfStatus(const HttpCall &Call, int Status) {
@@ -165,28 +159,28 @@
                                   StoreError &LastError) {
   ++State.Counts->Calls[static_cast<std::size_t>(Call.Kind)];
   Timeout = std::max(Timeout, std::chrono::milliseconds(1));
-  const Clock::time_point Deadline = Clock::now() + Timeout;
-  const auto Connection = State.Pool.acquire(Deadline);
+  const auto Connection = State.Pool.acquire();
   if (!Connection) {
     return fail(State, Call, StoreErrorKind::Unavailable,
                 "the client is closed", LastError);
   }
-  setTimeouts(*Connection, Timeout);
-  Response Result;
-  const httplib::Result Sent =
-      Connection->send(requestOf(State, Call, Deadline, Result));
-  State.Pool.release(Connection, static_cast<bool>(Sent));
-  if (!Sent) {
-    const bool Expired = Result.Late || Clock::now() >= Deadline;
-    return fail(State, Call,
-                kindOfLostResponse(Call, Sent.error(), Result, Expired),
-                Expired ? "no response within " +
-                              std::to_string(Timeout.count()) + " ms"
-                        : httplib::to_string(Sent.error()),
+  ConnectionResponse Received = Connection->exchange(
+      {.Method = Call.Method, .Target = targetOf(Call), .Body = Call.Body},
+      {.Deadline = Clock::now() + Timeout,
+       .BodyBytes = State.Options.MaxResponseSize,
+       .HeaderName = State.EpochHeader});
+  State.Pool.release(Connection, Received.KeepAlive);
+  if (Received.Failure != ConnectionFailure::None) {
+    return fail(State, Call, kindOfLostResponse(Call, Received.Failure),
+                Received.Failure == ConnectionFailure::TimedOut
+                    ? "no response within " + std::to_string(Timeout.count()) +
+                          " ms"
+                    : Received.Reason,
                 LastError);
   }
-  Result.Status = Sent->status;
-  const std::string Epoch = Sent->get_header_value(State.EpochHeader.c_str());
+  Response Result{.Status = static_cast<int>(Received.Status),
+                  .Body = std::move(Received.Body)};
+  const std::string &Epoch = Received.Header;
   if (!readEpoch(Epoch, Result.Epoch)) {
     return fail(State, Call,
                 Call.HasEffect ? StoreErrorKind::OutcomeUnknown
--- a/packages/store/src/store/client/internal/connection_pool.h
+++ b/packages/store/src/store/client/internal/connection_pool.h
@@ -3,20 +3,16 @@
 
 #include "store/client/http_store.h"
 
-#include <chrono>
 #include <condition_variable>
 #include <memory>
 #include <mutex>
 #include <string>
-#include <thread>
 #include <vector>
 
-namespace httplib {
-class Client;
-}
-
 namespace magnolia::store::internal {
 
+class StoreConnection;
+
 // Connections to the store: each is used by one call at a time and kept for
 // reuse after a complete response.
 class ConnectionPool {
@@ -26,37 +22,25 @@
   ConnectionPool(const ConnectionPool &) = delete;
   ConnectionPool &operator=(const ConnectionPool &) = delete;
 
-  // Null after close(). The call on the connection is aborted if it has not
-  // ended soon after the deadline: the timeouts of the client bound single
-  // reads only.
-  [[nodiscard]] std::shared_ptr<httplib::Client>
-  acquire(std::chrono::steady_clock::time_point Deadline);
+  // Null after close().
+  [[nodiscard]] std::shared_ptr<StoreConnection> acquire();
 
   // Returns a connection to the pool. One with a lost response is not reused.
-  void release(const std::shared_ptr<httplib::Client> &Connection,
+  void release(const std::shared_ptr<StoreConnection> &Connection,
                bool Reusable);
 
   // Aborts all calls in progress and returns when they have ended.
   void close();
 
 private:
-  struct Use {
-    std::shared_ptr<httplib::Client> Connection;
-    std::chrono::steady_clock::time_point AbortAt;
-  };
-
-  void abortLateCalls();
-
   std::string Address;
   std::uint16_t Port;
   std::size_t MaxIdle;
   std::mutex Mutex;
   std::condition_variable Returned;
   bool Closed = false;
-  std::vector<std::shared_ptr<httplib::Client>> Idle;
-  std::vector<Use> InUse;
-  std::condition_variable Changed;
-  std::thread Watcher;
+  std::vector<std::shared_ptr<StoreConnection>> Idle;
+  std::vector<std::shared_ptr<StoreConnection>> InUse;
 };
 
 } // namespace magnolia::store::internal
