Run the store client on plain sockets

Change: the exchange uses non-blocking sockets and poll, as the data path does, and Beast's parser alone.

--- a/packages/store/src/store/client/internal/store_connection.cpp
+++ b/packages/store/src/store/client/internal/store_connection.cpp
@@ -1,17 +1,16 @@
 #include "store/client/internal/store_connection.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 
+#include <arpa/inet.h>
+#include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <utility>
 
@@ -19,16 +18,17 @@
 
 namespace {
 
-namespace asio = boost::asio;
-namespace beast = boost::beast;
 namespace http = boost::beast::http;
-using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+using Parser = http::response_parser<http::string_body>;
 
 // Largest head of a response, and largest line after it.
 constexpr std::uint32_t HeadBytes = 16'384;
-constexpr std::size_t BufferBytes = std::size_t{64} << 10;
+constexpr std::size_t ReadBytes = 16'384;
 
-constexpr unsigned HttpVersion = 11;
+// A connection that takes longer counts as refused, also for a watch, which may
+// last much longer.
+constexpr std::chrono::seconds ConnectTimeout{2};
 
 // TCP keepalive: idle time before the first probe, interval between probes, and
 // number of unanswered probes after which the connection is closed. A
@@ -53,123 +53,208 @@
 // belong to no request.
 bool isUsable(int Socket) {
   char Byte = 0;
-  return ::recv(Socket, &Byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-         errno == EAGAIN;
+  return ::recv(Socket, &Byte, 1, MSG_PEEK) < 0 && errno == EAGAIN;
 }
 
-ConnectionFailure failureOf(const error_code &Error) {
-  if (Error == beast::error::timeout) {
-    return ConnectionFailure::TimedOut;
+// Returns false if the deadline passes first.
+bool wait(int Socket, short Events, Clock::time_point Deadline) {
+  for (;;) {
+    const auto Left = std::chrono::ceil<std::chrono::milliseconds>(
+        std::max(Deadline - Clock::now(), Clock::duration::zero()));
+    pollfd Poll{.fd = Socket, .events = Events, .revents = 0};
+    const int Ready = ::poll(&Poll, 1, static_cast<int>(Left.count()));
+    if (Ready > 0) {
+      return true;
+    }
+    if (Ready == 0 || errno != EINTR) {
+      return false;
+    }
   }
-  return Error == http::error::body_limit ? ConnectionFailure::BodyTooLarge
-                                          : ConnectionFailure::Broken;
 }
 
-http::request<http::string_body> messageOf(const ConnectionRequest &Request,
-                                           const std::string &Host) {
-  http::request<http::string_body> Message;
-  Message.version(HttpVersion);
-  Message.method_string(Request.Method);
-  Message.target(Request.Target);
-  Message.set(http::field::host, Host);
+std::string bytesOf(const ConnectionRequest &Request, const std::string &Host) {
+  std::string Bytes = Request.Method + " " + Request.Target +
+                      " HTTP/1.1\r\nHost: " + Host + "\r\n";
   if (!Request.Body.empty()) {
-    Message.set(http::field::content_type, "application/json");
-    Message.body() = Request.Body;
+    Bytes += "Content-Type: application/json\r\n";
+  }
+  if (!Request.Body.empty() || Request.Method != "GET") {
+    Bytes += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
   }
-  Message.prepare_payload();
-  return Message;
+  return Bytes + "\r\n" + Request.Body;
 }
 
-} // namespace
+ConnectionResponse failed(ConnectionFailure Failure, std::string Reason) {
+  return {.Failure = Failure, .Reason = std::move(Reason)};
+}
 
-// The operations run on the thread that waits for them. Only a stop comes from
-// another thread, as a task of the context.
-struct StoreConnection::Stream {
-  asio::io_context Context{1};
-  beast::tcp_stream Tcp{Context};
-
-  // Starts an operation, waits for its end and returns its error.
-  template <class Start> error_code run(Start &&Begin) {
-    error_code Result;
-    Context.restart();
-    Begin([&Result](const error_code &Ended, std::size_t) { Result = Ended; });
-    Context.run();
-    return Result;
-  }
-
-  error_code connect(const std::string &Address, std::uint16_t Port) {
-    error_code Parsed;
-    const auto Ip = asio::ip::make_address_v4(Address, Parsed);
-    if (Parsed) {
-      return Parsed;
+// Parses as many of the buffered bytes as possible and removes them. Returns
+// false and sets Failed if they are not a response within the limits.
+bool parse(Parser &Into, std::string &Bytes, ConnectionResponse &Failed) {
+  while (!Into.is_done() && !Bytes.empty()) {
+    boost::system::error_code Error;
+    const std::size_t Used =
+        Into.put(boost::asio::const_buffer(Bytes.data(), Bytes.size()), Error);
+    Bytes.erase(0, Used);
+    if (Error == http::error::need_more && Bytes.size() <= HeadBytes) {
+      return true;
     }
-    const error_code Result = run([&](auto Done) {
-      Tcp.async_connect(
-          asio::ip::tcp::endpoint(Ip, Port),
-          [Done](const error_code &Ended) mutable { Done(Ended, 0); });
-    });
-    if (!Result) {
-      setUp(Tcp.socket().native_handle());
+    if (Error) {
+      Failed = failed(Error == http::error::body_limit
+                          ? ConnectionFailure::BodyTooLarge
+                          : ConnectionFailure::Broken,
+                      Error.message());
+      return false;
     }
-    return Result;
   }
+  return true;
+}
 
-  void close() {
-    error_code Ignored;
-    Tcp.socket().close(Ignored);
+// Ends a response whose body ends with the connection.
+bool finish(Parser &Into) {
+  boost::system::error_code Error;
+  if (Into.is_header_done() && Into.need_eof()) {
+    Into.put_eof(Error);
   }
-};
+  return !Error && Into.is_done();
+}
+
+ConnectionResponse responseOf(Parser &Parsed, std::string_view HeaderName,
+                              bool Reusable) {
+  auto &Read = Parsed.get();
+  const auto Header =
+      Read[boost::beast::string_view(HeaderName.data(), HeaderName.size())];
+  return {.Status = Read.result_int(),
+          .Body = std::move(Read.body()),
+          .Header = std::string(Header.data(), Header.size()),
+          .KeepAlive = Reusable && Parsed.keep_alive()};
+}
+
+} // namespace
 
 StoreConnection::StoreConnection(std::string StoreAddress,
                                  std::uint16_t StorePort)
-    : Address(std::move(StoreAddress)), Port(StorePort),
-      Open(std::make_unique<Stream>()) {}
+    : Address(std::move(StoreAddress)), Port(StorePort) {}
 
-StoreConnection::~StoreConnection() = default;
+StoreConnection::~StoreConnection() { close(); }
 
 ConnectionResponse StoreConnection::exchange(const ConnectionRequest &Request,
                                              const ExchangeLimits &Limits) {
-  beast::tcp_stream &Tcp = Open->Tcp;
-  if (Tcp.socket().is_open() && !isUsable(Tcp.socket().native_handle())) {
-    Open->close();
-  }
-  Tcp.expires_at(Limits.Deadline);
-  if (!Tcp.socket().is_open()) {
-    if (const error_code Failed = Open->connect(Address, Port)) {
-      Open->close();
-      return {.Failure = ConnectionFailure::NotConnected,
-              .Reason = Failed.message()};
+  if (Socket >= 0 && !isUsable(Socket)) {
+    close();
+  }
+  if (Socket < 0 && !connect(Limits.Deadline)) {
+    close();
+    return failed(ConnectionFailure::NotConnected, "cannot connect");
+  }
+  const ConnectionFailure Sent = sendAll(
+      bytesOf(Request, Address + ":" + std::to_string(Port)), Limits.Deadline);
+  ConnectionResponse Response =
+      Sent == ConnectionFailure::None
+          ? receive(Limits)
+          : failed(Sent, "the connection ended before the request was sent");
+  if (!Response.KeepAlive) {
+    close();
+  }
+  return Response;
+}
+
+bool StoreConnection::connect(TimePoint Deadline) {
+  sockaddr_in Target{};
+  Target.sin_family = AF_INET;
+  Target.sin_port = htons(Port);
+  if (::inet_pton(AF_INET, Address.c_str(), &Target.sin_addr) != 1) {
+    return false;
+  }
+  {
+    const std::lock_guard Lock(Mutex);
+    Socket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+  }
+  if (Socket < 0) {
+    return false;
+  }
+  setUp(Socket);
+  if (::connect(Socket, reinterpret_cast<const sockaddr *>(&Target),
+                sizeof Target) == 0) {
+    return true;
+  }
+  return errno == EINPROGRESS &&
+         awaitConnected(std::min(Deadline, Clock::now() + ConnectTimeout));
+}
+
+bool StoreConnection::awaitConnected(TimePoint Deadline) const {
+  int Error = 0;
+  socklen_t Size = sizeof Error;
+  return wait(Socket, POLLOUT, Deadline) &&
+         ::getsockopt(Socket, SOL_SOCKET, SO_ERROR, &Error, &Size) == 0 &&
+         Error == 0;
+}
+
+ConnectionFailure StoreConnection::sendAll(std::string_view Bytes,
+                                           TimePoint Deadline) const {
+  while (!Bytes.empty()) {
+    const ssize_t Sent =
+        ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+    if (Sent >= 0) {
+      Bytes.remove_prefix(static_cast<std::size_t>(Sent));
+    } else if (errno == EAGAIN) {
+      if (!wait(Socket, POLLOUT, Deadline)) {
+        return ConnectionFailure::TimedOut;
+      }
+    } else if (errno != EINTR) {
+      return ConnectionFailure::Broken;
     }
   }
-  const auto Message = messageOf(Request, Address + ":" + std::to_string(Port));
-  beast::flat_buffer Buffer(BufferBytes);
-  http::response_parser<http::string_body> Parser;
-  Parser.header_limit(HeadBytes);
-  Parser.body_limit(Limits.BodyBytes);
-  error_code Failed = Open->run(
-      [&](auto Done) { http::async_write(Tcp, Message, std::move(Done)); });
-  if (!Failed) {
-    Failed = Open->run([&](auto Done) {
-      http::async_read(Tcp, Buffer, Parser, std::move(Done));
-    });
-  }
-  if (Failed) {
-    Open->close();
-    return {.Failure = failureOf(Failed), .Reason = Failed.message()};
-  }
-  auto &Read = Parser.get();
-  const auto Header = Limits.HeaderName.empty()
-                          ? beast::string_view()
-                          : Read[beast::string_view(Limits.HeaderName.data(),
-                                                    Limits.HeaderName.size())];
-  return {.Status = Read.result_int(),
-          .Body = std::move(Read.body()),
-          .Header = std::string(Header.data(), Header.size()),
-          .KeepAlive = Read.keep_alive() && Buffer.size() == 0};
+  return ConnectionFailure::None;
+}
+
+ConnectionResponse
+StoreConnection::receive(const ExchangeLimits &Limits) const {
+  Parser Incoming;
+  // An eager parser of Boost 1.74 drops the error of a body over the limit if
+  // header and body arrive together.
+  Incoming.eager(false);
+  Incoming.header_limit(HeadBytes);
+  Incoming.body_limit(Limits.BodyBytes);
+  ConnectionResponse Failed;
+  std::string Bytes;
+  std::string Space(ReadBytes, '\0');
+  while (!Incoming.is_done()) {
+    if (Clock::now() >= Limits.Deadline ||
+        !wait(Socket, POLLIN, Limits.Deadline)) {
+      return failed(ConnectionFailure::TimedOut, "no whole response in time");
+    }
+    const ssize_t Count = ::recv(Socket, Space.data(), Space.size(), 0);
+    if (Count < 0 && (errno == EINTR || errno == EAGAIN)) {
+      continue;
+    }
+    if (Count <= 0) {
+      return Count == 0 && finish(Incoming)
+                 ? responseOf(Incoming, Limits.HeaderName, false)
+                 : failed(ConnectionFailure::Broken,
+                          "the connection ended before the response");
+    }
+    Bytes.append(Space, 0, static_cast<std::size_t>(Count));
+    if (!parse(Incoming, Bytes, Failed)) {
+      return Failed;
+    }
+  }
+  return responseOf(Incoming, Limits.HeaderName, Bytes.empty());
 }
 
 void StoreConnection::stop() {
-  asio::post(Open->Context, [this] { Open->Tcp.cancel(); });
+  const std::lock_guard Lock(Mutex);
+  if (Socket >= 0) {
+    ::shutdown(Socket, SHUT_RDWR);
+  }
+}
+
+void StoreConnection::close() {
+  const std::lock_guard Lock(Mutex);
+  if (Socket >= 0) {
+    ::close(Socket);
+    Socket = -1;
+  }
 }
 
 } // namespace magnolia::store::internal
--- a/packages/store/src/store/client/internal/store_connection.h
+++ b/packages/store/src/store/client/internal/store_connection.h
@@ -4,7 +4,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
-#include <memory>
+#include <mutex>
 #include <string>
 #include <string_view>
 
@@ -65,11 +65,21 @@
   void stop();
 
 private:
-  struct Stream;
+  using TimePoint = std::chrono::steady_clock::time_point;
+
+  // Returns false if no connection is established by the deadline.
+  [[nodiscard]] bool connect(TimePoint Deadline);
+  [[nodiscard]] bool awaitConnected(TimePoint Deadline) const;
+  [[nodiscard]] ConnectionFailure sendAll(std::string_view Bytes,
+                                          TimePoint Deadline) const;
+  [[nodiscard]] ConnectionResponse receive(const ExchangeLimits &Limits) const;
+  void close();
 
   const std::string Address;
   const std::uint16_t Port;
-  std::unique_ptr<Stream> Open;
+  // Guards the change of the descriptor, which a stop uses.
+  std::mutex Mutex;
+  int Socket = -1;
 };
 
 } // namespace magnolia::store::internal
