End a step, not the process, on an unexpected error

Change: runGuarded logs the exception and ends this step only; the task queue uses it as well. Measured: BackendWatchTest.ExceptionEndsItsCheckOnly ended the test process on the code before and passes now; daemon tests 140 of 140.

--- a/packages/daemon/src/daemon/control/gossip_socket.cpp
+++ b/packages/daemon/src/daemon/control/gossip_socket.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/gossip_socket.h"
 
+#include "daemon/log/guarded.h"
 #include "policy/core/error.h"
 #include "wire/seal/seal.h"
 
@@ -96,7 +97,9 @@
       continue;
     }
     BytesReceived += static_cast<std::uint64_t>(Size);
-    handle({Buffer.data(), static_cast<std::size_t>(Size)});
+    (void)runGuarded("datagram", [&] {
+      handle({Buffer.data(), static_cast<std::size_t>(Size)});
+    });
   }
 }
 
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -3,7 +3,7 @@
 #include "daemon/control/clock.h"
 #include "daemon/control/config_keys.h"
 #include "daemon/control/view_builder.h"
-#include "daemon/log/log.h"
+#include "daemon/log/guarded.h"
 #include "daemon/sidecar/sidecar.h"
 #include "daemon/view/response_recorder.h"
 #include "daemon/view/view_holder.h"
@@ -213,10 +213,12 @@
   while (Queue.runFor(NextTick)) {
     const auto Now = std::chrono::steady_clock::now();
     if (Now >= NextTick) {
-      tick();
+      (void)runGuarded("control tick", [this] { tick(); });
       NextTick = Now + TickPeriod;
     }
-    publishView(steadyNow());
+    if (!runGuarded("view", [this] { publishView(steadyNow()); })) {
+      ViewDirty = true;
+    }
   }
 }
 
--- a/packages/daemon/src/daemon/control/store_worker.cpp
+++ b/packages/daemon/src/daemon/control/store_worker.cpp
@@ -1,6 +1,6 @@
 #include "daemon/control/store_worker.h"
 
-#include "daemon/log/log.h"
+#include "daemon/log/guarded.h"
 
 #include "policy/fleet/join.h"
 
@@ -68,7 +68,10 @@
   int Failures = 0;
   while (waitUntilWatching()) {
     store::StoreError LastError;
-    const bool Up = watchOnce(After, LastError);
+    bool Up = false;
+    const bool Ended =
+        runGuarded("store watch", [&] { Up = watchOnce(After, LastError); });
+    Up = Up && Ended;
     logEpoch();
     logChange(Up, Failures, LastError);
     StoreUp = Up;
--- a/packages/daemon/src/daemon/control/task_queue.cpp
+++ b/packages/daemon/src/daemon/control/task_queue.cpp
@@ -1,9 +1,7 @@
 #include "daemon/control/task_queue.h"
 
-#include "daemon/log/log.h"
+#include "daemon/log/guarded.h"
 
-#include <exception>
-#include <string_view>
 #include <utility>
 
 namespace magnolia::daemon {
@@ -32,12 +30,7 @@
     Batch.swap(Tasks);
   }
   for (Task &Work : Batch) {
-    try {
-      Work();
-    } catch (const std::exception &Reason) {
-      log(LogLevel::Error, "task ended by an exception",
-          {{"reason", std::string_view(Reason.what())}});
-    }
+    (void)runGuarded("control task", Work);
   }
   return true;
 }
--- a/packages/daemon/src/daemon/entry/prober.cpp
+++ b/packages/daemon/src/daemon/entry/prober.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry/prober.h"
 
+#include "daemon/log/guarded.h"
 #include "daemon/net/clock.h"
 #include "policy/probe/next_probe.h"
 #include "policy/route/feedback.h"
@@ -37,7 +38,10 @@
   std::unique_lock Lock(Mutex);
   while (!Wake.wait_for(Lock, Pause, [this] { return Stopping; })) {
     Lock.unlock();
-    Pause = std::clamp(probeServices(), ProbeInterval, LongestPause);
+    Pause = LongestPause;
+    (void)runGuarded("probes", [&] {
+      Pause = std::clamp(probeServices(), ProbeInterval, LongestPause);
+    });
     const policy::TimePoint Now = now();
     if (Now >= NextIdleClose) {
       Owner.Use.Peers.closeIdle(Now);
--- a/packages/daemon/src/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.cpp
@@ -1,6 +1,6 @@
 #include "daemon/sidecar/backend_watch.h"
 
-#include "daemon/log/log.h"
+#include "daemon/log/guarded.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
 #include "daemon/sidecar/backend_headers.h"
@@ -39,12 +39,14 @@
   std::unique_lock Lock(Mutex);
   while (!Stopping) {
     Lock.unlock();
-    if (Backend.state().Port != 0) {
-      check();
-    }
-    if (Opts.AfterCheck) {
-      Opts.AfterCheck(now());
-    }
+    (void)runGuarded("check of the backend server", [this] {
+      if (Backend.state().Port != 0) {
+        check();
+      }
+      if (Opts.AfterCheck) {
+        Opts.AfterCheck(now());
+      }
+    });
     const bool Present = Backend.state().Present;
     Lock.lock();
     Wake.wait_for(
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,4 +1,4 @@
-#include "daemon/log/log.h"
+#include "daemon/log/guarded.h"
 #include "daemon/node/node.h"
 #include "daemon/node/settings_watch.h"
 #include "daemon/node/start_records.h"
@@ -123,9 +123,11 @@
     if (Signal > 0 && Signal != SIGHUP) {
       return Signal;
     }
-    if (const auto Changed = Watch.check(Signal == SIGHUP)) {
-      Node.reload(*Changed);
-    }
+    (void)daemon::runGuarded("reload", [&] {
+      if (const auto Changed = Watch.check(Signal == SIGHUP)) {
+        Node.reload(*Changed);
+      }
+    });
   }
 }
 
--- a/packages/daemon/test/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/test/daemon/sidecar/backend_watch.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <new>
 #include <string>
 #include <thread>
 
@@ -39,6 +40,23 @@
   std::atomic<int> Reports = 0;
 };
 
+// Guards against an unexpected error during a check that ends the process.
+TEST_F(BackendWatchTest, ExceptionEndsItsCheckOnly) {
+  startBackend([](const std::string &) { return plainResponse("ok"); });
+  const policy::TimePoint Until = now() + test::TestTimeout;
+  std::atomic<int> Calls = 0;
+  const BackendWatch Watch(Own, Backend,
+                           {.LoadPath = [&Calls]() -> std::string {
+                              ++Calls;
+                              throw std::bad_alloc();
+                            },
+                            .Interval = std::chrono::milliseconds(1)});
+  while (Calls < 3 && now() < Until) {
+    std::this_thread::yield();
+  }
+  EXPECT_GE(Calls, 3);
+}
+
 struct EndlessRow {
   const char *Failure;
   std::string Raw;
