Do not start a rollout whose request was withdrawn

Cause: the runner kept its own copy of an operator's request, so a rollout whose start was delayed (another node's turn, or 15 s after a restoration) started although the operator had withdrawn it (listed as open after the 404s of many routes). Change: a withdrawn request is removed, and so is the time at which it became due.

--- a/packages/daemon/src/daemon/control/internal/control_entries.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_entries.cpp
@@ -84,11 +84,13 @@
     }
   }
   if (Entry.Key.starts_with(settings::RolloutRequestPrefix)) {
-    const auto Requested =
-        Records.RolloutRequests.find(std::string_view(Entry.Key).substr(
-            settings::RolloutRequestPrefix.size()));
+    const std::string_view Service = std::string_view(Entry.Key).substr(
+        settings::RolloutRequestPrefix.size());
+    const auto Requested = Records.RolloutRequests.find(Service);
     if (Requested != Records.RolloutRequests.end()) {
       Rollouts->onRolloutRequest(Requested->second);
+    } else {
+      Rollouts->onRequestWithdrawn(Service);
     }
   }
   ViewDirty = true;
--- a/packages/daemon/src/daemon/control/rollout_runner.cpp
+++ b/packages/daemon/src/daemon/control/rollout_runner.cpp
@@ -101,6 +101,15 @@
   RolloutRequests[Requested.Service] = Requested;
 }
 
+void RolloutRunner::onRequestWithdrawn(std::string_view Service) {
+  const auto Found = RolloutRequests.find(Service);
+  if (Found == RolloutRequests.end()) {
+    return;
+  }
+  RequestDueTimes.erase(policy::rolloutIdOf(Found->second));
+  RolloutRequests.erase(Found);
+}
+
 void RolloutRunner::planRequests(policy::TimePoint WallNow) {
   for (const auto &[Service, Requested] : RolloutRequests) {
     const auto Last = Records.find(Service);
--- a/packages/daemon/src/daemon/control/rollout_runner.h
+++ b/packages/daemon/src/daemon/control/rollout_runner.h
@@ -50,6 +50,9 @@
   void onRemoved(std::string_view Service);
   // Handles a rollout request whose rollout may have to be planned.
   void onRolloutRequest(const policy::RolloutRequest &Requested);
+  // Handles a request that the operator withdrew. A rollout that has started
+  // goes on.
+  void onRequestWithdrawn(std::string_view Service);
 
   // Handle a bad verdict of this node, and one that another node has sent.
   void onOwnVerdict(const std::string &Service, const std::string &RolloutId,
