Store a report again after the store was restored from a copy

Cause: found on reading the change. The remembered revision of the entry is from before the restoration; the client refuses it without the present one, the second try then expects no entry, and a report was never stored while the copy holds one, so that a leave was never acknowledged. Change: a third try uses the revision that the store names. Measured: ReportStore.WritesAfterTheStoreWasRestored failed before and passes now.

--- a/packages/daemon/src/daemon/announce/report_store.cpp
+++ b/packages/daemon/src/daemon/announce/report_store.cpp
@@ -18,6 +18,10 @@
 // Timeout of each call to the store that delays the response to a backend
 // server's report. The backend server gives up after 1 s.
 constexpr std::chrono::milliseconds CallTimeout{350};
+// Writes of one report: on the known revision, on none if that one is from
+// before the store was restored from a copy, and on the one that the store
+// names.
+constexpr int MaxTries = 3;
 // Time for which the entry of a server that leaves is needed: its late reports
 // must not bring it back.
 constexpr std::chrono::milliseconds LeaseDuration{600'000};
@@ -61,15 +65,17 @@
       .Value = settings::formatBackend(Report),
       .Lease = *Lease};
   Request.Expected = revisionOf(Request.Key);
-  auto Written = Operations.Put(Request, CallTimeout, LastError);
-  if (!Written && LastError.Kind == store::StoreErrorKind::Conflict) {
+  for (int Tries = 0; Tries < MaxTries; ++Tries) {
+    if (const auto Written = Operations.Put(Request, CallTimeout, LastError)) {
+      setRevision(Request.Key, *Written);
+      return true;
+    }
+    if (LastError.Kind != store::StoreErrorKind::Conflict) {
+      return false;
+    }
     Request.Expected = LastError.Current;
-    Written = Operations.Put(Request, CallTimeout, LastError);
   }
-  if (Written) {
-    setRevision(Request.Key, *Written);
-  }
-  return Written.has_value();
+  return false;
 }
 
 std::optional<store::LeaseId>
--- a/packages/daemon/test/daemon/announce/report_store.cpp
+++ b/packages/daemon/test/daemon/announce/report_store.cpp
@@ -9,6 +9,7 @@
 
 #include <chrono>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace magnolia::daemon {
@@ -90,6 +91,29 @@
   EXPECT_TRUE(Tested.write(report(BackendStage::Draining)));
 }
 
+// Guards against a report that is never stored again after the store was
+// restored from a copy: a revision from before is refused without a call and
+// without the present one.
+TEST(ReportStore, WritesAfterTheStoreWasRestored) {
+  CountingStore Store;
+  store::StoreOperations Operations = Store.operations();
+  const store::Revision Before = 40;
+  Operations.Put =
+      [&Before, Put = Operations.Put](
+          const store::PutRequest &Request, milliseconds Timeout,
+          store::StoreError &LastError) -> std::optional<store::Revision> {
+    if (Request.Expected == Before) {
+      LastError = {store::StoreErrorKind::Conflict, "from an earlier epoch"};
+      return std::nullopt;
+    }
+    return Put(Request, Timeout, LastError);
+  };
+  ReportStore Tested(std::move(Operations));
+  Tested.setRevision(settings::backendKey("127.0.0.1", 80), Before);
+  Store.Held = 100;
+  EXPECT_TRUE(Tested.write(report(BackendStage::Draining)));
+}
+
 // Guards against entries of servers that have left and stay in the store.
 TEST(ReportStore, TheEntryOfALeavingServerHasALease) {
   CountingStore Store;
