--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import pathlib
@@ -22,6 +23,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 STARTED = time.monotonic()
+PR_SET_PDEATHSIG = 1
 
 BOUNDS = {
     "seed_lag_s": 3, "reuse_after_s": 2, "contact_s": 3, "ack_s": 4,
@@ -417,7 +419,9 @@
 
 def default_signals():
     """Lets a process start with the usual handling of signals, as under a
-    service manager; a script's own parent may have SIGHUP ignored."""
+    service manager; a script's own parent may have SIGHUP ignored. The process
+    ends with the script, whatever ends that."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
     for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
         signal.signal(number, signal.SIG_DFL)
 
