Run late requests in a stop only if their deadline is before its end

Cause: deadlineBeforeStop took a request past the end of the stop if twice the objective of its route fitted, and cut its deadline. An objective does not bound how long a request takes.

Change: a request runs only with a deadline before the end, else it is rejected as not run, before each attempt. Idempotent requests keep the exception while callers cannot know of the stop.

--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -10,6 +10,7 @@
 #include "daemon/view/response_recorder.h"
 #include "daemon/view/share_overrides.h"
 #include "daemon/view/view_holder.h"
+#include "policy/overload/late_request.h"
 
 #include <atomic>
 #include <cstdint>
@@ -58,14 +59,13 @@
   }
 
   // Makes new requests end before the node does.
-  void beginStop(policy::TimePoint End) {
-    StopEnd = End.time_since_epoch().count();
+  void beginStop(const policy::StopWindow &Given) {
+    Stop = Given;
+    Stopping = true;
   }
-  // Returns the time at which a stopping node ends.
-  [[nodiscard]] std::optional<policy::TimePoint> stopEnd() const {
-    const policy::Duration::rep End = StopEnd;
-    return End == 0 ? std::nullopt
-                    : std::optional(policy::TimePoint(policy::Duration(End)));
+  // Returns the course of the stop, or nothing if the node is not stopping.
+  [[nodiscard]] std::optional<policy::StopWindow> stop() const {
+    return Stopping ? std::optional(Stop) : std::nullopt;
   }
 
   const EntryOptions Options;
@@ -74,8 +74,9 @@
 
 private:
   std::atomic<std::uint64_t> Sequence = 0;
-  // Time since the epoch of the clock; 0 until the node stops.
-  std::atomic<policy::Duration::rep> StopEnd = 0;
+  // Set once, before Stopping.
+  policy::StopWindow Stop;
+  std::atomic<bool> Stopping = false;
 };
 
 // Returns the random engine of the calling thread.
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -75,17 +75,8 @@
   if (const auto Refusal = policy::checkFirst(State, Now)) {
     return Refusal;
   }
-  if (const auto StopEnd = Owner.stopEnd()) {
-    const bool HasObjective = Call.Request.Objective != policy::TimePoint{};
-    const auto Deadline = policy::deadlineBeforeStop(
-        {.Deadline = State.Deadline,
-         .Objective =
-             HasObjective ? Call.Request.Objective - Now : policy::Duration{}},
-        Now, *StopEnd);
-    if (!Deadline) {
-      return ErrorKind::Shutdown;
-    }
-    State.Deadline = Call.Request.Deadline = *Deadline;
+  if (!limitToStop(Now)) {
+    return ErrorKind::Shutdown;
   }
   ServiceRuntime &Runtime = *Call.Runtime;
   const std::lock_guard Lock(Runtime.Mutex);
@@ -97,6 +88,24 @@
   return std::nullopt;
 }
 
+bool EntryCall::limitToStop(policy::TimePoint Now) {
+  const auto Stop = Owner.stop();
+  if (!Stop) {
+    return true;
+  }
+  const bool HasObjective = Call.Request.Objective != policy::TimePoint{};
+  const auto Deadline = policy::deadlineBeforeStop(
+      {.Deadline = State.Deadline,
+       .Objective =
+           HasObjective ? Call.Request.Objective - Now : policy::Duration{},
+       .Idempotent = State.Idempotent},
+      *Stop, Now);
+  if (Deadline) {
+    State.Deadline = Call.Request.Deadline = *Deadline;
+  }
+  return Deadline.has_value();
+}
+
 std::optional<EntryCall::Attempt>
 EntryCall::chooseTarget(policy::Error &ChooseError) {
   ServiceRuntime &Runtime = *Call.Runtime;
@@ -140,8 +149,10 @@
 }
 
 std::optional<policy::Outcome> EntryCall::startAttempt() {
-  policy::Error ChooseError;
-  std::optional<Attempt> Current = chooseTarget(ChooseError);
+  policy::Error ChooseError{ErrorKind::Shutdown,
+                            "the node stops before the deadline"};
+  std::optional<Attempt> Current =
+      limitToStop(now()) ? chooseTarget(ChooseError) : std::nullopt;
   if (!Current) {
     if (InFlight.empty()) {
       Result = LastError
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -61,6 +61,9 @@
   };
 
   [[nodiscard]] std::optional<policy::ErrorKind> initialRefusal();
+  // Limits the deadline to the end of a planned stop. Returns false if no
+  // attempt may start because the stop could cut it.
+  [[nodiscard]] bool limitToStop(policy::TimePoint Now);
   // Starts an attempt. Returns an outcome if the attempt ended immediately.
   [[nodiscard]] std::optional<policy::Outcome> startAttempt();
   [[nodiscard]] std::optional<Attempt> chooseTarget(policy::Error &LastError);
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -5,6 +5,7 @@
 #include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
+#include "policy/overload/late_request.h"
 #include "settings/record/backend_record.h"
 #include "settings/record/record_key.h"
 
@@ -17,9 +18,6 @@
 
 namespace {
 
-// Part of the grace period of a stop that is left for the end of the process
-// after its last request.
-constexpr std::chrono::milliseconds ReservedForExit{1000};
 // Time after the last deadline for the responses to be sent.
 constexpr std::chrono::milliseconds LastResponses{200};
 
@@ -317,17 +315,19 @@
 }
 
 void Node::beginStop() {
+  const policy::TimePoint Now = now();
+  StopEnd = Now + (Settings.ShutdownGrace.count() > 0
+                       ? policy::timeForRequests(Settings.ShutdownGrace)
+                       : Settings.ShutdownAnnounce + Settings.ShutdownTimeout);
   Stopping = true;
-  StopEnd =
-      now() + (Settings.ShutdownGrace.count() > 0
-                   ? Settings.ShutdownGrace - ReservedForExit
-                   : Settings.ShutdownAnnounce + Settings.ShutdownTimeout);
-  EntryNode.beginStop(StopEnd);
+  EntryNode.beginStop(
+      {.Announced = Now + Settings.ShutdownAnnounce, .End = StopEnd});
+  LocalSidecar.beginStop(StopEnd);
   CallerRequests.beginClose();
 }
 
 void Node::beginDrain() {
-  LocalSidecar.drain();
+  LocalSidecar.drainNode();
   Backend.setDraining(true);
   if (Control) {
     Control->announceDraining();
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -202,7 +202,10 @@
 }
 
 void Sidecar::onBackendDraining() {
-  drain();
+  {
+    const std::lock_guard Lock(Mutex);
+    policy::drain(Admitted);
+  }
   Backend.setDraining(true);
 }
 
@@ -243,6 +246,11 @@
   policy::onBackendIncarnation(Admitted, State.Run, Now);
 }
 
+void Sidecar::beginStop(policy::TimePoint End) {
+  const std::lock_guard Lock(Mutex);
+  policy::beginStop(Admitted, End);
+}
+
 void Sidecar::setZoneOut(bool Out) { ZoneOut = Out; }
 
 void Sidecar::setRun(policy::Incarnation Run) {
@@ -250,9 +258,9 @@
   Ledger.Self = Run;
 }
 
-void Sidecar::drain() {
+void Sidecar::drainNode() {
   const std::lock_guard Lock(Mutex);
-  policy::drain(Admitted);
+  policy::drainNode(Admitted);
 }
 
 void Sidecar::holdSlot(std::unique_ptr<BackendConnection> Connection,
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -116,8 +116,11 @@
   void apply(const LocalBackendState &State, policy::TimePoint Now);
   // Applies changed admission limits. Other options stay as at the start.
   void reload(const SidecarOptions &Next);
-  // Refuses new requests; waiting and running ones continue.
-  void drain();
+  // Refuses new requests until the end of the process, whatever the backend
+  // server reports; waiting and running ones continue.
+  void drainNode();
+  // Refuses new requests that a stop of the node at this time would cut.
+  void beginStop(policy::TimePoint End);
   // Refuses new requests while the zone of this node is out of service.
   void setZoneOut(bool Out);
   // Applies the incarnation by which the cluster knows this node. It is higher
--- a/packages/daemon/test/daemon/entry/end_to_end.cpp
+++ b/packages/daemon/test/daemon/entry/end_to_end.cpp
@@ -5,6 +5,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <future>
 #include <thread>
@@ -258,6 +259,64 @@
   EXPECT_TRUE(Stopping.Running.finishStop());
 }
 
+// Guards against a request of another node that a stopping sidecar passes on
+// and cuts when it ends.
+TEST_F(EndToEnd, AStoppingSidecarRejectsWhatCannotEndInTime) {
+  std::atomic<int> Runs = 0;
+  start([&Runs](const std::string &) {
+    ++Runs;
+    return plainResponse("ok");
+  });
+  settings::NodeSettings Settings = nodeSettings();
+  Settings.ShutdownTimeout = std::chrono::milliseconds(5000);
+  BackendNode = std::make_unique<TestNode>(Settings, Backend->port());
+  startEntry(Settings.PeerPort);
+  BackendNode->Running.beginStop();
+  const std::string Late = EntryNode->ask(
+      request("POST", "/", "", "Magnolia-Deadline-Ms: 9000\r\n"));
+  EXPECT_THAT(Late, HasSubstr("503"));
+  EXPECT_THAT(Late, HasSubstr("Magnolia-Run: no"));
+  EXPECT_EQ(Runs, 0);
+  EXPECT_TRUE(BackendNode->Running.finishStop());
+}
+
+// Guards against a request from before a stop that a stopping node sends once
+// more and cuts when it ends.
+TEST_F(EndToEnd, AStoppingNodeDoesNotRetryWhatCannotEndInTime) {
+  std::promise<void> Reached;
+  std::promise<void> Released;
+  std::atomic<int> Runs = 0;
+  const auto Refuse = [&](const std::string &) {
+    if (++Runs == 1) {
+      Reached.set_value();
+      Released.get_future().wait();
+    }
+    return std::string("HTTP/1.1 503 Service Unavailable\r\n"
+                       "Backend-Shed: 1\r\nContent-Length: 0\r\n\r\n");
+  };
+  start(Refuse);
+  ScriptedBackend OtherBackend(Refuse);
+  TestNode Other(nodeSettings(), OtherBackend.port());
+  settings::NodeSettings Settings = EntryNode->Running.Settings;
+  Settings.PeerPort = freePort();
+  Settings.ShutdownTimeout = std::chrono::milliseconds(5000);
+  Settings.RetryBurst = Settings.RetryFloor = 10;
+  Settings.Static.push_back(Settings.Static.front());
+  Settings.Static.back().PeerPort = Other.Running.Settings.PeerPort;
+  TestNode Stopping(std::move(Settings));
+  const UniqueFd Caller = Stopping.connect();
+  ASSERT_TRUE(sendAll(
+      Caller.fd(), request("POST", "/", "", "Magnolia-Deadline-Ms: 9000\r\n"),
+      {}, now() + TestTimeout));
+  Reached.get_future().wait();
+  Stopping.Running.beginStop();
+  Released.set_value();
+  EXPECT_THAT(TestNode::readResponse(Caller.fd()),
+              HasSubstr("Magnolia-Run: no"));
+  EXPECT_EQ(Runs, 1);
+  EXPECT_TRUE(Stopping.Running.finishStop());
+}
+
 // Guards against a request that fails because the node beside its backend
 // server stops, although the backend server only needs one more call.
 TEST_F(EndToEnd, AStoppingNodeServesTheCallsOfItsBackendServer) {
--- a/packages/daemon/test/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call.cpp
@@ -48,6 +48,16 @@
   }
 }
 
+// Guards against a stopping node whose next report of the backend server ends
+// its draining.
+TEST_F(SidecarCallTest, ReportDoesNotEndTheDrainingOfTheNode) {
+  startBackend([](const std::string &) { return plainResponse("ok"); });
+  Own.drainNode();
+  Backend.setDraining(true);
+  attach(Scripted->port());
+  EXPECT_EQ(run(request()).Kind, ErrorKind::Draining);
+}
+
 // Guards against a refused connection that is reported as a possible run or
 // leaves a ledger entry behind.
 TEST_F(SidecarCallTest, RefusedConnectionIsNotRun) {
--- a/packages/policy/src/policy/admission/admission_state.h
+++ b/packages/policy/src/policy/admission/admission_state.h
@@ -68,6 +68,11 @@
   // responses show whether the limit is right.
   bool StepReachedLimit = false;
   bool Draining = false;
+  // True if the node itself drains; a report of the backend server does not end
+  // that.
+  bool NodeDraining = false;
+  // Time at which a stopping node cuts the requests that still run.
+  TimePoint StopEnd = TimePoint::max();
 };
 
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/admission/admit.cpp
+++ b/packages/policy/src/policy/admission/admit.cpp
@@ -121,9 +121,12 @@
 
 AdmissionDecision admit(AdmissionState &State, const AdmissionQuery &Query,
                         TimePoint Now) {
-  if (State.Draining) {
+  if (State.Draining || State.NodeDraining) {
     return refuse(State, ErrorKind::Draining);
   }
+  if (Query.Deadline > State.StopEnd) {
+    return refuse(State, ErrorKind::Shutdown);
+  }
   if (Now >= Query.Deadline) {
     return refuse(State, ErrorKind::DeadlineExceededNotRun);
   }
@@ -237,6 +240,10 @@
 
 void drain(AdmissionState &State) { State.Draining = true; }
 
+void drainNode(AdmissionState &State) { State.NodeDraining = true; }
+
+void beginStop(AdmissionState &State, TimePoint End) { State.StopEnd = End; }
+
 std::uint32_t limit(const AdmissionState &State) {
   std::uint32_t Limit = internal::warmLimit(State);
   if (!State.Options.AnnouncesCold) {
@@ -255,7 +262,7 @@
           .Latency = State.Latency,
           .WorkTimePercent = State.WorkTimePercent,
           .Run = State.Backend,
-          .Draining = State.Draining,
+          .Draining = State.Draining || State.NodeDraining,
           .ColdStart = internal::isRamping(State)};
 }
 
--- a/packages/policy/src/policy/admission/admit.h
+++ b/packages/policy/src/policy/admission/admit.h
@@ -90,8 +90,14 @@
 // caller still calls complete for the request.
 void onConnectFailure(AdmissionState &State, TimePoint Now);
 
-// Refuses new requests from now on; waiting and running requests continue.
+// Refuse new requests of a backend server that leaves, or on a node that does;
+// waiting and running requests continue.
 void drain(AdmissionState &State);
+void drainNode(AdmissionState &State);
+
+// Refuses new requests whose deadline is after the end of the node, which would
+// cut them. Another sidecar can take them.
+void beginStop(AdmissionState &State, TimePoint End);
 
 // Returns the current limit of concurrent requests.
 [[nodiscard]] std::uint32_t limit(const AdmissionState &State);
--- a/packages/policy/src/policy/overload/late_request.h
+++ b/packages/policy/src/policy/overload/late_request.h
@@ -12,13 +12,29 @@
   TimePoint Deadline{};
   // Latency that the route aims for; 0 if it states none.
   Duration Objective{};
+  bool Idempotent = false;
 };
 
-// Returns the deadline with which the request may run, so that it ends before
-// the node does, or nothing if it is not expected to end in time. Answers the
-// load of callers that keep sending on open connections during a stop.
+// Course of a planned stop.
+struct StopWindow {
+  // Time by which callers and other nodes know that the node is leaving.
+  TimePoint Announced{};
+  // Time at which requests that still run are cut.
+  TimePoint End{};
+};
+
+// Returns the deadline with which the request may run at a stopping entry node,
+// or nothing if it has to be rejected as not run. A request runs if its
+// deadline is before the end of the stop, because its objective does not limit
+// how long it may take. Only an idempotent request of a caller that cannot know
+// of the stop yet may be cut: its caller can repeat it.
 [[nodiscard]] std::optional<TimePoint>
-deadlineBeforeStop(const LateRequest &Late, TimePoint Now, TimePoint StopEnd);
+deadlineBeforeStop(const LateRequest &Late, const StopWindow &Stop,
+                   TimePoint Now);
+
+// Returns the time after the signal to stop at which requests that still run
+// are cut, for a process that is killed after Grace.
+[[nodiscard]] Duration timeForRequests(Duration Grace);
 
 } // namespace magnolia::policy
 
--- a/packages/policy/test/policy/admission/admit.cpp
+++ b/packages/policy/test/policy/admission/admit.cpp
@@ -53,6 +53,18 @@
     {"a new request for a draining server",
      [](AdmissionState &State) { drain(State); }, NoDeadline,
      AdmissionAction::Refuse, ErrorKind::Draining},
+    {"a new request for a draining node after a report of its server",
+     [](AdmissionState &State) {
+       drainNode(State);
+       State.Draining = false;
+     },
+     NoDeadline, AdmissionAction::Refuse, ErrorKind::Draining},
+    {"a request that a stop would cut",
+     [](AdmissionState &State) { beginStop(State, Start + milliseconds(2)); },
+     Start + milliseconds(3), AdmissionAction::Refuse, ErrorKind::Shutdown},
+    {"a request that ends before a stop and is refused",
+     [](AdmissionState &State) { beginStop(State, Start + milliseconds(3)); },
+     Start + milliseconds(3), AdmissionAction::Run, ErrorKind::Internal},
     {"full load after a restart",
      [](AdmissionState &State) {
        onBackendIncarnation(State, 2, Start);
