Reject no manifest because of one text or list in it

A moved route is run by the old service, the new one gets 404, and a node that starts again knows no manifest and is never ready.

Cause: the routing table was read with the limits of service files that operators write by hand, and one line over a limit rejects the table. A manifest has been accepted before a node sees it.

Change: only the whole size of a table is limited. Names of services, versions and zones may have any characters and up to 128 bytes in check-ins, evacuations, rollouts, settings and membership messages, whose size now counts the sender's own record. The configuration table holds the largest translation of a value of the store.

--- a/packages/daemon/src/daemon/control/gossip_codec.cpp
+++ b/packages/daemon/src/daemon/control/gossip_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "policy/membership/member.h"
 #include "policy/membership/membership_message.h"
+#include "settings/record/limits.h"
 
 #include <limits>
 #include <wire/gossip.pb.h>
@@ -10,7 +11,7 @@
 
 namespace {
 
-constexpr std::size_t MaximumNameBytes = 128;
+constexpr std::size_t MaximumNameBytes = settings::MaxLabelSize;
 
 bool isPort(std::uint32_t Value) {
   return Value <= std::numeric_limits<std::uint16_t>::max();
--- a/packages/daemon/src/daemon/control/gossip_socket.cpp
+++ b/packages/daemon/src/daemon/control/gossip_socket.cpp
@@ -20,7 +20,9 @@
 namespace {
 
 // Largest datagram in bytes; it fits an Ethernet frame without fragmentation.
-constexpr std::size_t MaximumDatagram = 1200;
+// The sender's record and that of the receiver fit even if their names are as
+// long as allowed, without fragments on an Ethernet link.
+constexpr std::size_t MaximumDatagram = 1400;
 // Interval at which an idle receiver checks for a stop request.
 constexpr timeval ReceiveTimeout = {.tv_sec = 0, .tv_usec = 200000};
 
--- a/packages/policy/src/policy/config/config_limits.h
+++ b/packages/policy/src/policy/config/config_limits.h
@@ -10,7 +10,7 @@
   std::size_t MaxKeyBytes = 256;
   // The store holds values of at most 1 MiB; the translation of a value may be
   // larger than the value.
-  std::size_t MaxValueBytes = std::size_t{2} << 20;
+  std::size_t MaxValueBytes = std::size_t{3} << 20;
   // Tombstones count as entries.
   std::size_t MaxEntries = 16'384;
   // Sum over keys and values.
--- a/packages/policy/src/policy/membership/internal/datagram.cpp
+++ b/packages/policy/src/policy/membership/internal/datagram.cpp
@@ -56,7 +56,8 @@
                 NodeId To) {
   using Rank = MembershipState::UpdateQueue::Rank;
   MembershipState::UpdateQueue &Queue = State.Updates;
-  std::size_t Bytes = 0;
+  std::size_t Bytes =
+      encodedSize(State.Table.Members[State.Table.Index.at(State.Self)]);
   for (const Member &Update : Updates) {
     Bytes += encodedSize(Update);
   }
@@ -71,7 +72,7 @@
     if (Index && !Known) {
       const Member &Record = State.Table.Members[*Index];
       const std::size_t Size = encodedSize(Record);
-      if (Bytes + Size > State.Options.MaxUpdateBytes) {
+      if (Bytes + Size > State.Options.MaxRecordBytes) {
         break;
       }
       Bytes += Size;
--- a/packages/policy/src/policy/membership/membership_options.h
+++ b/packages/policy/src/policy/membership/membership_options.h
@@ -22,10 +22,11 @@
   std::size_t GossipFanout = 2;
   // An update is sent this many times ceil(log10 of the member count).
   std::size_t RetransmitFactor = 4;
-  // Updates per datagram. Together with MaxUpdateBytes this keeps the datagram
-  // below 1,200 bytes, including authentication and the other fields.
+  // Updates per datagram, and the bytes of the member records in it, the
+  // sender's own included. They keep the datagram below 1,200 bytes, including
+  // authentication and the other fields.
   std::size_t MaxUpdates = 16;
-  std::size_t MaxUpdateBytes = 900;
+  std::size_t MaxRecordBytes = 1050;
   // Updates sent per second over all datagrams, which limits the traffic after
   // a partition heals: at about 90 bytes each, they use 7 KB/s of the 23 KB/s
   // that a node may use for control traffic.
--- a/packages/policy/test/policy/membership/gossip.cpp
+++ b/packages/policy/test/policy/membership/gossip.cpp
@@ -1,4 +1,5 @@
 #include "policy/membership/fleet.h"
+#include "policy/membership/internal/datagram.h"
 
 #include <gtest/gtest.h>
 
@@ -66,6 +67,24 @@
          EXPECT_TRUE(viewOf(Run, I, 5)->Draining) << I;
        }
      }},
+    {"members with long names that no datagram can hold",
+     {},
+     [](Fleet &Run) {
+       // 1,400 bytes less those of the seal.
+       static constexpr std::size_t MaxMessage = 1350;
+       const std::string Long(128, 'n');
+       Run.Check = [](const Fleet &Now) {
+         for (const auto &[At, Sent] : Now.InFlight) {
+           EXPECT_LE(internal::encodedSize(Sent.Message), MaxMessage);
+         }
+       };
+       run(Run, SettleTime);
+       for (FleetNode &Node : Run.Nodes) {
+         announce(Node.State, {.Service = Long, .Version = Long});
+       }
+       expectSettled(Run);
+       EXPECT_EQ(viewOf(Run, 0, 5)->Version, Long);
+     }},
     {"a node that has left and is taken for a failed one",
      {},
      [](Fleet &Run) {
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -1,4 +1,5 @@
 #include "settings/node/setting_entry.h"
+#include "settings/record/limits.h"
 
 #include <type_traits>
 #include <utility>
@@ -10,7 +11,7 @@
 using Type = SettingType;
 
 constexpr std::int64_t Port = 65'535;
-constexpr std::int64_t NameBytes = 64;
+constexpr std::int64_t NameBytes = MaxLabelSize;
 constexpr std::int64_t PathBytes = 1024;
 constexpr std::int64_t Mebibyte = 1024 * 1024;
 constexpr std::int64_t HourMs = 3'600'000;
--- a/packages/settings/src/settings/record/backend_record.cpp
+++ b/packages/settings/src/settings/record/backend_record.cpp
@@ -47,8 +47,8 @@
   FieldReader Fields("backend record", Value);
   BackendReport Report;
   Report.Instance = Fields.text("instance", MaxTextSize);
-  Report.Service = Fields.name("service");
-  Report.Version = Fields.optionalText("version", MaxNameSize);
+  Report.Service = Fields.text("service", MaxLabelSize);
+  Report.Version = Fields.optionalText("version", MaxLabelSize);
   Report.Address = Fields.text("address", MaxTextSize);
   Report.Port = static_cast<std::uint16_t>(Fields.number("port", 1, MaxPort));
   Report.Slots =
--- a/packages/settings/src/settings/record/internal/field_reader.cpp
+++ b/packages/settings/src/settings/record/internal/field_reader.cpp
@@ -94,6 +94,14 @@
   return Field->get<std::string>();
 }
 
+std::string FieldReader::anyText(const char *Name) {
+  if (!isText(Name)) {
+    fail(Name, "a text");
+    return {};
+  }
+  return find(Name)->get<std::string>();
+}
+
 std::string FieldReader::name(const char *Name) {
   std::string Result = optionalText(Name, MaxNameSize);
   if (!isName(Result)) {
--- a/packages/settings/src/settings/record/internal/field_reader.h
+++ b/packages/settings/src/settings/record/internal/field_reader.h
@@ -46,6 +46,8 @@
   [[nodiscard]] bool isText(const char *Name) const;
   // Null if the field is absent or not a list of at most MaxSize elements.
   const nlohmann::json *array(const char *Name, std::size_t MaxSize);
+  // Text of any size, also an empty one, that must be there.
+  std::string anyText(const char *Name);
   // Empty if the field is absent.
   nlohmann::json object(const char *Name);
 
--- a/packages/settings/src/settings/record/internal/routing_line.cpp
+++ b/packages/settings/src/settings/record/internal/routing_line.cpp
@@ -72,10 +72,10 @@
 // A single service stands for a list of one with the weight 1.
 void readTargets(FieldReader &Fields, HostRoute &Route) {
   if (Fields.isText("targets")) {
-    Route.Targets.push_back({.Service = Fields.name("targets")});
+    Route.Targets.push_back({.Service = Fields.anyText("targets")});
     return;
   }
-  const Json *const List = Fields.array("targets", MaxTargets);
+  const Json *const List = Fields.array("targets", MaxRoutingSize);
   if (List == nullptr || List->empty()) {
     Fields.fail("targets", "a service or a list of at least one service");
     return;
@@ -195,9 +195,9 @@
 }
 
 void readRouteFields(FieldReader &Fields, HostRoute &Route) {
-  Route.Name = Fields.text("name", MaxPrefixSize);
-  Route.Host = Fields.text("host", MaxPrefixSize);
-  Route.Prefix = Fields.text("prefix", MaxPrefixSize);
+  Route.Name = Fields.anyText("name");
+  Route.Host = Fields.anyText("host");
+  Route.Prefix = Fields.anyText("prefix");
   Route.TimeoutMs = Fields.number("timeout_ms", 0, MaxTimeoutMs, 0);
   Route.ObjectiveMs = Fields.number("objective_ms", 0, MaxTimeoutMs, 0);
   Route.MaxAttempts = smallNumber(Fields, "max_attempts", 1, 1);
@@ -205,13 +205,13 @@
 }
 
 RouteTarget readTarget(FieldReader &Fields) {
-  return {.Service = Fields.name("service"),
+  return {.Service = Fields.anyText("service"),
           .Weight = Fields.real("weight", MaxWeight, 1)};
 }
 
 ServiceLimits readServiceFields(FieldReader &Fields) {
-  return {.Service = Fields.name("service"),
-          .HealthPath = Fields.optionalText("health_path", MaxPrefixSize),
+  return {.Service = Fields.anyText("service"),
+          .HealthPath = Fields.optionalText("health_path", MaxRoutingSize),
           .Connections = smallNumber(Fields, "connections", 0, 0),
           .ColdStartMs = Fields.number("cold_start_ms", 0, MaxTimeoutMs, 0),
           .ColdPerSecond = Fields.real("cold_per_second", MaxWeight, 0)};
--- a/packages/settings/src/settings/record/parse_record.cpp
+++ b/packages/settings/src/settings/record/parse_record.cpp
@@ -110,7 +110,7 @@
                                     policy::Error &LastError) {
   FieldReader Fields("zone record", Value);
   ZoneRecord Zone;
-  Zone.Zone = Fields.name("zone");
+  Zone.Zone = Fields.text("zone", MaxLabelSize);
   Zone.Out = Fields.flag("out");
   Zone.SinceMs = Fields.number("since_ms", 0, MaxTimeMs);
   Zone.OperationId = Fields.text("operation_id", MaxNameSize);
@@ -127,9 +127,9 @@
   StoredRollout Stored;
   policy::RolloutRecord &Rollout = Stored.Rollout;
   Rollout.Id = Fields.text("id", MaxNameSize);
-  Rollout.Service = Fields.name("service");
-  Rollout.FromVersion = Fields.name("from");
-  Rollout.ToVersion = Fields.name("to");
+  Rollout.Service = Fields.text("service", MaxLabelSize);
+  Rollout.FromVersion = Fields.text("from", MaxLabelSize);
+  Rollout.ToVersion = Fields.text("to", MaxLabelSize);
   Rollout.Start = timeOf(Fields.number("start_ms", 0, MaxTimeMs));
   Rollout.Deadline = timeOf(Fields.number("deadline_ms", 0, MaxTimeMs));
   const auto Phase = phaseOf(Fields.text("phase", MaxNameSize));
@@ -159,7 +159,7 @@
   Contact.Address = Fields.text("address", MaxTextSize);
   Contact.GossipPort =
       static_cast<std::uint16_t>(Fields.number("gossip_port", 1, MaxPort));
-  Contact.Zone = Fields.name("zone");
+  Contact.Zone = Fields.text("zone", MaxLabelSize);
   Contact.Incarnation = Fields.number("incarnation", 0, UINT64_MAX);
   if (Fields.report(LastError)) {
     return std::nullopt;
--- a/packages/settings/src/settings/record/routing_change.cpp
+++ b/packages/settings/src/settings/record/routing_change.cpp
@@ -101,10 +101,6 @@
   Change.Services = Last.Services +
                     countKind(Lines.Added, internal::ServiceLineStart) -
                     countKind(Lines.Removed, internal::ServiceLineStart);
-  if (Change.Routes > MaxHostRoutes || Change.Services > MaxHostRoutes) {
-    return reject(LastError, "more than " + std::to_string(MaxHostRoutes) +
-                                 " routes or services");
-  }
   if (const auto Wrong = parseLines(Lines.Added, Change.AddedRoutes,
                                     Change.AddedServices, LastError)) {
     return rejectLine(LastError, Value, *Wrong);
--- a/packages/settings/src/settings/record/routing_json.cpp
+++ b/packages/settings/src/settings/record/routing_json.cpp
@@ -43,7 +43,7 @@
   internal::readRouteFields(Fields, Route);
   Route.Idempotent = Fields.flag("idempotent");
   const bool Read = readEach(
-      Fields, "targets", MaxTargets, LastError, [&](FieldReader &Entry) {
+      Fields, "targets", MaxRoutingSize, LastError, [&](FieldReader &Entry) {
         Route.Targets.push_back(internal::readTarget(Entry));
         return true;
       });
@@ -61,12 +61,12 @@
   RoutingRecord Routing;
   Routing.Version = Fields.number("version", 0, UINT64_MAX);
   const bool Read =
-      readEach(Fields, "routes", MaxHostRoutes, LastError,
+      readEach(Fields, "routes", MaxRoutingSize, LastError,
                [&](FieldReader &Entry) {
                  return readRoute(Entry, Routing.Routes.emplace_back(),
                                   LastError);
                }) &&
-      readEach(Fields, "services", MaxHostRoutes, LastError,
+      readEach(Fields, "services", MaxRoutingSize, LastError,
                [&](FieldReader &Entry) {
                  Routing.Services.push_back(internal::readServiceFields(Entry));
                  return true;
@@ -92,8 +92,8 @@
                                                   policy::Error &LastError) {
   FieldReader Fields("rollout request", Value);
   RolloutRequest Requested;
-  Requested.Service = Fields.name("service");
-  Requested.ToVersion = Fields.name("to");
+  Requested.Service = Fields.text("service", MaxLabelSize);
+  Requested.ToVersion = Fields.text("to", MaxLabelSize);
   Requested.DurationMs = Fields.number("duration_ms", 1, MaxRolloutMs);
   if (Fields.report(LastError)) {
     return std::nullopt;
