Keep the record of a server that left when leases run out

Cause: the record that an acknowledged leave rests on had a lease, and its node took it for stored for good.

Change: no record has a lease; watchers delete the records of servers that left over ten minutes ago. The same promise had four more holes, closed here: a node took a check-in before it applied the record that it had read at its start; a leave without an earlier check-in, or of a new lifetime, was acknowledged and forgotten; a check-in could be written over a leave while both were being stored.

TheEntryOfALeavingServerHasALease asked for the fault and is replaced by NoEntryEndsWithALease and by the tests of the removal.

--- a/packages/daemon/src/daemon/announce/announcer.cpp
+++ b/packages/daemon/src/daemon/announce/announcer.cpp
@@ -1,5 +1,6 @@
 #include "daemon/announce/announcer.h"
 
+#include "daemon/control/clock.h"
 #include "daemon/entry/parse_call.h"
 #include "daemon/log/log.h"
 #include "daemon/net/clock.h"
@@ -93,8 +94,12 @@
   if (!Known) {
     return ReportVerdict::Foreign;
   }
+  BackendReport Received = Report;
+  if (Report.Stage == BackendStage::Left) {
+    Received.LeftAt = wallNow();
+  }
   const std::lock_guard Lock(Mutex);
-  const ReportVerdict Verdict = policy::acceptReport(State, Report, Now);
+  const ReportVerdict Verdict = policy::acceptReport(State, Received, Now);
   if (Verdict == ReportVerdict::Accepted && State.Known) {
     apply(*State.Known, Now);
   }
@@ -180,6 +185,7 @@
 // A report that arrives during a write is stored after it, so that the store
 // does not keep the earlier one.
 bool Announcer::persist() {
+  const std::lock_guard Writing(WriteMutex);
   while (const std::optional<BackendReport> Unstored = unstoredReport()) {
     if (!Given.Persist(*Unstored)) {
       return false;
--- a/packages/daemon/src/daemon/announce/announcer.h
+++ b/packages/daemon/src/daemon/announce/announcer.h
@@ -69,6 +69,9 @@
   LocalBackend &Backend;
   // Locked while a report is applied, so that reports take effect in order.
   mutable std::mutex Mutex;
+  // Locked during writes to the store, so that a report is not written over a
+  // later one.
+  std::mutex WriteMutex;
   policy::AnnounceState State;
   // Last report that was stored.
   std::optional<policy::BackendReport> Persisted;
--- a/packages/daemon/src/daemon/announce/report_store.cpp
+++ b/packages/daemon/src/daemon/announce/report_store.cpp
@@ -22,9 +22,6 @@
 // before the store was restored from a copy, and on the one that the store
 // names.
 constexpr int MaxTries = 3;
-// Time for which the entry of a server that leaves is needed: its late reports
-// must not bring it back.
-constexpr std::chrono::milliseconds LeaseDuration{600'000};
 
 } // namespace
 
@@ -56,14 +53,9 @@
 
 bool ReportStore::put(const policy::BackendReport &Report,
                       store::StoreError &LastError) {
-  const auto Lease = leaseFor(Report, LastError);
-  if (!Lease) {
-    return false;
-  }
   store::PutRequest Request = {
       .Key = settings::backendKey(Report.Address, Report.Port),
-      .Value = settings::formatBackend(Report),
-      .Lease = *Lease};
+      .Value = settings::formatBackend(Report)};
   Request.Expected = revisionOf(Request.Key);
   for (int Tries = 0; Tries < MaxTries; ++Tries) {
     if (const auto Written = Operations.Put(Request, CallTimeout, LastError)) {
@@ -78,15 +70,6 @@
   return false;
 }
 
-std::optional<store::LeaseId>
-ReportStore::leaseFor(const policy::BackendReport &Report,
-                      store::StoreError &LastError) {
-  if (Report.Stage == policy::BackendStage::Ready) {
-    return store::LeaseId{0};
-  }
-  return Operations.GrantLease(LeaseDuration, CallTimeout, LastError);
-}
-
 std::optional<bool> ReportStore::holds(const policy::BackendReport &Report) {
   if (!Operations.Read) {
     return true;
--- a/packages/daemon/src/daemon/announce/report_store.h
+++ b/packages/daemon/src/daemon/announce/report_store.h
@@ -17,7 +17,8 @@
 
 // Keeps the last report of the local backend server in the store, for a restart
 // of this node. A change costs one call, because the revision of the entry is
-// remembered. The entry of a server that leaves ends with a lease.
+// remembered. The entry has no lease: leases may run out in an outage of the
+// store, and the entry of a server that has left must outlive that.
 class ReportStore {
 public:
   // Without operations no report can be restored, so none has to be stored.
@@ -34,9 +35,6 @@
   [[nodiscard]] std::optional<bool> holds(const policy::BackendReport &Report);
 
 private:
-  // Returns the lease for the entry, 0 for none, or nothing on failure.
-  [[nodiscard]] std::optional<store::LeaseId>
-  leaseFor(const policy::BackendReport &Report, store::StoreError &LastError);
   [[nodiscard]] bool put(const policy::BackendReport &Report,
                          store::StoreError &LastError);
   [[nodiscard]] store::Revision revisionOf(const std::string &Key);
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -1,5 +1,6 @@
 #include "daemon/control/internal/control_core.h"
 
+#include "daemon/announce/report_cleanup.h"
 #include "daemon/control/clock.h"
 #include "daemon/control/config_keys.h"
 #include "daemon/control/view_builder.h"
@@ -29,6 +30,8 @@
 constexpr std::size_t MaximumQueuedTasks = 16384;
 constexpr std::chrono::milliseconds TickPeriod{50};
 constexpr std::chrono::milliseconds StoreTimeout{2000};
+// Interval at which a watcher removes the reports of servers that left.
+constexpr policy::Duration ReportRemovalInterval = std::chrono::hours(1);
 // Minimum time between two views.
 constexpr policy::Duration MinimumViewInterval = std::chrono::milliseconds(10);
 // Interval at which a view with shares that change with time is rebuilt.
@@ -235,6 +238,7 @@
     readContacts(Now);
     updateStoreWatch(Now);
     writeLostRecords(Now);
+    removeReports(Now);
   }
 }
 
@@ -285,6 +289,18 @@
   });
 }
 
+void ControlCore::removeReports(policy::TimePoint Now) {
+  const bool Due = NextRemoval != policy::TimePoint{} && Now >= NextRemoval;
+  if (Due && Join.Watching) {
+    Store->submit([](const store::StoreOperations &Operations) {
+      (void)removeObsoleteReports(Operations, wallNow());
+    });
+  }
+  if (Due || NextRemoval == policy::TimePoint{}) {
+    NextRemoval = Now + ReportRemovalInterval;
+  }
+}
+
 void ControlCore::publishView(policy::TimePoint Now) {
   const bool Outdated = Config->isOutdated(settings::RoutingKey);
   if (Membership->generation() != ViewGeneration ||
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -62,6 +62,9 @@
   void readContacts(policy::TimePoint Now);
   void updateStoreWatch(policy::TimePoint Now);
   void writeContact();
+  // Deletes reports in the store that are not needed any more, from time to
+  // time while this node watches the store.
+  void removeReports(policy::TimePoint Now);
   void publishView(policy::TimePoint Now);
   void onEntry(const policy::ConfigEntry &Entry, ConfigRunner::Source From);
   void applyPendingRouting();
@@ -98,6 +101,8 @@
   policy::TimePoint LastView;
   policy::JoinState Join;
   policy::RestoreState Restore;
+  // Time of the next removal of reports. Not set before the first tick.
+  policy::TimePoint NextRemoval{};
   std::thread Thread;
 };
 
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -99,7 +99,7 @@
 }
 
 bool Node::start(policy::Error &LastError) {
-  takeReportRevision();
+  restoreStartReport();
   if (!Settings.Static.empty()) {
     publishStatic();
   }
@@ -191,7 +191,7 @@
   return !View->Routing || View->Routing->Services->contains(Service);
 }
 
-void Node::takeReportRevision() {
+void Node::restoreStartReport() {
   if (!Known) {
     return;
   }
@@ -200,6 +200,7 @@
   for (const store::WatchEvent &Entry : Known->Events) {
     if (Entry.Key == Key) {
       Reports.setRevision(Key, Entry.ModRevision);
+      restoreReport(Entry.Value);
     }
   }
 }
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -96,8 +96,9 @@
   [[nodiscard]] HttpResponse
   readinessResponse(const HttpRequest &Request) const;
   [[nodiscard]] bool isKnownService(std::string_view Service) const;
-  // Takes the revision of the stored report from the records of the start.
-  void takeReportRevision();
+  // Restores the report that the records of the start hold. To be called before
+  // the node listens: a late report would be taken for the first one.
+  void restoreStartReport();
   void restoreReport(std::string_view Value);
   [[nodiscard]] std::string healthPath() const;
   void publishStatic();
--- a/packages/daemon/test/daemon/announce/announcer.cpp
+++ b/packages/daemon/test/daemon/announce/announcer.cpp
@@ -4,7 +4,10 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <chrono>
 #include <functional>
+#include <future>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -76,6 +79,31 @@
   EXPECT_TRUE(Written.empty());
 }
 
+// Guards against an earlier report that is written over the leave report while
+// both are being stored. A node that restarts then takes the server for ready.
+TEST_F(AnnouncerTest, NoReportIsWrittenOverALaterOne) {
+  std::future<bool> Second;
+  (void)Tested.applyReport(report(BackendStage::Ready), now());
+  OnWrite = [this, &Second] {
+    (void)Tested.applyReport(report(BackendStage::Left), now());
+    Second =
+        std::async(std::launch::async, [this] { return Tested.storeAgain(); });
+    // Time in which a write that does not wait for this one would end.
+    (void)Second.wait_for(std::chrono::milliseconds(200));
+  };
+  EXPECT_TRUE(Tested.storeAgain());
+  EXPECT_TRUE(Second.get());
+  ASSERT_FALSE(Written.empty());
+  EXPECT_EQ(Written.back().Stage, BackendStage::Left);
+  const auto FirstLeft = std::find_if(
+      Written.begin(), Written.end(), [](const BackendReport &Report) {
+        return Report.Stage == BackendStage::Left;
+      });
+  EXPECT_TRUE(std::all_of(FirstLeft, Written.end(), [](const auto &Report) {
+    return Report.Stage == BackendStage::Left;
+  }));
+}
+
 // Guards against a failed write that counts as done.
 TEST_F(AnnouncerTest, FailedWriteIsReported) {
   (void)Tested.applyReport(report(BackendStage::Ready), now());
--- a/packages/daemon/test/daemon/announce/report_store.cpp
+++ b/packages/daemon/test/daemon/announce/report_store.cpp
@@ -1,6 +1,8 @@
 #include "daemon/announce/report_store.h"
 
+#include "daemon/announce/report_cleanup.h"
 #include "policy/announce/backend_report.h"
+#include "settings/record/backend_record.h"
 #include "settings/record/record_key.h"
 #include "store/core/put_request.h"
 #include "store/core/store_error.h"
@@ -8,6 +10,7 @@
 #include <gtest/gtest.h>
 
 #include <chrono>
+#include <string>
 #include <string_view>
 #include <utility>
 #include <vector>
@@ -114,14 +117,70 @@
   EXPECT_TRUE(Tested.write(report(BackendStage::Draining)));
 }
 
-// Guards against entries of servers that have left and stay in the store.
-TEST(ReportStore, TheEntryOfALeavingServerHasALease) {
+// Guards against a server that left and is in use again, because its entry was
+// lost with a lease in an outage of the store.
+TEST(ReportStore, NoEntryEndsWithALease) {
   CountingStore Store;
   ReportStore Tested(Store.operations());
   EXPECT_TRUE(Tested.write(report(BackendStage::Ready)));
   EXPECT_TRUE(Tested.write(report(BackendStage::Draining)));
   EXPECT_TRUE(Tested.write(report(BackendStage::Left)));
-  EXPECT_EQ(Store.Leases, (std::vector<store::LeaseId>{0, 5, 5}));
+  EXPECT_EQ(Store.Leases, (std::vector<store::LeaseId>{0, 0, 0}));
+}
+
+// Guards against a leave before the first heartbeat whose entry no restarted
+// node can read.
+TEST(ReportStore, LeaveWithoutAServiceIsReadable) {
+  BackendReport Left = report(BackendStage::Left);
+  Left.Service.clear();
+  Left.LeftAt = policy::TimePoint(milliseconds(1'700'000'000'123));
+  policy::Error LastError;
+  const auto Read =
+      settings::parseBackend(settings::formatBackend(Left), LastError);
+  ASSERT_TRUE(Read) << LastError.Detail;
+  EXPECT_EQ(Read->Stage, BackendStage::Left);
+  EXPECT_EQ(Read->LeftAt, Left.LeftAt);
+}
+
+// Guards against entries of servers that have left and stay in the store, and
+// against the removal of those that are needed or were written again.
+TEST(ReportCleanup, RemovesReportsOfServersThatLeftLongAgo) {
+  const policy::TimePoint Now{std::chrono::hours(1000)};
+  BackendReport Old = report(BackendStage::Left);
+  Old.LeftAt = Now - std::chrono::hours(1);
+  BackendReport Recent = Old;
+  Recent.LeftAt = Now - std::chrono::minutes(1);
+  const store::RangeResult Held{
+      .Entries = {
+          {.Key = "old",
+           .Value = settings::formatBackend(Old),
+           .ModRevision = 1},
+          {.Key = "again",
+           .Value = settings::formatBackend(Old),
+           .ModRevision = 2},
+          {.Key = "recent",
+           .Value = settings::formatBackend(Recent),
+           .ModRevision = 3},
+          {.Key = "ready",
+           .Value = settings::formatBackend(report(BackendStage::Ready)),
+           .ModRevision = 4},
+          {.Key = "unreadable", .Value = "{", .ModRevision = 5}}};
+  std::vector<std::string> Deleted;
+  store::StoreOperations Store;
+  Store.Range = [&Held](std::string_view, milliseconds, store::StoreError &) {
+    return std::optional(Held);
+  };
+  Store.Delete =
+      [&Deleted](std::string_view Key, store::Revision, milliseconds,
+                 store::StoreError &) -> std::optional<store::Revision> {
+    if (Key == "again") {
+      return std::nullopt;
+    }
+    Deleted.emplace_back(Key);
+    return store::Revision{10};
+  };
+  EXPECT_EQ(removeObsoleteReports(Store, Now), 1U);
+  EXPECT_EQ(Deleted, std::vector<std::string>{"old"});
 }
 
 } // namespace
--- a/packages/policy/src/policy/announce/accept_report.cpp
+++ b/packages/policy/src/policy/announce/accept_report.cpp
@@ -6,6 +6,9 @@
 
 namespace {
 
+// Time after which no report of a server that has left is still on its way.
+constexpr Duration LeftRecordLifetime = std::chrono::minutes(10);
+
 bool sameIncarnation(const BackendReport &Known, const BackendReport &Report) {
   return Known.Instance == Report.Instance &&
          (Known.Born == Report.Born || Report.Born == 0 || Known.Born == 0);
@@ -24,12 +27,21 @@
          Report.Sequence <= Known.Sequence;
 }
 
+bool isLater(const BackendReport &Known, const BackendReport &Report) {
+  return Known.Born != 0 && Report.Born > Known.Born;
+}
+
 // A leave report names only the instance; the other fields keep their last
-// known values.
+// known values. If no heartbeat of this incarnation has arrived yet, one may
+// arrive late, so the incarnation is remembered all the same.
 void applyLeave(AnnounceState &State, const BackendReport &Report) {
-  if (State.Known && sameIncarnation(*State.Known, Report)) {
-    State.Known->Stage = BackendStage::Left;
+  if (!State.Known || !sameIncarnation(*State.Known, Report)) {
+    State.Known = Report;
+    State.Known->Address = State.Address;
+    State.Known->Port = State.Port;
   }
+  State.Known->Stage = BackendStage::Left;
+  State.Known->LeftAt = Report.LeftAt;
 }
 
 } // namespace
@@ -46,7 +58,8 @@
     if (Older || (Same && isOutOfOrder(Known, Report))) {
       return ReportVerdict::Stale;
     }
-    if (!Same && Report.Stage == BackendStage::Left) {
+    if (!Same && Report.Stage == BackendStage::Left &&
+        !isLater(Known, Report)) {
       return ReportVerdict::Stale;
     }
   }
@@ -59,6 +72,7 @@
   BackendReport Next = Report;
   if (State.Known && sameIncarnation(*State.Known, Report)) {
     Next.Stage = std::max(Next.Stage, State.Known->Stage);
+    Next.LeftAt = State.Known->LeftAt;
   }
   State.Known = std::move(Next);
   return ReportVerdict::Accepted;
@@ -79,6 +93,11 @@
          Left.Service == Right.Service;
 }
 
+bool isObsolete(const BackendReport &Stored, TimePoint WallNow) {
+  return Stored.Stage == BackendStage::Left && Stored.LeftAt != TimePoint{} &&
+         WallNow - Stored.LeftAt > LeftRecordLifetime;
+}
+
 bool confirm(AnnounceState &State, std::string_view Instance, TimePoint Now) {
   if (!State.Known || State.Known->Instance != Instance) {
     return false;
--- a/packages/policy/src/policy/announce/accept_report.h
+++ b/packages/policy/src/policy/announce/accept_report.h
@@ -32,6 +32,11 @@
 [[nodiscard]] bool restoresTheSame(const BackendReport &Left,
                                    const BackendReport &Right);
 
+// Returns true if a stored report is not needed any more: its server has left,
+// and no earlier report of it can still arrive. LeftAt and WallNow come from
+// the clocks of different nodes.
+[[nodiscard]] bool isObsolete(const BackendReport &Stored, TimePoint WallNow);
+
 // Handles a response from the health endpoint in which the backend server names
 // its instance. Returns true if this confirms the restored report.
 bool confirm(AnnounceState &State, std::string_view Instance, TimePoint Now);
--- a/packages/policy/src/policy/announce/backend_report.h
+++ b/packages/policy/src/policy/announce/backend_report.h
@@ -27,6 +27,8 @@
   // Incarnation of the backend server; a later start has a higher value. 0 if
   // not stated.
   Incarnation Born = 0;
+  // Wall-clock time at which this node received the leave report.
+  TimePoint LeftAt{};
 };
 
 } // namespace magnolia::policy
--- a/packages/policy/test/policy/announce/accept_report.cpp
+++ b/packages/policy/test/policy/announce/accept_report.cpp
@@ -63,6 +63,22 @@
        report(0, Left, 7),
        Stale,
        Ready},
+      {"a server is ready by a late heartbeat after it left before its first "
+       "one arrived",
+       {report(0, Left)},
+       report(1, Ready),
+       Accepted,
+       Left},
+      {"the same while its node knows the server that was there before",
+       {report(40, Ready, 7, "i-0"), report(0, Left, 9, "i-2")},
+       report(1, Ready, 9, "i-2"),
+       Accepted,
+       Left},
+      {"the same for a restart with the same id",
+       {report(40, Ready, 7), report(0, Left, 9)},
+       report(1, Ready, 9),
+       Accepted,
+       Left},
       {"a restart with the same id is taken for late heartbeats",
        {report(40, Draining, 7)},
        report(1, Ready, 9),
@@ -101,6 +117,18 @@
   EXPECT_EQ(State.Known->Stage, Ready);
 }
 
+// Guards against records that are removed while a late heartbeat could still
+// arrive, and against those of servers in use.
+TEST(AcceptReport, OnlyReportsOfServersThatLeftLongAgoAreObsolete) {
+  BackendReport Stored = report(1, Left, 7);
+  EXPECT_FALSE(isObsolete(Stored, Start));
+  Stored.LeftAt = Start;
+  EXPECT_FALSE(isObsolete(Stored, Start + std::chrono::minutes(10)));
+  EXPECT_TRUE(isObsolete(Stored, Start + std::chrono::minutes(11)));
+  Stored.Stage = Draining;
+  EXPECT_FALSE(isObsolete(Stored, Start + std::chrono::hours(100)));
+}
+
 // Guards against requests to a server that is gone, or to another one at the
 // address of the server known before the restart.
 TEST(AcceptReport, RestoredServerIsConfirmedOnce) {
--- a/packages/settings/src/settings/record/backend_record.cpp
+++ b/packages/settings/src/settings/record/backend_record.cpp
@@ -38,7 +38,10 @@
       {"slots", Report.Slots},
       {"stage", StageNames[static_cast<std::size_t>(Report.Stage)]},
       {"sequence", Report.Sequence},
-      {"born", Report.Born}}
+      {"born", Report.Born},
+      {"left_ms", std::chrono::floor<std::chrono::milliseconds>(
+                      Report.LeftAt.time_since_epoch())
+                      .count()}}
       .dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
@@ -47,7 +50,8 @@
   FieldReader Fields("backend record", Value);
   BackendReport Report;
   Report.Instance = Fields.text("instance", MaxTextSize);
-  Report.Service = Fields.text("service", MaxLabelSize);
+  // A server may leave before its first heartbeat has told its service.
+  Report.Service = Fields.optionalText("service", MaxLabelSize);
   Report.Version = Fields.optionalText("version", MaxLabelSize);
   Report.Address = Fields.text("address", MaxTextSize);
   Report.Port = static_cast<std::uint16_t>(Fields.number("port", 1, MaxPort));
@@ -60,6 +64,8 @@
   Report.Stage = Stage.value_or(BackendStage::Left);
   Report.Sequence = Fields.number("sequence", 0, UINT64_MAX);
   Report.Born = Fields.number("born", 0, UINT64_MAX);
+  Report.LeftAt = policy::TimePoint(
+      std::chrono::milliseconds(Fields.number("left_ms", 0, MaxTimeMs, 0)));
   if (Fields.report(LastError)) {
     return std::nullopt;
   }
