Limit the memory of all bodies that a node holds together

Cause: each body had a limit of its own (64 MiB on machines of 160 to 512 MB), their sum had none.

Change: one budget for the bodies of requests and responses, a quarter of the memory that the platform states, or body_memory_bytes. A large body may take half of what the others leave, an eighth is kept for small ones. A request that does not fit is rejected as not run and its rest discarded, a response that does not fit ends its request. Health responses are limited to 64 KiB, buffers that have grown are freed.

--- a/packages/daemon/src/daemon/dialect/dialect.h
+++ b/packages/daemon/src/daemon/dialect/dialect.h
@@ -65,6 +65,10 @@
   // the [interface] keys of the settings state it. Null if they never do.
   std::optional<policy::Duration> (*ReadStopGrace)(
       const std::map<std::string, std::string> &InterfaceKeys) = nullptr;
+  // Returns the memory of the process in bytes, if the same keys state it. Null
+  // if they never do.
+  std::optional<std::size_t> (*ReadMemoryBytes)(
+      const std::map<std::string, std::string> &InterfaceKeys) = nullptr;
   store::StoreOperations (*OpenStore)(const store::HttpStoreOptions &Options) =
       nullptr;
 };
--- a/packages/daemon/src/daemon/dump/dump.cpp
+++ b/packages/daemon/src/daemon/dump/dump.cpp
@@ -1,6 +1,7 @@
 #include "daemon/dump/dump.h"
 
 #include "daemon/entry/entry.h"
+#include "daemon/memory/body_memory.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/net/clock.h"
 #include "daemon/sidecar/sidecar.h"
@@ -191,4 +192,12 @@
   return textOf(Value);
 }
 
+std::string dumpBodyMemory(const BodyMemory &From) {
+  const policy::ByteBudget Budget = From.state();
+  return textOf(Json{{"total_bytes", Budget.Total},
+                     {"held_bytes", Budget.Held},
+                     {"peak_bytes", Budget.Peak},
+                     {"refused", Budget.Refused}});
+}
+
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/dump/dump.h
+++ b/packages/daemon/src/daemon/dump/dump.h
@@ -9,6 +9,7 @@
 namespace magnolia::daemon {
 
 class Entry;
+class BodyMemory;
 class LocalBackend;
 class Metrics;
 class Sidecar;
@@ -35,6 +36,7 @@
 [[nodiscard]] std::string dumpSidecar(const Sidecar &From,
                                       const LocalBackend &Backend);
 [[nodiscard]] std::string dumpMetrics(const Metrics &From);
+[[nodiscard]] std::string dumpBodyMemory(const BodyMemory &From);
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/daemon/entry/http_service.cpp
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -22,14 +22,20 @@
 
 // Limits on reading and discarding the rest of a rejected request. Without
 // this, a connection reset could discard the response before it is read.
-constexpr std::size_t DrainBytes = std::size_t{4} << 20;
-constexpr policy::Duration DrainTime = std::chrono::milliseconds(500);
+struct DrainLimits {
+  std::size_t Bytes = std::size_t{4} << 20;
+  policy::Duration Time = std::chrono::milliseconds(500);
+};
 
-void drainInput(int Fd) {
+// Time in which a caller may go on sending a body that was rejected for lack of
+// memory.
+constexpr policy::Duration RejectedBodyTime = std::chrono::seconds(5);
+
+void drainInput(int Fd, const DrainLimits &Limits) {
   ::shutdown(Fd, SHUT_WR);
   std::array<char, 16'384> Buffer{};
-  const policy::TimePoint Until = now() + DrainTime;
-  for (std::size_t Total = 0; Total < DrainBytes;) {
+  const policy::TimePoint Until = now() + Limits.Time;
+  for (std::size_t Total = 0; Total < Limits.Bytes;) {
     const auto Count = receiveSome(Fd, Buffer);
     if (Count < 0 || (Count == 0 && !waitReadable(Fd, Until))) {
       return;
@@ -65,7 +71,7 @@
 }
 
 void HttpService::serve(Session &Accepted) {
-  HttpReader Reader(HttpReader::Kind::Request, Options.Limits);
+  HttpReader Reader(HttpReader::Kind::Request, Options.Limits, Options.Memory);
   // Start of the previous request if the next one arrived during it.
   std::optional<policy::TimePoint> WaitedSince;
   for (;;) {
@@ -113,7 +119,7 @@
       return Reader.takeRequest();
     }
     if (Status != HttpReadStatus::NeedMore) {
-      rejectMalformed(Accepted.fd(), Status, Current.Limits);
+      rejectUnread(Accepted.fd(), Status, Current.Limits);
       return std::nullopt;
     }
     if (Reader.expectsContinue() && !ContinueSent) {
@@ -154,9 +160,11 @@
   return waitReadable(Accepted.fd(), Latest);
 }
 
-void HttpService::rejectMalformed(int Fd, HttpReadStatus Status,
-                                  const HttpLimits &Limits) {
-  Counts.count(Counter::MalformedRequests);
+void HttpService::rejectUnread(int Fd, HttpReadStatus Status,
+                               const HttpLimits &Limits) {
+  if (Status != HttpReadStatus::NoMemory) {
+    Counts.count(Counter::MalformedRequests);
+  }
   HttpResponse Response;
   if (Status == HttpReadStatus::BodyTooLarge) {
     Response = errorResponse(Speaks, ErrorKind::BodyTooLarge,
@@ -164,6 +172,10 @@
                                  std::to_string(Limits.BodyBytes) + " bytes",
                              false);
     Counts.countError(ErrorKind::BodyTooLarge);
+  } else if (Status == HttpReadStatus::NoMemory) {
+    Response = errorResponse(Speaks, ErrorKind::Overloaded,
+                             "the node has no memory for the body", false);
+    Counts.countError(ErrorKind::Overloaded);
   } else {
     Response = errorResponse(
         Speaks, ErrorKind::BadRequest,
@@ -177,7 +189,10 @@
   }
   Response.KeepAlive = false;
   if (write(Fd, Response, {})) {
-    drainInput(Fd);
+    drainInput(Fd, Status == HttpReadStatus::NoMemory
+                       ? DrainLimits{.Bytes = Limits.BodyBytes,
+                                     .Time = RejectedBodyTime}
+                       : DrainLimits{});
   }
 }
 
@@ -226,6 +241,7 @@
   Response.Status = Result.Status;
   Response.Headers = std::move(Result.Headers);
   Response.Body = std::move(Result.Body);
+  Response.Share = std::move(Result.Share);
   return Response;
 }
 
--- a/packages/daemon/src/daemon/entry/http_service.h
+++ b/packages/daemon/src/daemon/entry/http_service.h
@@ -20,6 +20,8 @@
 
 struct HttpServiceOptions {
   HttpLimits Limits;
+  // Memory for the bodies of requests; null for no limit on their sum.
+  BodyMemory *Memory = nullptr;
   // Maximum idle time between two requests on a connection.
   policy::Duration Idle{};
   // Maximum pause within a request or response.
@@ -69,7 +71,8 @@
                                        const Session &Accepted,
                                        const HttpServiceOptions &Current,
                                        policy::TimePoint HeadStart);
-  void rejectMalformed(int Fd, HttpReadStatus Status, const HttpLimits &Limits);
+  // Responds to a request that was not read whole and does not run.
+  void rejectUnread(int Fd, HttpReadStatus Status, const HttpLimits &Limits);
   [[nodiscard]] bool write(int Fd, const HttpResponse &Response,
                            std::string_view Method);
 
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -124,6 +124,7 @@
   Call.Request.Target = std::move(Request.Target);
   Call.Request.Headers = std::move(Request.Headers);
   Call.Request.Body = std::move(Request.Body);
+  Call.Request.Share = std::move(Request.Share);
 }
 
 // Calls made for a request that is already running take priority over new
--- a/packages/daemon/src/daemon/http/message.h
+++ b/packages/daemon/src/daemon/http/message.h
@@ -1,10 +1,12 @@
 #ifndef DAEMON_HTTP_MESSAGE_H
 #define DAEMON_HTTP_MESSAGE_H
 
+#include "daemon/memory/fwd.h"
 #include "policy/core/types.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,12 +22,17 @@
 
 using HttpHeaders = std::vector<HttpHeader>;
 
+// Share of the node's memory that a body uses; null for a body that is not
+// counted.
+using BodyShare = std::shared_ptr<HeldBytes>;
+
 struct HttpRequest {
   std::string Method;
   // Path and query.
   std::string Target;
   HttpHeaders Headers;
   std::string Body;
+  BodyShare Share;
   // False if the connection closes after the response.
   bool KeepAlive = true;
   // Time from which the time budget of the request counts.
@@ -36,6 +43,7 @@
   std::uint16_t Status = 200;
   HttpHeaders Headers;
   std::string Body;
+  BodyShare Share;
   bool KeepAlive = true;
 };
 
--- a/packages/daemon/src/daemon/http/reader.cpp
+++ b/packages/daemon/src/daemon/http/reader.cpp
@@ -1,9 +1,13 @@
 #include "daemon/http/reader.h"
 
+#include "daemon/memory/held_bytes.h"
+
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <algorithm>
 #include <cstring>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -16,6 +20,8 @@
 using ResponseParser = beast::response_parser<beast::string_body>;
 
 constexpr std::size_t ReadBytes = 16'384;
+// Larger buffers are freed after a message.
+constexpr std::size_t KeptBytes = 65'536;
 constexpr unsigned FirstFinalStatus = 200;
 // More interim responses to one request than any server has a use for.
 constexpr std::size_t MaxInterimResponses = 16;
@@ -62,6 +68,8 @@
 struct HttpReader::State {
   Kind Read;
   HttpLimits Limits;
+  BodyMemory *Memory = nullptr;
+  BodyShare Share;
   std::optional<RequestParser> Request;
   std::optional<ResponseParser> Response;
   bool SkipBody = false;
@@ -72,6 +80,11 @@
   std::size_t End = 0;
 
   void start() {
+    Share.reset();
+    if (Begin == End && Bytes.size() > KeptBytes) {
+      Bytes = {};
+      Begin = End = 0;
+    }
     if (Read == Kind::Request) {
       setUp(Request, Limits);
     } else {
@@ -80,6 +93,22 @@
     }
   }
 
+  // Returns false if the node has no memory for the body of the message. A
+  // stated length counts before the body has arrived.
+  template <class Parser> bool holdBody(const Parser &To) {
+    if (Memory == nullptr || !To.is_header_done()) {
+      return true;
+    }
+    std::size_t Size = To.get().body().capacity();
+    if (!To.is_done()) {
+      Size = std::max<std::size_t>(Size, To.content_length().value_or(0));
+    }
+    if (!Share && Size > HeldBytes::UncountedBytes) {
+      Share = std::make_shared<HeldBytes>(*Memory);
+    }
+    return !Share || Share->resize(Size);
+  }
+
   template <class Parser> HttpReadStatus advance(Parser &To) {
     while (!To.is_done() && Begin < End) {
       boost::system::error_code ParseError;
@@ -98,6 +127,9 @@
       if (ParseError) {
         return statusOf(ParseError);
       }
+      if (!holdBody(To)) {
+        return HttpReadStatus::NoMemory;
+      }
     }
     if (To.is_header_done() && tooManyHeaders(To.get())) {
       return HttpReadStatus::HeadTooLarge;
@@ -121,10 +153,11 @@
   }
 };
 
-HttpReader::HttpReader(Kind Read, HttpLimits Limits)
+HttpReader::HttpReader(Kind Read, HttpLimits Limits, BodyMemory *Memory)
     : Impl(std::make_unique<State>()) {
   Impl->Read = Read;
   Impl->Limits = Limits;
+  Impl->Memory = Memory;
   Impl->start();
 }
 
@@ -209,6 +242,7 @@
   Request.Target.assign(Target.data(), Target.size());
   Request.Headers = takeHeaders(Message);
   Request.Body = std::move(Message.body());
+  Request.Share = std::move(Impl->Share);
   Request.KeepAlive = Impl->Request->keep_alive();
   return Request;
 }
@@ -219,6 +253,7 @@
   Response.Status = static_cast<std::uint16_t>(Message.result_int());
   Response.Headers = takeHeaders(Message);
   Response.Body = std::move(Message.body());
+  Response.Share = std::move(Impl->Share);
   Response.KeepAlive = Impl->Response->keep_alive();
   return Response;
 }
--- a/packages/daemon/src/daemon/http/reader.h
+++ b/packages/daemon/src/daemon/http/reader.h
@@ -2,6 +2,7 @@
 #define DAEMON_HTTP_READER_H
 
 #include "daemon/http/message.h"
+#include "daemon/memory/fwd.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -26,6 +27,8 @@
   Malformed,
   HeadTooLarge,
   BodyTooLarge,
+  // The node has no memory for the body.
+  NoMemory,
 };
 
 // Parses HTTP/1.1 messages from a byte stream with Boost.Beast. cpp-httplib is
@@ -36,7 +39,9 @@
 public:
   enum class Kind : std::uint8_t { Request, Response };
 
-  HttpReader(Kind Read, HttpLimits Limits);
+  // Bodies take their memory from the given one; null for no limit on the sum
+  // of all bodies.
+  HttpReader(Kind Read, HttpLimits Limits, BodyMemory *Memory = nullptr);
   ~HttpReader();
   HttpReader(HttpReader &&) noexcept;
   HttpReader &operator=(HttpReader &&) noexcept;
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -27,10 +27,11 @@
            const Dialect &Dialect, std::optional<store::WatchResult> Records)
     : Settings(std::move(Given)), Key(std::move(ClusterKey)), Speaks(Dialect),
       Id(policy::nodeIdOf(Settings.Address, Settings.PeerPort)),
-      Run(wallClockIncarnation()), Known(std::move(Records)),
-      Reports(openStore(Settings, Speaks)),
+      Run(wallClockIncarnation()), Bodies(Settings.BodyMemory),
+      Known(std::move(Records)), Reports(openStore(Settings, Speaks)),
       Peers(poolOptions(Settings, {.Node = Id, .Run = Run, .Key = Key})),
-      LocalSidecar(sidecarOptions(Settings, Speaks, Run), Backend, Counts),
+      LocalSidecar(sidecarOptions(Settings, Speaks, Run, Bodies), Backend,
+                   Counts),
       BackendAnnouncer({.Address = Settings.LocalBackend.Address,
                         .Port = Settings.LocalBackend.Port,
                         .SilentAfter = Settings.SilentAfter,
@@ -47,14 +48,15 @@
                               return Reports.holds(Report);
                             }},
                        Speaks, LocalSidecar, Backend),
-      EntryNode(entryOptions(Settings, Speaks, Id, Run),
+      EntryNode(entryOptions(Settings, Speaks, Id, Run, Bodies),
                 {.Views = Views,
                  .Overrides = Overrides,
                  .Responses = Responses,
                  .Peers = Peers,
                  .Own = LocalSidecar,
                  .Counts = Counts}),
-      PeerOptions(peerOptions(Settings, {.Node = Id, .Run = Run, .Key = Key})),
+      PeerOptions(
+          peerOptions(Settings, {.Node = Id, .Run = Run, .Key = Key}, Bodies)),
       PeerRequests(LocalSidecar, PeerOptions),
       Endpoints{
           .Backend = Backend,
@@ -74,6 +76,7 @@
           Counts, Speaks,
           {.Limits = {.HeadBytes = Settings.HeaderBytes,
                       .BodyBytes = Settings.BodyBytes},
+           .Memory = &Bodies,
            .Idle = Settings.CallerIdle,
            .Read = Settings.CallerRead},
           [this] {
@@ -96,6 +99,7 @@
   State.add("entry", [this] { return dumpEntry(EntryNode); });
   State.add("sidecar", [this] { return dumpSidecar(LocalSidecar, Backend); });
   State.add("metrics", [this] { return dumpMetrics(Counts); });
+  State.add("body_memory", [this] { return dumpBodyMemory(Bodies); });
 }
 
 bool Node::start(policy::Error &LastError) {
@@ -156,6 +160,7 @@
       std::move(RequestHandler), Counts, Speaks,
       HttpServiceOptions{.Limits = {.HeadBytes = Settings.HeaderBytes,
                                     .BodyBytes = Settings.HeaderBytes},
+                         .Memory = &Bodies,
                          .Idle = Settings.CallerIdle,
                          .Read = Settings.CallerRead});
   Added.Server = std::make_unique<ConnectionServer>(
@@ -312,7 +317,7 @@
 
 void Node::reload(const settings::NodeSettings &Next) {
   setLogLevel(logLevelOf(Next.LogLevel));
-  LocalSidecar.reload(sidecarOptions(Next, Speaks, Run));
+  LocalSidecar.reload(sidecarOptions(Next, Speaks, Run, Bodies));
 }
 
 void Node::beginStop() {
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -10,6 +10,7 @@
 #include "daemon/entry/http_service.h"
 #include "daemon/entry/local_endpoints.h"
 #include "daemon/entry/prober.h"
+#include "daemon/memory/body_memory.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/net/connection_server.h"
 #include "daemon/net/fiber_pool.h"
@@ -81,6 +82,8 @@
   ResponseRecorder Responses;
   LocalBackend Backend;
   Dump State;
+  // Memory for the bodies of all requests and responses.
+  BodyMemory Bodies;
 
 private:
   // Separate listener for announcements, readiness checks or metrics.
--- a/packages/daemon/src/daemon/node/node_options.cpp
+++ b/packages/daemon/src/daemon/node/node_options.cpp
@@ -43,11 +43,13 @@
 }
 
 SidecarOptions sidecarOptions(const settings::NodeSettings &Settings,
-                              const Dialect &Speaks, policy::Incarnation Run) {
+                              const Dialect &Speaks, policy::Incarnation Run,
+                              BodyMemory &Memory) {
   return {.Run = Run,
           .Speaks = &Speaks,
           .ResponseLimits = {.HeadBytes = Settings.HeaderBytes,
                              .BodyBytes = Settings.ResponseBytes},
+          .Memory = &Memory,
           .ConnectTimeout = Settings.ConnectTimeout,
           .MaxWaiting = Settings.WaitQueue,
           .UsableShare = Settings.UsablePercent / Percent,
@@ -60,7 +62,7 @@
 
 EntryOptions entryOptions(const settings::NodeSettings &Settings,
                           const Dialect &Speaks, policy::NodeId Id,
-                          policy::Incarnation Run) {
+                          policy::Incarnation Run, BodyMemory &Memory) {
   return {.Node = Id,
           .Run = Run,
           .Spin = Settings.Spin,
@@ -72,6 +74,7 @@
           .LocalService = Settings.LocalService,
           .Services = serviceOptions(Settings, Speaks),
           .Exchange = {.ResponseBytes = Settings.ResponseBytes,
+                       .Memory = &Memory,
                        .PingAfter = Settings.PingAfter,
                        .PingTimeout = Settings.PingTimeout,
                        .LostAfter =
@@ -79,10 +82,11 @@
 }
 
 PeerServiceOptions peerOptions(const settings::NodeSettings &Settings,
-                               const PeerIdentity &Own) {
+                               const PeerIdentity &Own, BodyMemory &Memory) {
   PeerServiceOptions Options;
   Options.Own = Own;
   Options.BodyBytes = Settings.BodyBytes;
+  Options.Memory = &Memory;
   Options.ReadTimeout = Settings.CallerRead;
   constexpr int IdleFactor = 3;
   Options.IdleTimeout = Settings.PeerIdle * IdleFactor;
--- a/packages/daemon/src/daemon/node/node_options.h
+++ b/packages/daemon/src/daemon/node/node_options.h
@@ -18,13 +18,13 @@
 poolOptions(const settings::NodeSettings &Settings, const PeerIdentity &Own);
 [[nodiscard]] SidecarOptions
 sidecarOptions(const settings::NodeSettings &Settings, const Dialect &Speaks,
-               policy::Incarnation Run);
-[[nodiscard]] EntryOptions entryOptions(const settings::NodeSettings &Settings,
-                                        const Dialect &Speaks,
-                                        policy::NodeId Id,
-                                        policy::Incarnation Run);
+               policy::Incarnation Run, BodyMemory &Memory);
+[[nodiscard]] EntryOptions
+entryOptions(const settings::NodeSettings &Settings, const Dialect &Speaks,
+             policy::NodeId Id, policy::Incarnation Run, BodyMemory &Memory);
 [[nodiscard]] PeerServiceOptions
-peerOptions(const settings::NodeSettings &Settings, const PeerIdentity &Own);
+peerOptions(const settings::NodeSettings &Settings, const PeerIdentity &Own,
+            BodyMemory &Memory);
 [[nodiscard]] policy::JoinOptions
 joinOptions(const settings::NodeSettings &Settings);
 
--- a/packages/daemon/src/daemon/peer/call.h
+++ b/packages/daemon/src/daemon/peer/call.h
@@ -21,6 +21,7 @@
   std::string Target;
   HttpHeaders Headers;
   std::string Body;
+  BodyShare Share;
   bool Idempotent = false;
   policy::TimePoint Deadline{};
   // Number of hops of the call chain, including this one.
@@ -45,6 +46,7 @@
   std::uint16_t Status = 0;
   HttpHeaders Headers;
   std::string Body;
+  BodyShare Share;
   std::optional<policy::ErrorKind> Kind;
   std::string Detail;
   policy::LoadReport Load;
--- a/packages/daemon/src/daemon/peer/call_frames.cpp
+++ b/packages/daemon/src/daemon/peer/call_frames.cpp
@@ -1,5 +1,6 @@
 #include "daemon/peer/call_frames.h"
 
+#include "daemon/memory/held_bytes.h"
 #include "daemon/peer/peer_connection.h"
 #include "wire/convert/convert.h"
 #include "wire/frame/limits.h"
@@ -45,6 +46,26 @@
   return true;
 }
 
+// Bytes of a frame besides its chunk of the body, and of the first one's
+// headers.
+constexpr std::size_t FrameOverhead = 64;
+constexpr std::size_t UsualHeadBytes = 4096;
+
+// Avoids the copies of a buffer that grows with a large body.
+void reserveFrames(PeerConnection &Connection, std::size_t BodyBytes) {
+  if (BodyBytes > BodyChunkBytes) {
+    const std::size_t Frames = BodyBytes / BodyChunkBytes + 1;
+    Connection.reserve(BodyBytes + Frames * FrameOverhead + UsualHeadBytes);
+  }
+}
+
+// Returns the memory that a body of this size will use, at least: a string
+// doubles its capacity when it grows.
+std::size_t capacityFor(const std::string &Body, std::size_t Size) {
+  return Size <= Body.capacity() ? Body.capacity()
+                                 : std::max(Size, 2 * Body.capacity());
+}
+
 bool queueChunks(PeerConnection &Connection, const policy::RequestId &Id,
                  std::string_view Rest) {
   wire::PeerFrame Frame;
@@ -80,6 +101,7 @@
 
 bool queueRequest(PeerConnection &Connection, const CallRequest &Request,
                   policy::TimePoint Now) {
+  reserveFrames(Connection, Request.Body.size());
   wire::PeerFrame Frame;
   wire::PeerRequest &Message = *Frame.mutable_request();
   wire::toWire(Request.Id, *Message.mutable_id());
@@ -109,6 +131,7 @@
 
 bool queueResponse(PeerConnection &Connection, const policy::RequestId &Id,
                    const CallResponse &Response) {
+  reserveFrames(Connection, Response.Body.size());
   wire::PeerFrame Frame;
   wire::PeerAnswer &Message = *Frame.mutable_answer();
   wire::toWire(Id, *Message.mutable_id());
@@ -138,9 +161,11 @@
 
 AssemblyStatus BodyAssembly::addChunk(std::string &Body, std::string_view Chunk,
                                       bool Last) {
-  if (!TooLarge && Body.size() + Chunk.size() > Limit) {
+  const std::size_t Size = Body.size() + Chunk.size();
+  if (!TooLarge && (Size > Limit || !hold(capacityFor(Body, Size)))) {
     TooLarge = true;
-    Body.clear();
+    Body = {};
+    Share.reset();
   }
   if (TooLarge) {
     return Last ? AssemblyStatus::TooLargeDone : AssemblyStatus::TooLargeMore;
@@ -149,6 +174,17 @@
   return Last ? AssemblyStatus::Done : AssemblyStatus::More;
 }
 
+bool BodyAssembly::hold(std::size_t Size) {
+  if (Memory == nullptr || (!Share && Size <= HeldBytes::UncountedBytes)) {
+    return true;
+  }
+  if (!Share) {
+    Share = std::make_shared<HeldBytes>(*Memory);
+  }
+  LacksMemory = !Share->resize(Size);
+  return !LacksMemory;
+}
+
 bool readRequest(const wire::PeerFrame &Frame, CallRequest &Request,
                  policy::TimePoint Now) {
   const wire::PeerRequest &Message = Frame.request();
--- a/packages/daemon/src/daemon/peer/call_frames.h
+++ b/packages/daemon/src/daemon/peer/call_frames.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_PEER_CALL_FRAMES_H
 #define DAEMON_PEER_CALL_FRAMES_H
 
+#include "daemon/memory/fwd.h"
 #include "daemon/peer/call.h"
 
 #include <cstddef>
@@ -28,7 +29,8 @@
 enum class AssemblyStatus : std::uint8_t {
   More,
   Done,
-  // The body exceeds the limit and its rest has not been read yet.
+  // The body exceeds the limit, or the node has no memory for it, and its rest
+  // has not been read yet.
   TooLargeMore,
   TooLargeDone,
   // The frame belongs to another message, or the sender aborted the body.
@@ -38,17 +40,30 @@
 // Assembles a body from its chunks, up to a size limit.
 class BodyAssembly {
 public:
-  BodyAssembly(std::size_t Limit, const policy::RequestId &Id)
-      : Limit(Limit), Id(Id) {}
+  // Null for no limit on the sum of all bodies.
+  BodyAssembly(std::size_t Limit, const policy::RequestId &Id,
+               BodyMemory *Memory = nullptr)
+      : Limit(Limit), Id(Id), Memory(Memory) {}
 
   [[nodiscard]] AssemblyStatus add(std::string &Body, wire::PeerBody &Chunk);
   [[nodiscard]] AssemblyStatus addChunk(std::string &Body,
                                         std::string_view Chunk, bool Last);
 
+  // True if the body is too large because the node has no memory for it.
+  [[nodiscard]] bool lacksMemory() const { return LacksMemory; }
+  // Returns the memory that the body uses.
+  [[nodiscard]] BodyShare share() const { return Share; }
+
 private:
+  // Returns false if the node has no memory for a body of this size.
+  [[nodiscard]] bool hold(std::size_t Size);
+
   std::size_t Limit;
   policy::RequestId Id;
+  BodyMemory *Memory;
+  BodyShare Share;
   bool TooLarge = false;
+  bool LacksMemory = false;
 };
 
 // Read the headers and fields of a first frame and leave the body in the frame.
--- a/packages/daemon/src/daemon/peer/peer_connection.cpp
+++ b/packages/daemon/src/daemon/peer/peer_connection.cpp
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr std::size_t ReadBytes = 16'384;
+// A larger buffer is freed after its bytes are sent.
+constexpr std::size_t KeptBytes = 65'536;
 
 } // namespace
 
@@ -20,9 +22,16 @@
 bool PeerConnection::flush(policy::TimePoint Deadline) {
   const bool Sent = sendAll(Fd, Outgoing, {}, Deadline);
   Outgoing.clear();
+  if (Outgoing.capacity() > KeptBytes) {
+    Outgoing = {};
+  }
   return Sent;
 }
 
+void PeerConnection::reserve(std::size_t Bytes) {
+  Outgoing.reserve(Outgoing.size() + Bytes);
+}
+
 bool PeerConnection::send(const wire::PeerFrame &Frame,
                           policy::TimePoint Deadline) {
   return queue(Frame) && flush(Deadline);
--- a/packages/daemon/src/daemon/peer/peer_connection.h
+++ b/packages/daemon/src/daemon/peer/peer_connection.h
@@ -44,6 +44,8 @@
   // is too long.
   [[nodiscard]] bool queue(const wire::PeerFrame &Frame);
   [[nodiscard]] bool flush(policy::TimePoint Deadline);
+  // Makes room for frames of this size in the output of the next flush.
+  void reserve(std::size_t Bytes);
   [[nodiscard]] bool send(const wire::PeerFrame &Frame,
                           policy::TimePoint Deadline);
 
--- a/packages/daemon/src/daemon/peer/peer_exchange.cpp
+++ b/packages/daemon/src/daemon/peer/peer_exchange.cpp
@@ -15,7 +15,7 @@
 bool PeerExchange::start(const CallRequest &Request, policy::TimePoint Now,
                          bool PingAtOnce) {
   Id = Request.Id;
-  Assembly = BodyAssembly(Options.ResponseBytes, Id);
+  Assembly = BodyAssembly(Options.ResponseBytes, Id, Options.Memory);
   if (!queueRequest(*Connection, Request, Now)) {
     return false;
   }
@@ -119,13 +119,16 @@
   case AssemblyStatus::TooLargeMore:
     return ExchangeStatus::Pending;
   case AssemblyStatus::Done:
+    Response.Share = Assembly.share();
     return ExchangeStatus::Done;
   case AssemblyStatus::TooLargeDone: {
     const policy::LoadReport Load = Response.Load;
-    Response =
-        callErrorResponse(policy::ErrorKind::AnswerTooLarge,
-                          "the answer body is over " +
-                              std::to_string(Options.ResponseBytes) + " bytes");
+    Response = callErrorResponse(
+        policy::ErrorKind::AnswerTooLarge,
+        Assembly.lacksMemory()
+            ? std::string("the entry node has no memory for the answer body")
+            : "the answer body is over " +
+                  std::to_string(Options.ResponseBytes) + " bytes");
     Response.Load = Load;
     return ExchangeStatus::Done;
   }
--- a/packages/daemon/src/daemon/peer/peer_exchange.h
+++ b/packages/daemon/src/daemon/peer/peer_exchange.h
@@ -24,6 +24,8 @@
 
 struct ExchangeOptions {
   std::size_t ResponseBytes = 0;
+  // Memory for the bodies of responses; null for no limit on their sum.
+  BodyMemory *Memory = nullptr;
   policy::Duration PingAfter{};
   // Time without a response to a ping after which the sidecar counts as
   // unresponsive, and after which the connection counts as lost. TCP
--- a/packages/daemon/src/daemon/sidecar/backend_pool.cpp
+++ b/packages/daemon/src/daemon/sidecar/backend_pool.cpp
@@ -59,7 +59,7 @@
   }
   return std::make_unique<BackendConnection>(BackendConnection{
       .Socket = std::move(Socket),
-      .Reader = HttpReader(HttpReader::Kind::Response, Limits),
+      .Reader = HttpReader(HttpReader::Kind::Response, Limits, Memory),
       .Generation = ToGeneration,
       .Reused = false});
 }
--- a/packages/daemon/src/daemon/sidecar/backend_pool.h
+++ b/packages/daemon/src/daemon/sidecar/backend_pool.h
@@ -38,7 +38,10 @@
 // reused first, so that surplus connections time out and are closed.
 class BackendPool {
 public:
-  explicit BackendPool(HttpLimits Limits) : Limits(Limits) {}
+  // Responses take their memory from the given one; null for no limit on their
+  // sum.
+  BackendPool(HttpLimits Limits, BodyMemory *Memory)
+      : Limits(Limits), Memory(Memory) {}
 
   // Changes the address and closes the idle connections to the old one.
   void setAddress(const std::string &NewAddress, std::uint16_t NewPort);
@@ -58,6 +61,7 @@
 
 private:
   const HttpLimits Limits;
+  BodyMemory *const Memory;
   mutable std::mutex Mutex;
   std::string Address;
   std::uint16_t Port = 0;
--- a/packages/daemon/src/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.cpp
@@ -16,6 +16,9 @@
 constexpr policy::Duration AbsentInterval = std::chrono::milliseconds(100);
 constexpr policy::Duration Timeout = std::chrono::milliseconds(500);
 
+// Largest body of a health response that is read.
+constexpr std::size_t MaxHealthBytes = 65'536;
+
 // Consecutive failed connections after which the backend server counts as
 // absent.
 constexpr int FailuresUntilAbsent = 2;
@@ -110,7 +113,18 @@
   if (Opts.FromSettings) {
     Request.Headers = {{"Connection", "close"}};
   }
+  const HttpLimits Usual = Owner.options().ResponseLimits;
+  To.Reader.limit({.HeadBytes = Usual.HeadBytes,
+                   .BodyBytes = std::min(Usual.BodyBytes, MaxHealthBytes)});
   To.Reader.begin(Request.Method);
+  auto Response = exchange(To, Request, Until);
+  To.Reader.limit(Usual);
+  return Response;
+}
+
+std::optional<HttpResponse> BackendWatch::exchange(BackendConnection &To,
+                                                   const HttpRequest &Request,
+                                                   policy::TimePoint Until) {
   if (!sendAll(To.Socket.fd(), requestHead(Request, "localhost", 0), {},
                Until)) {
     return std::nullopt;
--- a/packages/daemon/src/daemon/sidecar/backend_watch.h
+++ b/packages/daemon/src/daemon/sidecar/backend_watch.h
@@ -44,6 +44,10 @@
   // Returns nothing if the backend server sends no complete response.
   [[nodiscard]] std::optional<HttpResponse> readLoad(BackendConnection &To,
                                                      const std::string &Path);
+  // Sends the request and reads the response. Returns nothing on failure.
+  [[nodiscard]] static std::optional<HttpResponse>
+  exchange(BackendConnection &To, const HttpRequest &Request,
+           policy::TimePoint Until);
   [[nodiscard]] std::unique_ptr<BackendConnection> connect();
   [[nodiscard]] bool namesRequest(const HttpResponse &Response) const;
   void applyHealth(const HttpResponse &Response);
--- a/packages/daemon/src/daemon/sidecar/peer_service.cpp
+++ b/packages/daemon/src/daemon/sidecar/peer_service.cpp
@@ -91,16 +91,13 @@
   CallRequest Request;
   const bool Readable = readRequest(Frame, Request, now());
   const policy::RequestId Id = Request.Id;
-  const auto Body = readBody(Connection, Request, Frame);
+  bool LacksMemory = false;
+  const auto Body = readBody(Connection, Request, Frame, LacksMemory);
   if (!Body) {
     return Next::Close;
   }
   if (!Readable || *Body == AssemblyStatus::TooLargeDone) {
-    CallResponse Refusal = callErrorResponse(
-        Readable ? ErrorKind::BodyTooLarge : ErrorKind::BadRequest,
-        Readable
-            ? "the body is over " + std::to_string(Options.BodyBytes) + " bytes"
-            : "the request from the entry node is malformed");
+    CallResponse Refusal = bodyRefusal(Readable, LacksMemory);
     Refusal.Load = Owner.load();
     return sendResponse(Connection, Id, Refusal);
   }
@@ -112,10 +109,25 @@
   return sendResponse(Connection, Id, Call.response());
 }
 
+CallResponse PeerService::bodyRefusal(bool Readable, bool LacksMemory) const {
+  if (!Readable) {
+    return callErrorResponse(ErrorKind::BadRequest,
+                             "the request from the entry node is malformed");
+  }
+  if (LacksMemory) {
+    return callErrorResponse(ErrorKind::Overloaded,
+                             "the sidecar has no memory for the body");
+  }
+  return callErrorResponse(ErrorKind::BodyTooLarge,
+                           "the body is over " +
+                               std::to_string(Options.BodyBytes) + " bytes");
+}
+
 std::optional<AssemblyStatus> PeerService::readBody(PeerConnection &Connection,
                                                     CallRequest &Request,
-                                                    wire::PeerFrame &Frame) {
-  BodyAssembly Assembly(Options.BodyBytes, Request.Id);
+                                                    wire::PeerFrame &Frame,
+                                                    bool &LacksMemory) {
+  BodyAssembly Assembly(Options.BodyBytes, Request.Id, Options.Memory);
   AssemblyStatus Status = Assembly.addChunk(
       Request.Body, Frame.request().body(), !Frame.request().body_continues());
   while (Status == AssemblyStatus::More ||
@@ -136,6 +148,8 @@
     }
     Status = Assembly.add(Request.Body, *Frame.mutable_body());
   }
+  Request.Share = Assembly.share();
+  LacksMemory = Assembly.lacksMemory();
   return Status == AssemblyStatus::Broken ? std::nullopt
                                           : std::optional(Status);
 }
--- a/packages/daemon/src/daemon/sidecar/peer_service.h
+++ b/packages/daemon/src/daemon/sidecar/peer_service.h
@@ -17,6 +17,8 @@
 struct PeerServiceOptions {
   PeerIdentity Own;
   std::size_t BodyBytes = 0;
+  // Memory for the bodies of requests; null for no limit on their sum.
+  BodyMemory *Memory = nullptr;
   policy::Duration HandshakeTimeout = std::chrono::seconds(2);
   // Maximum pause within a message.
   policy::Duration ReadTimeout = std::chrono::seconds(10);
@@ -44,10 +46,11 @@
   [[nodiscard]] Next serveRequest(PeerConnection &Connection,
                                   wire::PeerFrame &Frame);
   // Reads the rest of the request body. Returns nothing if the connection must
-  // be closed.
+  // be closed. Sets LacksMemory if the body is too large for that reason.
   [[nodiscard]] std::optional<AssemblyStatus>
   readBody(PeerConnection &Connection, CallRequest &Request,
-           wire::PeerFrame &Frame);
+           wire::PeerFrame &Frame, bool &LacksMemory);
+  [[nodiscard]] CallResponse bodyRefusal(bool Readable, bool LacksMemory) const;
   // Returns false if the entry node disconnected or sent an invalid frame.
   [[nodiscard]] bool waitForCall(PeerConnection &Connection, SidecarCall &Call);
   [[nodiscard]] bool takeFramesDuringCall(PeerConnection &Connection,
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -18,7 +18,7 @@
 
 Sidecar::Sidecar(SidecarOptions Opts, LocalBackend &Backend, Metrics &Counts)
     : Options(Opts), Backend(Backend), Counts(Counts),
-      Pool(Opts.ResponseLimits),
+      Pool(Opts.ResponseLimits, Opts.Memory),
       Ledger(Opts.Run, {.MaxRequests = Opts.LedgerEntries}),
       Cancelled([this] { complete({.NotSent = true}, now()); }) {
   Admitted.Options.AnnouncesCold = dialect().ReportsColdStart;
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -34,6 +34,8 @@
   // Null selects the native dialect.
   const Dialect *Speaks = nullptr;
   HttpLimits ResponseLimits;
+  // Memory for the bodies of responses; null for no limit on their sum.
+  BodyMemory *Memory = nullptr;
   policy::Duration ConnectTimeout{};
   std::uint32_t MaxWaiting = 16;
   // See policy::AdmissionOptions.
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -67,7 +67,7 @@
   // which the backend server did not state.
   [[nodiscard]] bool promisesFalsely(const HttpResponse &Response) const;
   void handleBrokenResponse(policy::TimePoint Now, std::string Reason);
-  void handleOversizedResponse(policy::TimePoint Now);
+  void handleOversizedResponse(policy::TimePoint Now, std::string Reason);
   void refuseUnsent(policy::ErrorKind Kind, std::string Detail,
                     policy::TimePoint Now);
   void finish(CallResponse Ended);
--- a/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
@@ -43,7 +43,14 @@
       }
       continue;
     case HttpReadStatus::BodyTooLarge:
-      handleOversizedResponse(Now);
+      handleOversizedResponse(
+          Now, "the answer body is over " +
+                   std::to_string(Owner.options().ResponseLimits.BodyBytes) +
+                   " bytes");
+      return true;
+    case HttpReadStatus::NoMemory:
+      handleOversizedResponse(Now,
+                              "the sidecar has no memory for the answer body");
       return true;
     case HttpReadStatus::HeadTooLarge:
     case HttpReadStatus::Malformed:
@@ -142,6 +149,7 @@
   }
   Ended.Headers = std::move(Response.Headers);
   Ended.Body = std::move(Response.Body);
+  Ended.Share = std::move(Response.Share);
   finish(std::move(Ended));
   return true;
 }
@@ -199,14 +207,12 @@
   finish(callErrorResponse(ErrorKind::BackendBrokenAnswer, std::move(Reason)));
 }
 
-void SidecarCall::handleOversizedResponse(policy::TimePoint Now) {
+void SidecarCall::handleOversizedResponse(policy::TimePoint Now,
+                                          std::string Reason) {
   Connection.reset();
   Owner.finishRun(Request, true);
   Owner.complete({.Latency = Now - Sent}, Now);
-  finish(callErrorResponse(
-      ErrorKind::AnswerTooLarge,
-      "the answer body is over " +
-          std::to_string(Owner.options().ResponseLimits.BodyBytes) + " bytes"));
+  finish(callErrorResponse(ErrorKind::AnswerTooLarge, std::move(Reason)));
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -3,10 +3,12 @@
 #include "daemon/node/settings_watch.h"
 #include "daemon/node/start_records.h"
 #include "platform/dialect.h"
+#include "policy/memory/byte_budget.h"
 #include "settings/node/read_settings.h"
 #include "wire/seal/cluster_key.h"
 
 #include <getopt.h>
+#include <malloc.h>
 #include <pthread.h>
 
 #include <csignal>
@@ -163,7 +165,17 @@
 
 } // namespace
 
+// Gives freed bodies back to the system. By default the C library keeps memory
+// of ever larger sizes once it has been freed.
+void limitKeptMemory() {
+#ifdef __GLIBC__
+  constexpr int MappedBytes = 256 * 1024;
+  (void)mallopt(M_MMAP_THRESHOLD, MappedBytes);
+#endif
+}
+
 int main(int Count, char **Arguments) {
+  limitKeptMemory();
   const CommandLine Line = parseCommandLine(Count, Arguments);
   if (Line.Status) {
     return *Line.Status;
@@ -197,6 +209,11 @@
     Settings->ShutdownGrace = Speaks.ReadStopGrace(Settings->InterfaceKeys)
                                   .value_or(policy::Duration{});
   }
+  if (Speaks.ReadMemoryBytes) {
+    if (const auto Memory = Speaks.ReadMemoryBytes(Settings->InterfaceKeys)) {
+      Settings->BodyMemory = policy::bodyBytesFor(*Memory);
+    }
+  }
   std::optional<store::WatchResult> Known;
   if (KeyInStore) {
     daemon::StartRecords Start = daemon::readStartRecords(
--- a/packages/daemon/test/daemon/entry/end_to_end.cpp
+++ b/packages/daemon/test/daemon/entry/end_to_end.cpp
@@ -238,6 +238,64 @@
   EXPECT_TRUE(EntryNode->Running.finishStop());
 }
 
+// Guards against bodies of callers that together take more than the memory of a
+// node, which ends with all its requests.
+TEST_F(EndToEnd, BodiesOverTheMemoryAreRejectedAsNotRun) {
+  start([](const std::string &) { return plainResponse("ok"); });
+  settings::NodeSettings Settings = EntryNode->Running.Settings;
+  Settings.PeerPort = freePort();
+  Settings.BodyMemory = std::size_t{2} << 20;
+  const TestNode Small(std::move(Settings));
+  const std::string Large(std::size_t{1} << 20, 'x');
+  const std::string Rejected = Small.ask(request("POST", "/", Large));
+  EXPECT_THAT(Rejected, HasSubstr("Magnolia-Error: Overloaded"));
+  EXPECT_THAT(Rejected, HasSubstr("Magnolia-Run: no"));
+  EXPECT_THAT(Rejected, HasSubstr("Connection: close"));
+  EXPECT_THAT(Small.ask("POST / HTTP/1.1\r\nMagnolia-Service: stock\r\n"
+                        "Transfer-Encoding: chunked\r\n\r\n100000\r\n" +
+                        Large + "\r\n0\r\n\r\n"),
+              HasSubstr("Magnolia-Run: no"));
+  EXPECT_EQ(Backend->requests().size(), 0U);
+  // Half of it fits, and a usual request does.
+  EXPECT_EQ(
+      bodyOf(Small.ask(request("POST", "/", Large.substr(Large.size() / 2)))),
+      "ok");
+  EXPECT_EQ(bodyOf(Small.ask(request("POST", "/", "small"))), "ok");
+  EXPECT_EQ(Small.Running.Bodies.state().Held, 0U);
+}
+
+// Guards against a sidecar that takes bodies of requests over its memory, and
+// against an entry node that takes such responses.
+TEST_F(EndToEnd, BodiesOverTheMemoryOfOneNodeEndTheirRequestOnly) {
+  const std::string Large(std::size_t{1} << 20, 'x');
+  start([&Large](const std::string &Request) {
+    return plainResponse(Request.starts_with("GET /large") ? Large : "ok");
+  });
+  settings::NodeSettings Small = nodeSettings();
+  Small.BodyMemory = std::size_t{2} << 20;
+  BackendNode = std::make_unique<TestNode>(Small, Backend->port());
+  startEntry(Small.PeerPort);
+  const std::string Sent = EntryNode->ask(request("POST", "/", Large));
+  EXPECT_THAT(Sent, HasSubstr("Magnolia-Error: Overloaded"));
+  EXPECT_THAT(Sent, HasSubstr("Magnolia-Run: no"));
+  EXPECT_EQ(Backend->requests().size(), 0U);
+  EXPECT_THAT(EntryNode->ask(request("GET", "/large")),
+              HasSubstr("Magnolia-Error: AnswerTooLarge"));
+  EXPECT_EQ(bodyOf(EntryNode->ask(request("POST", "/", "small"))), "ok");
+  EXPECT_EQ(BackendNode->Running.Bodies.state().Held, 0U);
+
+  BackendNode = std::make_unique<TestNode>(nodeSettings(), Backend->port());
+  startEntry(BackendNode->Running.Settings.PeerPort);
+  settings::NodeSettings SmallEntry = EntryNode->Running.Settings;
+  SmallEntry.PeerPort = freePort();
+  SmallEntry.BodyMemory = std::size_t{2} << 20;
+  const TestNode Entry(std::move(SmallEntry));
+  EXPECT_THAT(Entry.ask(request("GET", "/large")),
+              HasSubstr("Magnolia-Error: AnswerTooLarge"));
+  EXPECT_EQ(bodyOf(Entry.ask(request("POST", "/", "small"))), "ok");
+  EXPECT_EQ(Entry.Running.Bodies.state().Held, 0U);
+}
+
 // Guards against requests that arrive late in a planned stop, run, and are cut
 // without a response when the node ends.
 TEST_F(EndToEnd, AStoppingNodeRejectsWhatCannotEndInTime) {
--- a/packages/daemon/test/daemon/sidecar/sidecar_call_endless.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call_endless.cpp
@@ -1,6 +1,8 @@
 #include "../support/echo_dialect.h"
 #include "../support/sidecar_fixture.h"
 
+#include "daemon/memory/body_memory.h"
+
 #include <gtest/gtest.h>
 
 #include <chrono>
@@ -87,6 +89,85 @@
   }
 }
 
+// A sidecar whose limit on one body is larger than its memory.
+struct SidecarMemory : testing::Test {
+  static SidecarOptions options(BodyMemory &Memory) {
+    SidecarOptions Made = test::withDialect(&test::echoDialect());
+    Made.ResponseLimits.BodyBytes = std::size_t{64} << 20;
+    Made.Memory = &Memory;
+    return Made;
+  }
+
+  BodyMemory Memory{std::size_t{2} << 20};
+  Metrics Counts;
+  LocalBackend Backend;
+  Sidecar Own{options(Memory), Backend, Counts};
+
+  CallResponse run(std::uint16_t Port) {
+    const LocalBackendState State{.Service = "stock",
+                                  .Version = "1",
+                                  .Address = "127.0.0.1",
+                                  .Port = Port,
+                                  .Slots = 1,
+                                  .Present = true};
+    Backend.update(State);
+    Own.apply(State, now());
+    CallRequest Request;
+    Request.Id = {.Origin = 1, .Run = 1, .Sequence = 1};
+    Request.Service = "stock";
+    Request.Method = "GET";
+    Request.Target = "/a";
+    Request.Headers = {{"Request-Id", "r1"}};
+    Request.Idempotent = true;
+    Request.Deadline = now() + Deadline;
+    SidecarCall Call(Own, std::move(Request));
+    Call.start(now());
+    test::SidecarFixture::finish(Call);
+    return std::move(Call.response());
+  }
+};
+
+// Guards against a response without end of which a node keeps all bytes up to
+// the limit on one body, which is more than its memory.
+TEST_F(SidecarMemory, ResponsesWithoutEndStayWithinTheMemory) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
+  const EndlessRow Rows[] = {
+      {"chunks",
+       std::string(Chunked) + "[endless]1000\r\n" + std::string(4096, 'x') +
+           "\r\n",
+       ErrorKind::AnswerTooLarge},
+      {"a body without a length", Head + "\r\n[endless]x",
+       ErrorKind::AnswerTooLarge},
+      {"a stated length of almost all memory",
+       Head + "Content-Length: 1900000\r\n\r\n[endless]x",
+       ErrorKind::AnswerTooLarge},
+      {"a usual response", Head + "Content-Length: 2\r\n\r\nok", std::nullopt}};
+  for (const EndlessRow &Row : Rows) {
+    test::ScriptedBackend Scripted(
+        [&Row](const std::string &) { return Row.Raw; });
+    EXPECT_EQ(run(Scripted.port()).Kind, Row.Expected) << Row.Failure;
+    EXPECT_EQ(Memory.state().Held, 0U) << Row.Failure;
+  }
+  EXPECT_LE(Memory.state().Peak, std::size_t{2} << 20);
+  EXPECT_EQ(Memory.state().Refused, 3U);
+}
+
+// Guards against a response that stays counted after it was passed on, or is
+// not counted while it is kept.
+TEST_F(SidecarMemory, AResponseIsCountedUntilItIsDestroyed) {
+  const std::size_t Size = 100'000;
+  test::ScriptedBackend Scripted([Size](const std::string &) {
+    return "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nContent-Length: " +
+           std::to_string(Size) + "\r\n\r\n" + std::string(Size, 'x');
+  });
+  {
+    const CallResponse Response = run(Scripted.port());
+    EXPECT_EQ(Response.Body.size(), Size);
+    EXPECT_GE(Memory.state().Held, Size);
+  }
+  EXPECT_EQ(Memory.state().Held, 0U);
+}
+
 // Guards against bytes that arrive so slowly that no single read times out.
 TEST_F(SidecarEndless, SlowTable) {
   const std::string Head = "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\n";
--- /dev/null
+++ b/packages/policy/src/policy/memory/fwd.h
@@ -0,0 +1,10 @@
+#ifndef POLICY_MEMORY_FWD_H
+#define POLICY_MEMORY_FWD_H
+
+namespace magnolia::policy {
+
+struct ByteBudget;
+
+} // namespace magnolia::policy
+
+#endif
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -107,6 +107,7 @@
   Milliseconds ShutdownAnnounce{};
   Milliseconds ShutdownDrain{};
   Milliseconds ShutdownTimeout{};
+  std::size_t BodyMemory = std::size_t{256} << 20;
   // Time from the signal to stop until the process is killed, as the interface
   // states it; 0 if unknown. It replaces the sum of the times above.
   std::chrono::nanoseconds ShutdownGrace{};
--- a/packages/settings/src/settings/node/read_settings.cpp
+++ b/packages/settings/src/settings/node/read_settings.cpp
@@ -253,13 +253,15 @@
        << StaticRange
        << " | empty | One backend server; N is any text. At most "
        << StaticMaximum << " entries. |\n";
-  Page << "\n## [interface]\n\n"
-          "Optional: limits of the deployment under the names of the selected "
-          "interface. The platform interface reads grace_s, the seconds from "
-          "the signal to stop until the process is killed; they replace "
-          "shutdown_announce_ms and shutdown_timeout_ms as the time in which "
-          "requests must end. Other keys are ignored. At most "
-       << InterfaceKeysMaximum << " keys.\n";
+  Page
+      << "\n## [interface]\n\n"
+         "Optional: limits of the deployment under the names of the selected "
+         "interface. The platform interface reads memory_mb, the memory of the "
+         "process, of which a quarter replaces body_memory_bytes, and grace_s, "
+         "the seconds from the signal to stop until the process is killed; "
+         "they replace shutdown_announce_ms and shutdown_timeout_ms as the "
+         "time in which requests must end. Other keys are ignored. At most "
+      << InterfaceKeysMaximum << " keys.\n";
   return Page.str();
 }
 
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -214,6 +214,12 @@
     number<&N::ResponseBytes>(Limits, "answer_bytes", "16777216", 0,
                               1024 * Mebibyte, "bytes",
                               "Maximum size of a response body."),
+    number<&N::BodyMemory>(
+        Limits, "body_memory_bytes", "268435456", Mebibyte, 65'536 * Mebibyte,
+        "bytes",
+        "Memory for the bodies of all requests and responses that the node "
+        "holds. A large body may use half of what the others leave; requests "
+        "that do not fit are rejected as not run."),
     number<&N::HeaderBytes>(Limits, "header_bytes", "32768", 1024, 131'072,
                             "bytes",
                             "Maximum size of the head (first line and headers) "
