Receive signals from the first line of main on

Cause: the signals were blocked only after the records had been read from the store.

Change: ProcessSignals is made before anything else; the wait for the store sleeps in it, so a stop ends the wait. Exceptions that nothing handles end the process with a line and status 1.

--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -4,8 +4,6 @@
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
 #include "policy/overload/admit_service.h"
-#include "policy/overload/late_request.h"
-#include "policy/probe/next_probe.h"
 #include "policy/retry/plan_next.h"
 #include "policy/route/choose.h"
 
@@ -67,45 +65,6 @@
   return std::move(*Result);
 }
 
-std::optional<ErrorKind> EntryCall::initialRefusal() {
-  const policy::TimePoint Now = now();
-  if (State.Hops > Owner.Options.Hops) {
-    return ErrorKind::TooManyHops;
-  }
-  if (const auto Refusal = policy::checkFirst(State, Now)) {
-    return Refusal;
-  }
-  if (!limitToStop(Now)) {
-    return ErrorKind::Shutdown;
-  }
-  ServiceRuntime &Runtime = *Call.Runtime;
-  const std::lock_guard Lock(Runtime.Mutex);
-  policy::recordRequest(Runtime.Probes, Now);
-  if (!policy::admitService(Runtime.Overload, Now, threadEngine())) {
-    return ErrorKind::Overloaded;
-  }
-  policy::recordRequest(Runtime.Retries, Now);
-  return std::nullopt;
-}
-
-bool EntryCall::limitToStop(policy::TimePoint Now) {
-  const auto Stop = Owner.stop();
-  if (!Stop) {
-    return true;
-  }
-  const bool HasObjective = Call.Request.Objective != policy::TimePoint{};
-  const auto Deadline = policy::deadlineBeforeStop(
-      {.Deadline = State.Deadline,
-       .Objective =
-           HasObjective ? Call.Request.Objective - Now : policy::Duration{},
-       .Idempotent = State.Idempotent},
-      *Stop, Now);
-  if (Deadline) {
-    State.Deadline = Call.Request.Deadline = *Deadline;
-  }
-  return Deadline.has_value();
-}
-
 std::optional<EntryCall::Attempt>
 EntryCall::chooseTarget(policy::Error &ChooseError) {
   ServiceRuntime &Runtime = *Call.Runtime;
--- a/packages/daemon/src/daemon/node/start_records.cpp
+++ b/packages/daemon/src/daemon/node/start_records.cpp
@@ -13,7 +13,6 @@
 #include <optional>
 #include <random>
 #include <string>
-#include <thread>
 
 namespace magnolia::daemon {
 
@@ -63,19 +62,23 @@
 
 } // namespace
 
-StartRecords readStartRecords(const store::StoreOperations &Store,
-                              policy::Duration Jitter) {
+std::optional<StartRecords>
+readStartRecords(const store::StoreOperations &Store,
+                 const std::function<bool(policy::Duration)> &Sleep,
+                 policy::Duration Jitter) {
   policy::RandomEngine Random(std::random_device{}());
   std::uniform_int_distribution<policy::Duration::rep> Delay(0, Jitter.count());
-  std::this_thread::sleep_for(policy::Duration(Delay(Random)));
+  if (!Sleep(policy::Duration(Delay(Random)))) {
+    return std::nullopt;
+  }
   for (int Failures = 1;; ++Failures) {
     store::StoreError LastError;
     auto Range = Store.Range({}, CallTimeout, LastError);
     if (Range) {
       store::WatchResult Records = store::asWatchResult(*std::move(Range));
       if (auto Key = readOrCreateKey(Store, Records, LastError)) {
-        return {.Key = {.Bytes = *std::move(Key)},
-                .Records = std::move(Records)};
+        return StartRecords{.Key = {.Bytes = *std::move(Key)},
+                            .Records = std::move(Records)};
       }
     }
     if (LastError.Kind == store::StoreErrorKind::Conflict) {
@@ -83,7 +86,9 @@
     }
     log(LogLevel::Warning, "records not read at start",
         {{"reason", std::string_view(LastError.Detail)}});
-    std::this_thread::sleep_for(policy::storeBackoff(Failures, Random));
+    if (!Sleep(policy::storeBackoff(Failures, Random))) {
+      return std::nullopt;
+    }
   }
 }
 
--- a/packages/daemon/src/daemon/node/start_records.h
+++ b/packages/daemon/src/daemon/node/start_records.h
@@ -6,6 +6,9 @@
 #include "store/core/watch_result.h"
 #include "wire/seal/cluster_key.h"
 
+#include <functional>
+#include <optional>
+
 namespace magnolia::daemon {
 
 // Records that a node reads from the store at startup.
@@ -21,9 +24,12 @@
 // a random one by compare-and-swap, so that only one key is ever stored. Blocks
 // while the store is unavailable, because a node without the key cannot
 // communicate with others. The first call is delayed by a random part of
-// Jitter.
-[[nodiscard]] StartRecords readStartRecords(const store::StoreOperations &Store,
-                                            policy::Duration Jitter = {});
+// Jitter. Sleep waits for the given time and returns false if the process must
+// stop; the function then returns nothing.
+[[nodiscard]] std::optional<StartRecords>
+readStartRecords(const store::StoreOperations &Store,
+                 const std::function<bool(policy::Duration)> &Sleep,
+                 policy::Duration Jitter = {});
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,5 +1,6 @@
 #include "daemon/log/guarded.h"
 #include "daemon/node/node.h"
+#include "daemon/node/process_signals.h"
 #include "daemon/node/settings_watch.h"
 #include "daemon/node/start_records.h"
 #include "platform/dialect.h"
@@ -9,11 +10,11 @@
 
 #include <getopt.h>
 #include <malloc.h>
-#include <pthread.h>
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
-#include <ctime>
+#include <exception>
 #include <optional>
 #include <string>
 #include <thread>
@@ -95,38 +96,25 @@
   return 1;
 }
 
-// The main thread receives the signals by sigtimedwait, so every other thread
-// has to block them.
-sigset_t blockSignals() {
-  sigset_t Signals;
-  sigemptyset(&Signals);
-  sigaddset(&Signals, SIGTERM);
-  sigaddset(&Signals, SIGINT);
-  sigaddset(&Signals, SIGHUP);
-  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  std::signal(SIGPIPE, SIG_IGN);
-  return Signals;
-}
-
 const daemon::Dialect &dialectOf(const settings::NodeSettings &Settings) {
   return Settings.Interface == "platform" ? platform::platformDialect()
                                           : daemon::nativeDialect();
 }
 
 // Interval at which the settings file is checked without a signal.
-constexpr timespec SettingsInterval{.tv_sec = 2, .tv_nsec = 0};
+constexpr std::chrono::seconds SettingsInterval{2};
 
 // Reloads changed settings until a signal other than SIGHUP arrives, and
 // returns that signal.
 int waitForStop(daemon::Node &Node, daemon::SettingsWatch &Watch,
-                const sigset_t &Signals) {
+                const daemon::ProcessSignals &Signals) {
   for (;;) {
-    const int Signal = ::sigtimedwait(&Signals, nullptr, &SettingsInterval);
-    if (Signal > 0 && Signal != SIGHUP) {
-      return Signal;
+    const std::optional<int> Signal = Signals.wait(SettingsInterval);
+    if (Signal && *Signal != SIGHUP) {
+      return *Signal;
     }
     (void)daemon::runGuarded("reload", [&] {
-      if (const auto Changed = Watch.check(Signal == SIGHUP)) {
+      if (const auto Changed = Watch.check(Signal.has_value())) {
         Node.reload(*Changed);
       }
     });
@@ -135,8 +123,8 @@
 
 int runNode(settings::NodeSettings Settings, wire::ClusterKey Key,
             const daemon::Dialect &Speaks, daemon::SettingsWatch &Watch,
-            std::optional<store::WatchResult> Known) {
-  const sigset_t Signals = blockSignals();
+            std::optional<store::WatchResult> Known,
+            const daemon::ProcessSignals &Signals) {
   daemon::Node Node(std::move(Settings), std::move(Key), Speaks,
                     std::move(Known));
   policy::Error LastError;
@@ -163,8 +151,6 @@
   return 0;
 }
 
-} // namespace
-
 // Gives freed bodies back to the system. By default the C library keeps memory
 // of ever larger sizes once it has been freed.
 void limitKeptMemory() {
@@ -174,8 +160,9 @@
 #endif
 }
 
-int main(int Count, char **Arguments) {
+int run(int Count, char **Arguments) {
   limitKeptMemory();
+  const daemon::ProcessSignals Signals;
   const CommandLine Line = parseCommandLine(Count, Arguments);
   if (Line.Status) {
     return *Line.Status;
@@ -216,14 +203,31 @@
   }
   std::optional<store::WatchResult> Known;
   if (KeyInStore) {
-    daemon::StartRecords Start = daemon::readStartRecords(
+    auto Start = daemon::readStartRecords(
         Speaks.OpenStore(
             {.Address = Settings->Store.Address, .Port = Settings->Store.Port}),
+        [&Signals](policy::Duration Time) { return Signals.sleep(Time); },
         Settings->StartJitter);
-    Key = std::move(Start.Key);
-    Known = std::move(Start.Records);
+    if (!Start) {
+      daemon::log(daemon::LogLevel::Info, "stopped before the start was done",
+                  {});
+      return 0;
+    }
+    Key = std::move(Start->Key);
+    Known = std::move(Start->Records);
   }
   daemon::SettingsWatch Watch(Line.Config, *Text);
   return runNode(std::move(*Settings), std::move(*Key), Speaks, Watch,
-                 std::move(Known));
+                 std::move(Known), Signals);
+}
+
+} // namespace
+
+int main(int Count, char **Arguments) {
+  try {
+    return run(Count, Arguments);
+  } catch (const std::exception &Reason) {
+    std::fprintf(stderr, "magnoliad: unexpected error: %s\n", Reason.what());
+    return 1;
+  }
 }
--- a/packages/daemon/test/daemon/node/start_records.cpp
+++ b/packages/daemon/test/daemon/node/start_records.cpp
@@ -46,12 +46,20 @@
   }
 };
 
+// Reads the records without delays.
+StartRecords readAtOnce(const store::StoreOperations &Store) {
+  const auto Read =
+      readStartRecords(Store, [](policy::Duration) { return true; });
+  EXPECT_TRUE(Read);
+  return Read.value_or(StartRecords{});
+}
+
 // Guards against a start that makes more than one call to the store.
 TEST(StartRecords, ReadsAnExistingKeyWithOneCall) {
   CountingStore Store;
   Store.Entries = {{.Key = std::string(settings::ClusterKeyKey), .Value = Key},
                    {.Key = "routing/table", .Value = "{}", .ModRevision = 3}};
-  const StartRecords Read = readStartRecords(Store.operations());
+  const StartRecords Read = readAtOnce(Store.operations());
   EXPECT_EQ(Read.Key.Bytes, Key);
   EXPECT_EQ(Read.Records.Events.size(), 2U);
   EXPECT_EQ(Read.Records.StoreRevision, 7U);
@@ -63,13 +71,13 @@
 // Guards against two cluster keys if two nodes start at the same time.
 TEST(StartRecords, TheFirstKeyWins) {
   CountingStore First;
-  const StartRecords Made = readStartRecords(First.operations());
+  const StartRecords Made = readAtOnce(First.operations());
   EXPECT_GE(Made.Key.Bytes.size(), wire::ClusterKeyMinimumBytes);
   EXPECT_EQ(First.Entries.front().Value, Made.Key.Bytes);
 
   CountingStore Second;
   Second.ConcurrentKey = Key;
-  EXPECT_EQ(readStartRecords(Second.operations()).Key.Bytes, Key);
+  EXPECT_EQ(readAtOnce(Second.operations()).Key.Bytes, Key);
   EXPECT_EQ(Second.Ranges, 2);
   EXPECT_EQ(Second.Puts, 1);
 }
@@ -82,11 +90,31 @@
     Store.Entries = {{.Key = std::string(settings::ClusterKeyKey),
                       .Value = Odd,
                       .ModRevision = 3}};
-    const StartRecords Made = readStartRecords(Store.operations());
+    const StartRecords Made = readAtOnce(Store.operations());
     EXPECT_GE(Made.Key.Bytes.size(), wire::ClusterKeyMinimumBytes) << Odd;
     EXPECT_EQ(Store.LastPut.Expected, 3U) << Odd;
   }
 }
 
+// Guards against a process that cannot be stopped while it waits for the store.
+TEST(StartRecords, AStopEndsTheWaitForTheStore) {
+  int Calls = 0;
+  store::StoreOperations Store;
+  Store.Range =
+      [&Calls](
+          std::string_view, std::chrono::milliseconds,
+          store::StoreError &LastError) -> std::optional<store::RangeResult> {
+    ++Calls;
+    LastError = {store::StoreErrorKind::Unavailable, "busy"};
+    return std::nullopt;
+  };
+  int Sleeps = 0;
+  EXPECT_FALSE(readStartRecords(
+      Store, [&Sleeps](policy::Duration) { return ++Sleeps < 3; }));
+  EXPECT_EQ(Calls, 2);
+  EXPECT_FALSE(readStartRecords(Store, [](policy::Duration) { return false; }));
+  EXPECT_EQ(Calls, 2);
+}
+
 } // namespace
 } // namespace magnolia::daemon
--- a/packages/policy/src/policy/membership/gossip.cpp
+++ b/packages/policy/src/policy/membership/gossip.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-// Maximum number of updates read from one datagram; more do not fit into 1,200
+// Maximum number of updates read from one datagram; more do not fit into 1,400
 // bytes.
 constexpr std::size_t MaxUpdatesRead = 64;
 // Members to which a leaving node sends the change directly; gossip informs the
--- a/packages/policy/src/policy/membership/membership_options.h
+++ b/packages/policy/src/policy/membership/membership_options.h
@@ -23,8 +23,8 @@
   // An update is sent this many times ceil(log10 of the member count).
   std::size_t RetransmitFactor = 4;
   // Updates per datagram, and the bytes of the member records in it, the
-  // sender's own included. They keep the datagram below 1,200 bytes, including
-  // authentication and the other fields.
+  // sender's own included. They keep the datagram below 1,200 bytes with usual
+  // names, including authentication and the other fields.
   std::size_t MaxUpdates = 16;
   std::size_t MaxRecordBytes = 1050;
   // Updates sent per second over all datagrams, which limits the traffic after
