Reject messages whose end is ambiguous

Cause: the parser takes a coding that it does not know for none.

Change: one transfer encoding at most, only "chunked", not beside a length and not in HTTP/1.0; lengths are digits; no header line continues another. The same for responses of backend servers.

Measured: HttpReader.AmbiguousMessagesAreRejected has 36 kinds as requests and responses; 11 of them, and HTTP/1.0 with chunks, were accepted before. UsualFramingIsAccepted passed before and after.

--- a/packages/daemon/src/daemon/http/reader.cpp
+++ b/packages/daemon/src/daemon/http/reader.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace magnolia::daemon {
 
@@ -22,6 +23,7 @@
 constexpr std::size_t ReadBytes = 16'384;
 // Larger buffers are freed after a message.
 constexpr std::size_t KeptBytes = 65'536;
+constexpr std::string_view Chunked = "chunked";
 constexpr unsigned FirstFinalStatus = 200;
 // More interim responses to one request than any server has a use for.
 constexpr std::size_t MaxInterimResponses = 16;
@@ -63,6 +65,41 @@
          HttpHeaderMaximumCount;
 }
 
+bool isDigits(std::string_view Text) {
+  return !Text.empty() && std::all_of(Text.begin(), Text.end(), [](char Next) {
+    return Next >= '0' && Next <= '9';
+  });
+}
+
+// True if a line of the head continues the one before, which other readers take
+// for a header of its own.
+bool hasFoldedLine(std::string_view Head) {
+  return Head.starts_with(' ') || Head.starts_with('\t') ||
+         Head.find("\n ") != std::string_view::npos ||
+         Head.find("\n\t") != std::string_view::npos;
+}
+
+// True if every reader finds the end of the message at the same place. The
+// parser itself accepts codings that it does not know, and then takes the
+// message for one without a body.
+template <class Message> bool hasClearFraming(const Message &From) {
+  constexpr unsigned Http11 = 11;
+  const auto &Fields = From.base();
+  const auto Lengths = Fields.equal_range(beast::field::content_length);
+  const bool AreNumbers =
+      std::all_of(Lengths.first, Lengths.second, [](const auto &Field) {
+        return isDigits({Field.value().data(), Field.value().size()});
+      });
+  const auto Codings = Fields.equal_range(beast::field::transfer_encoding);
+  if (Codings.first == Codings.second) {
+    return AreNumbers;
+  }
+  return std::next(Codings.first) == Codings.second &&
+         boost::beast::iequals(Codings.first->value(),
+                               {Chunked.data(), Chunked.size()}) &&
+         Lengths.first == Lengths.second && From.version() >= Http11;
+}
+
 } // namespace
 
 struct HttpReader::State {
@@ -112,6 +149,8 @@
   template <class Parser> HttpReadStatus advance(Parser &To) {
     while (!To.is_done() && Begin < End) {
       boost::system::error_code ParseError;
+      const bool HadHead = To.is_header_done();
+      const std::size_t Start = Begin;
       Begin +=
           To.put(boost::asio::const_buffer(Bytes.data() + Begin, End - Begin),
                  ParseError);
@@ -127,6 +166,12 @@
       if (ParseError) {
         return statusOf(ParseError);
       }
+      // The parser takes all header lines at once.
+      if (!HadHead && To.is_header_done() &&
+          (hasFoldedLine({Bytes.data() + Start, Begin - Start}) ||
+           !hasClearFraming(To.get()))) {
+        return HttpReadStatus::Malformed;
+      }
       if (!holdBody(To)) {
         return HttpReadStatus::NoMemory;
       }
--- a/packages/daemon/test/daemon/http/reader.cpp
+++ b/packages/daemon/test/daemon/http/reader.cpp
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <initializer_list>
+#include <string>
 
 namespace magnolia::daemon {
 namespace {
@@ -76,6 +78,120 @@
   }
 }
 
+struct FramingRow {
+  const char *Failure;
+  // Lines after the start line, and what follows the head.
+  std::string Headers;
+  std::string Rest;
+};
+
+const FramingRow AmbiguousMessages[] = {
+    {"a last coding other than chunked",
+     "Transfer-Encoding: chunked, identity\r\n", "0\r\n\r\n"},
+    {"a coding that is not known", "Transfer-Encoding: identity\r\n", ""},
+    {"a coding whose name ends with chunked", "Transfer-Encoding: xchunked\r\n",
+     "0\r\n\r\n"},
+    {"a body in two codings", "Transfer-Encoding: gzip, chunked\r\n",
+     "0\r\n\r\n"},
+    {"a body that is chunked twice", "Transfer-Encoding: chunked, chunked\r\n",
+     "0\r\n\r\n"},
+    {"two transfer encodings",
+     "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+     "0\r\n\r\n"},
+    {"another transfer encoding in a second line",
+     "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+     "0\r\n\r\n"},
+    {"an empty transfer encoding", "Transfer-Encoding:\r\n", ""},
+    {"a quoted transfer encoding", "Transfer-Encoding: \"chunked\"\r\n",
+     "0\r\n\r\n"},
+    {"a transfer encoding with a parameter",
+     "Transfer-Encoding: chunked;a=b\r\n", "0\r\n\r\n"},
+    {"a control character before the transfer encoding",
+     "Transfer-Encoding: \vchunked\r\n", "0\r\n\r\n"},
+    {"a length before a transfer encoding",
+     "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n", "0\r\n\r\n"},
+    {"a length after a transfer encoding",
+     "Transfer-Encoding: chunked\r\nContent-Length: 5\r\n", "0\r\n\r\n"},
+    {"two lengths", "Content-Length: 3\r\nContent-Length: 4\r\n", "abcd"},
+    {"a list of lengths", "Content-Length: 3, 3\r\n", "abc"},
+    {"a length with a sign", "Content-Length: +3\r\n", "abc"},
+    {"a hexadecimal length", "Content-Length: 0x3\r\n", "abc"},
+    {"a length with a fraction", "Content-Length: 3.0\r\n", "abc"},
+    {"an empty length", "Content-Length:\r\n", ""},
+    {"a length that no type holds",
+     "Content-Length: 99999999999999999999999\r\n", "abc"},
+    {"a blank between the name and the colon", "Content-Length : 3\r\n", "abc"},
+    {"a tab between the name and the colon", "Transfer-Encoding\t: chunked\r\n",
+     "0\r\n\r\n"},
+    {"a header line that begins with a blank", " Content-Length: 3\r\n", "abc"},
+    {"a value that goes on in the next line", "A: b\r\n c\r\n", ""},
+    {"a length that goes on in the next line", "Content-Length: 1\r\n 2\r\n",
+     "abcdefghijkl"},
+    {"a line that ends with a line feed alone", "A: b\nContent-Length: 3\r\n",
+     "abc"},
+    {"a carriage return within a line", "A: b\rContent-Length: 3\r\n", ""},
+    {"a zero byte in a value", std::string("A: b\0c\r\n", 8), ""},
+    {"a header without a name", ": 3\r\n", ""},
+    {"a size of a chunk with a sign", "Transfer-Encoding: chunked\r\n",
+     "+3\r\nabc\r\n0\r\n\r\n"},
+    {"a size of a chunk with a prefix", "Transfer-Encoding: chunked\r\n",
+     "0x3\r\nabc\r\n0\r\n\r\n"},
+    {"a size of a chunk that no type holds", "Transfer-Encoding: chunked\r\n",
+     "10000000000000003\r\nabc\r\n0\r\n\r\n"},
+    {"an empty size of a chunk", "Transfer-Encoding: chunked\r\n",
+     "\r\nabc\r\n0\r\n\r\n"},
+    {"a chunk without an end of its line", "Transfer-Encoding: chunked\r\n",
+     "3\r\nabc0\r\n\r\n"},
+    {"a line feed alone after the size of a chunk",
+     "Transfer-Encoding: chunked\r\n", "3\nabc\r\n0\r\n\r\n"},
+    {"a carriage return within a chunk extension",
+     "Transfer-Encoding: chunked\r\n", "3;a\rb\r\nabc\r\n0\r\n\r\n"}};
+
+// Guards against a message whose end is somewhere else for another reader, so
+// that a part of one request runs as the next one, or a part of a response is
+// the response to another request.
+TEST(HttpReader, AmbiguousMessagesAreRejected) {
+  for (const FramingRow &Row : AmbiguousMessages) {
+    HttpReader Request(HttpReader::Kind::Request, Small);
+    feed(Request, "POST / HTTP/1.1\r\nHost: a\r\n" + Row.Headers + "\r\n" +
+                      Row.Rest + "GET /next HTTP/1.1\r\n\r\n");
+    EXPECT_TRUE(Request.read() == Status::Malformed) << Row.Failure;
+    HttpReader Response(HttpReader::Kind::Response, Small);
+    feed(Response, "HTTP/1.1 200 OK\r\nA: b\r\n" + Row.Headers + "\r\n" +
+                       Row.Rest + "HTTP/1.1 200 OK\r\n\r\n");
+    EXPECT_TRUE(Response.read() == Status::Malformed)
+        << "response: " << Row.Failure;
+  }
+  HttpReader Old(HttpReader::Kind::Request, Small);
+  feed(Old, "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  EXPECT_TRUE(Old.read() == Status::Malformed) << "HTTP/1.0 with chunks";
+}
+
+// Guards against usual messages that are rejected with the ambiguous ones.
+TEST(HttpReader, UsualFramingIsAccepted) {
+  for (const FramingRow &Row : std::initializer_list<FramingRow>{
+           {"chunks", "Transfer-Encoding: chunked\r\n",
+            "3\r\nabc\r\n0\r\n\r\n"},
+           {"another case", "transfer-encoding: Chunked\r\n",
+            "3\r\nabc\r\n0\r\n\r\n"},
+           {"blanks around the value", "Transfer-Encoding: \t chunked \t\r\n",
+            "3\r\nabc\r\n0\r\n\r\n"},
+           {"a chunk extension", "Transfer-Encoding: chunked\r\n",
+            "3;a=b\r\nabc\r\n0\r\n\r\n"},
+           {"leading zeros", "Content-Length: 003\r\n", "abc"},
+           {"blanks around the length", "Content-Length: \t 3 \r\n", "abc"},
+           {"no blank before the length", "Content-Length:3\r\n", "abc"}}) {
+    HttpReader Request(HttpReader::Kind::Request, Small);
+    feed(Request, "POST / HTTP/1.1\r\n" + Row.Headers + "\r\n" + Row.Rest);
+    ASSERT_TRUE(Request.read() == Status::Ready) << Row.Failure;
+    EXPECT_EQ(Request.takeRequest().Body, "abc") << Row.Failure;
+    HttpReader Response(HttpReader::Kind::Response, Small);
+    feed(Response, "HTTP/1.1 200 OK\r\n" + Row.Headers + "\r\n" + Row.Rest);
+    ASSERT_TRUE(Response.read() == Status::Ready) << Row.Failure;
+    EXPECT_EQ(Response.takeResponse().Body, "abc") << Row.Failure;
+  }
+}
+
 TEST(HttpReader, ResponseTable) {
   const FaultRow Rows[] = {
       {"a valid response that is refused",
