Ask admission before a request is sent a second time

Change: the second sending gives its slot back and passes admission as a repeat. A refusal ends the request as a broken response, as the first sending may have run.

--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -38,10 +38,14 @@
 
 void SidecarCall::start(policy::TimePoint Now) {
   Arrived = Now;
+  askAdmission(Now);
+}
+
+void SidecarCall::askAdmission(policy::TimePoint Now) {
   Sidecar::Admission Admission = Owner.admit(Request, Now);
   if (const auto *Refusal = std::get_if<policy::Error>(&Admission)) {
     logRefusal(Refusal->Kind);
-    finish(callErrorResponse(Refusal->Kind, Refusal->Detail));
+    finishUnsent(Refusal->Kind, Refusal->Detail);
   } else if (auto *Waiting =
                  std::get_if<std::shared_ptr<SlotWait>>(&Admission)) {
     Wait = std::move(*Waiting);
@@ -81,7 +85,7 @@
     case Sidecar::WaitStatus::Waiting:
       return;
     case Sidecar::WaitStatus::Refused:
-      finish(callErrorResponse(Refusal, "no slot became free in time"));
+      finishUnsent(Refusal, "no slot became free in time");
       return;
     case Sidecar::WaitStatus::Granted:
       run(Now);
@@ -156,6 +160,9 @@
 }
 
 bool SidecarCall::needsNewConnection() const {
+  if (wasSent()) {
+    return true;
+  }
   const Dialect &Speaks = Owner.dialect();
   if (Request.Idempotent || !Speaks.EchoesRequestId) {
     return false;
@@ -242,6 +249,17 @@
 void SidecarCall::refuseUnsent(ErrorKind Kind, std::string Detail,
                                policy::TimePoint Now) {
   Owner.complete({.NotSent = true}, Now);
+  finishUnsent(Kind, std::move(Detail));
+}
+
+void SidecarCall::finishUnsent(ErrorKind Kind, std::string Detail) {
+  if (wasSent()) {
+    Owner.metrics().count(Counter::BackendBrokenAnswers);
+    Kind = ErrorKind::BackendBrokenAnswer;
+    Detail = "the backend server closed the connection, and the request was "
+             "not sent again: " +
+             Detail;
+  }
   finish(callErrorResponse(Kind, std::move(Detail)));
 }
 
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -39,6 +39,8 @@
 private:
   enum class Stage : std::uint8_t { New, Waiting, Running, Done };
 
+  // Asks for a slot, and runs the request, waits or ends.
+  void askAdmission(policy::TimePoint Now);
   void run(policy::TimePoint Now);
   [[nodiscard]] bool connect(policy::TimePoint Now);
   // True if a refusal of an earlier attempt, or of another request without an
@@ -70,7 +72,11 @@
   void handleOversizedResponse(policy::TimePoint Now, std::string Reason);
   void refuseUnsent(policy::ErrorKind Kind, std::string Detail,
                     policy::TimePoint Now);
+  // Ends the request with the reason why it was not sent. If it was sent
+  // before, it may have run, and the reason is only a detail.
+  void finishUnsent(policy::ErrorKind Kind, std::string Detail);
   void finish(CallResponse Ended);
+  [[nodiscard]] bool wasSent() const { return Sent != policy::TimePoint{}; }
   void logRefusal(policy::ErrorKind Kind) const;
   [[nodiscard]] HttpRequest backendRequest(policy::TimePoint Now);
 
--- a/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
@@ -185,21 +185,19 @@
 }
 
 // The backend server may close an idle connection just as a request is sent. An
-// idempotent request is then sent again on a new connection.
+// idempotent request is then sent again on a new connection, as a repeat that
+// needs admission like any other.
 void SidecarCall::handleBrokenResponse(policy::TimePoint Now,
                                        std::string Reason) {
   const bool Repeat =
       Connection->Reused && !ReceivedBytes && Request.Idempotent;
   Connection.reset();
   if (Repeat) {
-    Connection = Owner.pool().open(
-        std::min(Request.Deadline, Now + Owner.options().ConnectTimeout));
-    if (Connection) {
-      send(Now);
-      return;
-    }
+    Owner.complete({.NotSent = true}, Now);
+    Request.Repeat = true;
+    askAdmission(Now);
+    return;
   }
-  Connection.reset();
   Owner.metrics().count(Counter::BackendBrokenAnswers);
   Owner.onConnectFailure(Now);
   Owner.finishRun(Request, true);
--- a/packages/daemon/test/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call.cpp
@@ -5,6 +5,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <chrono>
+#include <functional>
+
 namespace magnolia::daemon {
 namespace {
 
@@ -58,6 +61,78 @@
   EXPECT_EQ(run(request()).Kind, ErrorKind::Draining);
 }
 
+struct SecondSendingRow {
+  const char *Failure;
+  // What happens while the backend server closes the connection.
+  std::function<void(Sidecar &)> Event;
+  bool IsSent;
+};
+
+// Guards against a request that is sent again, after its connection was closed,
+// although a new one would be refused, and against reporting it as not run.
+TEST_F(SidecarCallTest, ASecondSendingNeedsAdmission) {
+  Dialect Cold = nativeDialect();
+  Cold.ReportsColdStart = true;
+  const SidecarOptions Usual = test::withDialect(&Cold);
+  SidecarOptions NoRepeats = Usual;
+  NoRepeats.RepeatRatio = 0.1;
+  const SecondSendingRow Rows[] = {
+      {"no second sending", [](Sidecar &) {}, true},
+      {"a leaving server", [](Sidecar &To) { To.onBackendDraining(); }, false},
+      {"a draining node", [](Sidecar &To) { To.drainNode(); }, false},
+      {"a zone out of service", [](Sidecar &To) { To.setZoneOut(true); },
+       false},
+      {"a stop that would cut it", [](Sidecar &To) { To.beginStop(now()); },
+       false},
+      {"a spent budget of repeats",
+       [&NoRepeats](Sidecar &To) { To.reload(NoRepeats); }, false},
+      {"a cold server",
+       [](Sidecar &To) {
+         To.setCapacity(0, 1);
+         To.onColdLeft(std::chrono::seconds(10), now());
+       },
+       false},
+      {"a server that is gone", [](Sidecar &To) { To.onOtherInstance(); },
+       false}};
+  for (const SecondSendingRow &Row : Rows) {
+    Metrics RowCounts;
+    LocalBackend RowBackend;
+    Sidecar Tested(Usual, RowBackend, RowCounts);
+    int Received = 0;
+    test::ScriptedBackend Closing([&](const std::string &) {
+      if (++Received != 2) {
+        return plainResponse("ok");
+      }
+      Row.Event(Tested);
+      return std::string();
+    });
+    const LocalBackendState State{.Service = "stock",
+                                  .Version = "1",
+                                  .Address = "127.0.0.1",
+                                  .Port = Closing.port(),
+                                  .Slots = 1,
+                                  .Present = true};
+    RowBackend.update(State);
+    Tested.apply(State, now());
+    for (int Sent = 0; Sent < 2; ++Sent) {
+      SidecarCall Call(Tested, request());
+      Call.start(now());
+      finish(Call);
+      if (Sent == 0) {
+        ASSERT_EQ(Call.response().Kind, std::nullopt) << Row.Failure;
+        continue;
+      }
+      EXPECT_EQ(Call.response().Kind,
+                Row.IsSent ? std::nullopt
+                           : std::optional(ErrorKind::BackendBrokenAnswer))
+          << Row.Failure;
+      EXPECT_TRUE(Call.response().Reached) << Row.Failure;
+    }
+    EXPECT_EQ(Closing.requests().size(), Row.IsSent ? 3U : 2U) << Row.Failure;
+    EXPECT_EQ(Tested.admissionState().InFlight, 0U) << Row.Failure;
+  }
+}
+
 // Guards against a refused connection that is reported as a possible run or
 // leaves a ledger entry behind.
 TEST_F(SidecarCallTest, RefusedConnectionIsNotRun) {
