Free large buffers, and reject headers that the parser cannot hold

Cause: an empty text was assigned to buffers that had grown, which keeps their memory.

Change: buffers are swapped out; the reader reports such a head as too large.

Measured: HttpReader.TheMemoryOfALargeHeadIsFreed and PeerFrames.ARejectedBodyIsFreed failed with the assignment; the first one showed the exception ("field value too large") before AHeaderThatTheParserCannotHoldIsRejected was written.

--- a/packages/daemon/src/daemon/http/reader.cpp
+++ b/packages/daemon/src/daemon/http/reader.cpp
@@ -1,6 +1,7 @@
 #include "daemon/http/reader.h"
 
 #include "daemon/memory/held_bytes.h"
+#include "daemon/memory/release_buffer.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -9,6 +10,7 @@
 #include <cstring>
 #include <memory>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 
@@ -119,7 +121,7 @@
   void start() {
     Share.reset();
     if (Begin == End && Bytes.size() > KeptBytes) {
-      Bytes = {};
+      releaseBuffer(Bytes);
       Begin = End = 0;
     }
     if (Read == Kind::Request) {
@@ -146,14 +148,28 @@
     return !Share || Share->resize(Size);
   }
 
+  // Gives the buffered bytes to the parser. Returns false if a header is larger
+  // than the parser can hold, about 64 KiB.
+  template <class Parser>
+  bool parse(Parser &To, boost::system::error_code &ParseError) {
+    try {
+      Begin +=
+          To.put(boost::asio::const_buffer(Bytes.data() + Begin, End - Begin),
+                 ParseError);
+      return true;
+    } catch (const std::length_error &) {
+      return false;
+    }
+  }
+
   template <class Parser> HttpReadStatus advance(Parser &To) {
     while (!To.is_done() && Begin < End) {
       boost::system::error_code ParseError;
       const bool HadHead = To.is_header_done();
       const std::size_t Start = Begin;
-      Begin +=
-          To.put(boost::asio::const_buffer(Bytes.data() + Begin, End - Begin),
-                 ParseError);
+      if (!parse(To, ParseError)) {
+        return HttpReadStatus::HeadTooLarge;
+      }
       if (ParseError == beast::error::need_more) {
         if (End - Begin <= Limits.HeadBytes) {
           return HttpReadStatus::NeedMore;
--- a/packages/daemon/src/daemon/peer/call_frames.cpp
+++ b/packages/daemon/src/daemon/peer/call_frames.cpp
@@ -1,6 +1,7 @@
 #include "daemon/peer/call_frames.h"
 
 #include "daemon/memory/held_bytes.h"
+#include "daemon/memory/release_buffer.h"
 #include "daemon/peer/peer_connection.h"
 #include "wire/convert/convert.h"
 #include "wire/frame/limits.h"
@@ -164,7 +165,7 @@
   const std::size_t Size = Body.size() + Chunk.size();
   if (!TooLarge && (Size > Limit || !hold(capacityFor(Body, Size)))) {
     TooLarge = true;
-    Body = {};
+    releaseBuffer(Body);
     Share.reset();
   }
   if (TooLarge) {
--- a/packages/daemon/src/daemon/peer/peer_connection.cpp
+++ b/packages/daemon/src/daemon/peer/peer_connection.cpp
@@ -1,5 +1,6 @@
 #include "daemon/peer/peer_connection.h"
 
+#include "daemon/memory/release_buffer.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
 #include "wire/peer.pb.h"
@@ -23,7 +24,7 @@
   const bool Sent = sendAll(Fd, Outgoing, {}, Deadline);
   Outgoing.clear();
   if (Outgoing.capacity() > KeptBytes) {
-    Outgoing = {};
+    releaseBuffer(Outgoing);
   }
   return Sent;
 }
--- a/packages/daemon/test/daemon/http/reader.cpp
+++ b/packages/daemon/test/daemon/http/reader.cpp
@@ -167,6 +167,33 @@
   EXPECT_TRUE(Old.read() == Status::Malformed) << "HTTP/1.0 with chunks";
 }
 
+// Guards against a header that ends its connection by an exception, without a
+// response, although the limit on heads allows it.
+TEST(HttpReader, AHeaderThatTheParserCannotHoldIsRejected) {
+  const HttpLimits Large{.HeadBytes = 200'000};
+  for (const std::string &Line :
+       {"A: " + std::string(70'000, 'a'), std::string(70'000, 'a') + ": b"}) {
+    HttpReader Request(HttpReader::Kind::Request, Large);
+    feed(Request, "GET / HTTP/1.1\r\n" + Line + "\r\n\r\n");
+    EXPECT_TRUE(Request.read() == Status::HeadTooLarge);
+    HttpReader Response(HttpReader::Kind::Response, Large);
+    feed(Response, "HTTP/1.1 200 OK\r\n" + Line + "\r\n\r\n");
+    EXPECT_TRUE(Response.read() == Status::HeadTooLarge);
+  }
+}
+
+// Guards against an idle connection that keeps the memory of a large head.
+TEST(HttpReader, TheMemoryOfALargeHeadIsFreed) {
+  HttpReader Reader(HttpReader::Kind::Request, {.HeadBytes = 200'000});
+  feed(Reader, "GET / HTTP/1.1\r\nA: " + std::string(50'000, 'a') +
+                   "\r\nB: " + std::string(50'000, 'b') + "\r\n\r\n");
+  ASSERT_TRUE(Reader.read() == Status::Ready);
+  (void)Reader.takeRequest();
+  EXPECT_GT(Reader.prepare().size(), 65'536U);
+  Reader.begin();
+  EXPECT_LT(Reader.prepare().size(), 65'536U);
+}
+
 // Guards against usual messages that are rejected with the ambiguous ones.
 TEST(HttpReader, UsualFramingIsAccepted) {
   for (const FramingRow &Row : std::initializer_list<FramingRow>{
--- a/packages/daemon/test/daemon/peer/peer_frames.cpp
+++ b/packages/daemon/test/daemon/peer/peer_frames.cpp
@@ -101,6 +101,18 @@
 
 // Guards against a request that runs although its body was aborted or exceeds
 // the limit.
+// Guards against a body that is rejected as too large and keeps its memory.
+TEST_F(PeerFrames, ARejectedBodyIsFreed) {
+  const policy::RequestId Id{.Origin = 1, .Run = 1, .Sequence = 1};
+  constexpr std::size_t Size = 100'000;
+  std::string Body;
+  BodyAssembly Assembly(Size, Id);
+  EXPECT_EQ(Assembly.addChunk(Body, std::string(Size, 'x'), false),
+            AssemblyStatus::More);
+  EXPECT_EQ(Assembly.addChunk(Body, "x", false), AssemblyStatus::TooLargeMore);
+  EXPECT_LT(Body.capacity(), Size);
+}
+
 TEST_F(PeerFrames, BodyAssemblyTable) {
   using Status = AssemblyStatus;
   const policy::RequestId Id{.Origin = 1, .Run = 1, .Sequence = 1};
--- a/packages/wire/src/wire/frame/frame_buffer.cpp
+++ b/packages/wire/src/wire/frame/frame_buffer.cpp
@@ -3,12 +3,16 @@
 #include "wire/peer.pb.h"
 #include "wire/types.pb.h"
 
+#include <algorithm>
 #include <cstring>
 
 namespace magnolia::wire {
 
 namespace {
 
+// A larger buffer is freed once its frames are taken.
+constexpr std::size_t KeptBytes = 65'536;
+
 std::size_t prefixAt(const char *Bytes) {
   std::size_t Length = 0;
   for (std::size_t I = 0; I < FramePrefixBytes; ++I) {
@@ -41,6 +45,10 @@
 std::span<char> FrameBuffer::prepare(std::size_t Wanted) {
   if (Begin == End) {
     Begin = End = 0;
+    if (Bytes.size() > std::max(KeptBytes, Wanted)) {
+      // An assignment would keep the memory.
+      std::string().swap(Bytes);
+    }
   }
   if (Bytes.size() - End < Wanted && Begin > 0) {
     std::memmove(Bytes.data(), Bytes.data() + Begin, End - Begin);
--- a/packages/wire/src/wire/frame/frame_buffer.h
+++ b/packages/wire/src/wire/frame/frame_buffer.h
@@ -40,6 +40,9 @@
   // True if no partial frame is buffered.
   [[nodiscard]] bool empty() const;
 
+  // Bytes of memory that the buffer uses.
+  [[nodiscard]] std::size_t capacity() const { return Bytes.capacity(); }
+
 private:
   // Removes the oldest frame and returns its content, which is valid until
   // prepare is called.
--- a/packages/wire/test/wire/frame/frame_buffer.cpp
+++ b/packages/wire/test/wire/frame/frame_buffer.cpp
@@ -73,6 +73,21 @@
   }
 }
 
+// Guards against connections that keep the memory of their largest frame while
+// they are idle.
+TEST(FrameBuffer, FreesTheMemoryOfALargeFrame) {
+  PeerFrame Frame;
+  Frame.mutable_body()->set_data(std::string(BodyChunkBytes, 'x'));
+  std::string Encoded;
+  ASSERT_TRUE(appendFrame(Encoded, Frame));
+  FrameBuffer Buffer;
+  feed(Buffer, Encoded);
+  ASSERT_EQ(Buffer.next(Frame), FrameStatus::Ready);
+  EXPECT_GT(Buffer.capacity(), BodyChunkBytes);
+  (void)Buffer.prepare(16'384);
+  EXPECT_LT(Buffer.capacity(), 65'536U);
+}
+
 // Guards against an encoder that sends frames that the decoder rejects.
 TEST(FrameBuffer, RejectsOversizedFramesOnEncoding) {
   PeerFrame Frame;
