Add wire fields for organisations, nested calls and route losses

Cause: the next parts need the organisation of a request, whether it is a nested call and its route at the sidecar, and the runs of a route that lost a nested call at the entry node.

The test UnknownFieldsAreIgnored puts its unknown field behind the two new ones; the place that it used has a meaning now. It is as strict as before.

--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -190,7 +190,9 @@
   Call.Request.Id = Owner.nextId();
   Call.Request.Service = Target.Service;
   Call.Request.Idempotent = Route->Idempotent;
-  Call.Request.Priority = isCallOfRunningRequest(Owner, Speaks, Request)
+  Call.Request.Route = Route->Name;
+  Call.Request.Nested = isCallOfRunningRequest(Owner, Speaks, Request);
+  Call.Request.Priority = Call.Request.Nested
                               ? NestedCallPriority
                               : Route->Priority + NestedCallPriority + 1;
   setTimes(Call, *Route, deadlineOf(Speaks, Request), Owner.Options, Now);
--- a/packages/daemon/src/daemon/peer/call.h
+++ b/packages/daemon/src/daemon/peer/call.h
@@ -39,6 +39,13 @@
   bool Repeat = false;
   // True if the entry node can send the request to another sidecar instead.
   bool HasChoice = false;
+  // Organisation of the caller; empty if none is configured.
+  std::string Organisation;
+  // True for a call that a backend server makes while it runs a request.
+  bool Nested = false;
+  // Name of the route that the entry node selected; empty if the routing table
+  // names none.
+  std::string Route;
 };
 
 // Response of a backend server, or an error of the system if Kind is set.
@@ -52,6 +59,10 @@
   policy::LoadReport Load;
   // True if the request was sent to the backend server, whether it ran or not.
   bool Reached = false;
+  // Runs of the route that ended at the sidecar in the last second, and those
+  // of them that lost a nested call to a rejection.
+  std::uint32_t RouteRuns = 0;
+  std::uint32_t RouteLosses = 0;
 };
 
 [[nodiscard]] inline CallResponse callErrorResponse(policy::ErrorKind Kind,
--- a/packages/daemon/src/daemon/peer/call_frames.cpp
+++ b/packages/daemon/src/daemon/peer/call_frames.cpp
@@ -122,6 +122,9 @@
   }
   Message.set_repeat(Request.Repeat);
   Message.set_has_choice(Request.HasChoice);
+  Message.set_organisation(Request.Organisation);
+  Message.set_nested(Request.Nested);
+  Message.set_route(Request.Route);
   const std::string_view Body = Request.Body;
   Message.set_body(std::string(Body.substr(0, BodyChunkBytes)));
   Message.set_body_continues(Body.size() > BodyChunkBytes);
@@ -138,6 +141,8 @@
   wire::toWire(Id, *Message.mutable_id());
   wire::toWire(Response.Load, *Message.mutable_load());
   Message.set_reached(Response.Reached);
+  Message.set_route_runs(Response.RouteRuns);
+  Message.set_route_losses(Response.RouteLosses);
   if (Response.Kind) {
     Message.set_error_kind(static_cast<std::uint32_t>(*Response.Kind) + 1);
     Message.set_error_detail(Response.Detail);
@@ -207,6 +212,9 @@
   }
   Request.Repeat = Message.repeat();
   Request.HasChoice = Message.has_choice();
+  Request.Organisation = Message.organisation();
+  Request.Nested = Message.nested();
+  Request.Route = Message.route();
   return readHeaders(Message, Request.Headers) &&
          hasNoBlanksOrControls(Request.Method) &&
          hasNoBlanksOrControls(Request.Target);
@@ -216,6 +224,8 @@
   const wire::PeerAnswer &Message = Frame.answer();
   Response.Load = wire::fromWire(Message.load());
   Response.Reached = Message.reached();
+  Response.RouteRuns = Message.route_runs();
+  Response.RouteLosses = Message.route_losses();
   if (Message.error_kind() != 0) {
     if (Message.error_kind() > policy::ErrorKindCount) {
       return false;
--- /dev/null
+++ b/packages/daemon/src/daemon/sidecar/running_request.h
@@ -0,0 +1,19 @@
+#ifndef DAEMON_SIDECAR_RUNNING_REQUEST_H
+#define DAEMON_SIDECAR_RUNNING_REQUEST_H
+
+#include <cstdint>
+#include <string>
+
+namespace magnolia::daemon {
+
+// What nested calls inherit from the request that makes them.
+struct RunningRequest {
+  std::string Organisation;
+  // 0 is the highest.
+  std::uint32_t Priority = 0;
+  std::string Route;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -178,7 +178,9 @@
   BodyLeft = Request.Body;
   if (!Registered) {
     Registered = true;
-    Owner.running().begin(SentId);
+    Owner.running().begin(SentId, {.Organisation = Request.Organisation,
+                                   .Priority = Request.Priority,
+                                   .Route = Request.Route});
   }
   sendMore();
 }
--- a/packages/settings/src/settings/record/host_route.h
+++ b/packages/settings/src/settings/record/host_route.h
@@ -31,6 +31,10 @@
   std::uint32_t MaxAttempts = 1;
   // 0 is the most urgent.
   std::uint32_t Priority = 0;
+  // True if requests or responses have large bodies.
+  bool Bulk = false;
+  // True if requests need no key of an organisation.
+  bool Public = false;
 
   bool operator==(const HostRoute &) const = default;
 };
--- a/packages/settings/src/settings/record/internal/routing_line.cpp
+++ b/packages/settings/src/settings/record/internal/routing_line.cpp
@@ -10,6 +10,7 @@
 #include <array>
 #include <charconv>
 #include <utility>
+#include <variant>
 
 namespace magnolia::settings::internal {
 namespace {
@@ -19,8 +20,9 @@
 
 // Fields of a route in the order of their places in a line.
 constexpr const char *RouteFields[] = {
-    "host",       "prefix",       "name",         "targets", "idempotent",
-    "timeout_ms", "objective_ms", "max_attempts", "priority"};
+    "host",       "prefix",     "name",         "targets",
+    "idempotent", "timeout_ms", "objective_ms", "max_attempts",
+    "priority",   "bulk",       "public"};
 constexpr const char *TargetFields[] = {"service", "weight"};
 
 // Appends a JSON text. Bytes that are not UTF-8 are replaced.
@@ -63,6 +65,19 @@
   Line += Route.Targets.empty() ? "[]" : "]";
 }
 
+using OptionalValue = std::variant<bool, std::uint64_t>;
+
+// Returns the fields after the targets, which a line may omit from the end on.
+std::array<OptionalValue, 7> optionalValues(const HostRoute &Route) {
+  return {Route.Idempotent,
+          Route.TimeoutMs,
+          Route.ObjectiveMs,
+          std::uint64_t{Route.MaxAttempts},
+          std::uint64_t{Route.Priority},
+          Route.Bulk,
+          Route.Public};
+}
+
 std::uint32_t smallNumber(FieldReader &Fields, const char *Name,
                           std::uint64_t Minimum, std::uint64_t IfAbsent) {
   return static_cast<std::uint32_t>(
@@ -117,23 +132,18 @@
   appendText(Line, Route.Name);
   Line += ',';
   appendTargets(Line, Route);
-  const auto ValuesOf = [](const HostRoute &Given) {
-    return std::array<std::uint64_t, 5>{Given.Idempotent ? 1U : 0U,
-                                        Given.TimeoutMs, Given.ObjectiveMs,
-                                        Given.MaxAttempts, Given.Priority};
-  };
-  const auto Values = ValuesOf(Route);
-  const auto Defaults = ValuesOf({});
+  const auto Values = optionalValues(Route);
+  const auto Defaults = optionalValues({});
   std::size_t Count = Values.size();
   while (Count > 0 && Values[Count - 1] == Defaults[Count - 1]) {
     --Count;
   }
   for (std::size_t Place = 0; Place < Count; ++Place) {
     Line += ',';
-    if (Place == 0) {
-      Line += Route.Idempotent ? "true" : "false";
+    if (const auto *const Flag = std::get_if<bool>(&Values[Place])) {
+      Line += *Flag ? "true" : "false";
     } else {
-      appendNumber(Line, Values[Place]);
+      appendNumber(Line, std::get<std::uint64_t>(Values[Place]));
     }
   }
   Line += ']';
@@ -181,6 +191,8 @@
   HostRoute Route;
   readRouteFields(Fields, Route);
   Route.Idempotent = Fields.optionalFlag("idempotent").value_or(false);
+  Route.Bulk = Fields.optionalFlag("bulk").value_or(false);
+  Route.Public = Fields.optionalFlag("public").value_or(false);
   readTargets(Fields, Route);
   return Fields.report(LastError) ? std::nullopt
                                   : std::optional(std::move(Route));
--- a/packages/settings/test/settings/record/routing_text.cpp
+++ b/packages/settings/test/settings/record/routing_text.cpp
@@ -262,6 +262,10 @@
        With([&](HostRoute &Route) { Route.Prefix = "/" + Long + "/"; })},
       {"a long host", With([&](HostRoute &Route) { Route.Host = Long; })},
       {"a long name", With([&](HostRoute &Route) { Route.Name = Long; })},
+      {"a route with large bodies",
+       With([](HostRoute &Route) { Route.Bulk = true; })},
+      {"a route without keys",
+       With([](HostRoute &Route) { Route.Public = true; })},
       {"empty texts", With([&](HostRoute &Route) {
          Route.Host = Route.Name = Route.Prefix = "";
        })},
@@ -289,12 +293,25 @@
   }
 }
 
+// Guards against a change of every line in fleets that mix two builds.
+TEST(RoutingText, FlagsAreWrittenOnlyIfSet) {
+  HostRoute Route{.Name = "n",
+                  .Host = "h",
+                  .Prefix = "/",
+                  .Targets = {{.Service = "s"}},
+                  .Priority = 2};
+  EXPECT_EQ(formatRoute(Route), R"(["h","/","n","s",false,0,0,1,2])");
+  Route.Public = true;
+  EXPECT_EQ(formatRoute(Route),
+            R"(["h","/","n","s",false,0,0,1,2,false,true])");
+}
+
 // Guards against nodes that reject the table of a later version.
 TEST(RoutingText, UnknownFieldsAreIgnored) {
   policy::Error Error;
   const auto Read = parseRouting(
       "{\"version\":1,\"later\":1}\n[\"h\",\"/\",\"n\",[[\"s\",1,2]],false,0,"
-      "0,1,0,{}]\n{\"service\":\"s\",\"later\":[]}",
+      "0,1,0,false,false,{}]\n{\"service\":\"s\",\"later\":[]}",
       Error);
   ASSERT_TRUE(Read) << Error.Detail;
   EXPECT_EQ(Read->Routes.size(), 1U);
