Share the link of a node among the large bodies that it sends

Change: responses of bulk routes (kinds upload and download) are sent in pieces of 16 KiB at 0.8 of the stated capacity of the link. A request whose body would wait for more than half of the time to its objective is rejected as SlowInstance before it runs. Off where the capacity is not stated or no route is bulk.

--- a/packages/daemon/src/daemon/dialect/dialect.h
+++ b/packages/daemon/src/daemon/dialect/dialect.h
@@ -69,6 +69,10 @@
   // if they never do.
   std::optional<std::size_t> (*ReadMemoryBytes)(
       const std::map<std::string, std::string> &InterfaceKeys) = nullptr;
+  // Returns the capacity of the instance's network link in bytes per second, if
+  // the same keys state it. Null if they never do.
+  std::optional<double> (*ReadLinkRate)(
+      const std::map<std::string, std::string> &InterfaceKeys) = nullptr;
   store::StoreOperations (*OpenStore)(const store::HttpStoreOptions &Options) =
       nullptr;
 };
--- a/packages/daemon/src/daemon/dump/dump.cpp
+++ b/packages/daemon/src/daemon/dump/dump.cpp
@@ -1,6 +1,7 @@
 #include "daemon/dump/dump.h"
 
 #include "daemon/entry/entry.h"
+#include "daemon/link/link_pacer.h"
 #include "daemon/memory/body_memory.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/net/clock.h"
@@ -200,4 +201,13 @@
                      {"refused", Budget.Refused}});
 }
 
+std::string dumpLink(const LinkPacer &From) {
+  const policy::LinkState Link = From.state();
+  return textOf(Json{{"bytes_per_second", Link.Options.BytesPerSecond},
+                     {"transfers", Link.Transfers},
+                     {"mean_body_bytes", Link.MeanBodyBytes},
+                     {"accepted", Link.Accepted},
+                     {"rejected", Link.Rejected}});
+}
+
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/dump/dump.h
+++ b/packages/daemon/src/daemon/dump/dump.h
@@ -10,6 +10,7 @@
 
 class Entry;
 class BodyMemory;
+class LinkPacer;
 class LocalBackend;
 class Metrics;
 class Sidecar;
@@ -37,6 +38,7 @@
                                       const LocalBackend &Backend);
 [[nodiscard]] std::string dumpMetrics(const Metrics &From);
 [[nodiscard]] std::string dumpBodyMemory(const BodyMemory &From);
+[[nodiscard]] std::string dumpLink(const LinkPacer &From);
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -191,6 +191,7 @@
   Call.Request.Service = Target.Service;
   Call.Request.Idempotent = Route->Idempotent;
   Call.Request.Route = Route->Name;
+  Call.Request.Bulk = Route->Bulk;
   Call.Request.Nested = isCallOfRunningRequest(Owner, Speaks, Request);
   Call.Request.Priority = Call.Request.Nested
                               ? NestedCallPriority
--- /dev/null
+++ b/packages/daemon/src/daemon/link/link_pacer.h
@@ -0,0 +1,37 @@
+#ifndef DAEMON_LINK_LINK_PACER_H
+#define DAEMON_LINK_LINK_PACER_H
+
+#include "policy/link/link_state.h"
+#include "policy/link/transfer_query.h"
+
+#include <cstddef>
+#include <mutex>
+
+namespace magnolia::daemon {
+
+// Shares the network link of the node among the large bodies that it sends.
+class LinkPacer {
+public:
+  // Capacity in bytes per second; 0 means unknown, without a limit.
+  explicit LinkPacer(double BytesPerSecond);
+
+  [[nodiscard]] bool isLimited() const;
+  // Returns false if the request must be rejected because the link is busy for
+  // longer than it can wait. Each accepted request ends in one call of end.
+  [[nodiscard]] bool begin(const policy::TransferQuery &Query,
+                           policy::TimePoint Now);
+  void end(std::size_t BodyBytes);
+  // Waits until the next piece of a body may be sent. Returns false if the
+  // deadline passes before.
+  [[nodiscard]] bool awaitPiece(std::size_t Bytes, policy::TimePoint Deadline);
+
+  [[nodiscard]] policy::LinkState state() const;
+
+private:
+  mutable std::mutex Mutex;
+  policy::LinkState State;
+};
+
+} // namespace magnolia::daemon
+
+#endif
--- a/packages/daemon/src/daemon/metrics/metrics.cpp
+++ b/packages/daemon/src/daemon/metrics/metrics.cpp
@@ -59,6 +59,9 @@
      "Reads of the backend server's load endpoint."},
     {Counter::MalformedRequests, "malformed_requests",
      "Requests that are no valid HTTP."},
+    {Counter::LinkRejections, "link_rejections",
+     "Requests with large bodies rejected because the link of the node is "
+     "busy."},
 }};
 
 constexpr bool inOrder() {
--- a/packages/daemon/src/daemon/metrics/metrics.h
+++ b/packages/daemon/src/daemon/metrics/metrics.h
@@ -41,10 +41,11 @@
   BackendExtraAnswers,
   LoadPolls,
   MalformedRequests,
+  LinkRejections,
 };
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::MalformedRequests) + 1;
+    static_cast<std::size_t>(Counter::LinkRejections) + 1;
 
 enum class Timing : std::uint8_t {
   // Entry node: from the complete request to the complete response.
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -28,7 +28,8 @@
     : Settings(std::move(Given)), Key(std::move(ClusterKey)), Speaks(Dialect),
       Id(policy::nodeIdOf(Settings.Address, Settings.PeerPort)),
       Run(wallClockIncarnation()), Bodies(Settings.BodyMemory),
-      Known(std::move(Records)), Reports(openStore(Settings, Speaks)),
+      Link(Settings.LinkBytesPerSecond), Known(std::move(Records)),
+      Reports(openStore(Settings, Speaks)),
       Peers(poolOptions(Settings, {.Node = Id, .Run = Run, .Key = Key})),
       LocalSidecar(sidecarOptions(Settings, Speaks, Run, Bodies), Backend,
                    Counts),
@@ -55,8 +56,8 @@
                  .Peers = Peers,
                  .Own = LocalSidecar,
                  .Counts = Counts}),
-      PeerOptions(
-          peerOptions(Settings, {.Node = Id, .Run = Run, .Key = Key}, Bodies)),
+      PeerOptions(peerOptions(Settings, {.Node = Id, .Run = Run, .Key = Key},
+                              Bodies, Link)),
       PeerRequests(LocalSidecar, PeerOptions),
       Endpoints{
           .Backend = Backend,
@@ -99,6 +100,7 @@
   State.add("entry", [this] { return dumpEntry(EntryNode); });
   State.add("sidecar", [this] { return dumpSidecar(LocalSidecar, Backend); });
   State.add("metrics", [this] { return dumpMetrics(Counts); });
+  State.add("link", [this] { return dumpLink(Link); });
   State.add("body_memory", [this] { return dumpBodyMemory(Bodies); });
 }
 
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -10,6 +10,7 @@
 #include "daemon/entry/http_service.h"
 #include "daemon/entry/local_endpoints.h"
 #include "daemon/entry/prober.h"
+#include "daemon/link/link_pacer.h"
 #include "daemon/memory/body_memory.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/net/connection_server.h"
@@ -84,6 +85,7 @@
   Dump State;
   // Memory for the bodies of all requests and responses.
   BodyMemory Bodies;
+  LinkPacer Link;
 
 private:
   // Separate listener for announcements, readiness checks or metrics.
--- a/packages/daemon/src/daemon/node/node_options.cpp
+++ b/packages/daemon/src/daemon/node/node_options.cpp
@@ -82,11 +82,13 @@
 }
 
 PeerServiceOptions peerOptions(const settings::NodeSettings &Settings,
-                               const PeerIdentity &Own, BodyMemory &Memory) {
+                               const PeerIdentity &Own, BodyMemory &Memory,
+                               LinkPacer &Link) {
   PeerServiceOptions Options;
   Options.Own = Own;
   Options.BodyBytes = Settings.BodyBytes;
   Options.Memory = &Memory;
+  Options.Link = &Link;
   Options.ReadTimeout = Settings.CallerRead;
   constexpr int IdleFactor = 3;
   Options.IdleTimeout = Settings.PeerIdle * IdleFactor;
--- a/packages/daemon/src/daemon/node/node_options.h
+++ b/packages/daemon/src/daemon/node/node_options.h
@@ -24,7 +24,7 @@
              policy::NodeId Id, policy::Incarnation Run, BodyMemory &Memory);
 [[nodiscard]] PeerServiceOptions
 peerOptions(const settings::NodeSettings &Settings, const PeerIdentity &Own,
-            BodyMemory &Memory);
+            BodyMemory &Memory, LinkPacer &Link);
 [[nodiscard]] policy::JoinOptions
 joinOptions(const settings::NodeSettings &Settings);
 
--- a/packages/daemon/src/daemon/peer/call.h
+++ b/packages/daemon/src/daemon/peer/call.h
@@ -46,6 +46,8 @@
   // Name of the route that the entry node selected; empty if the routing table
   // names none.
   std::string Route;
+  // True if the request or its response has a large body.
+  bool Bulk = false;
 };
 
 // Response of a backend server, or an error of the system if Kind is set.
--- a/packages/daemon/src/daemon/peer/call_frames.cpp
+++ b/packages/daemon/src/daemon/peer/call_frames.cpp
@@ -69,15 +69,10 @@
 
 bool queueChunks(PeerConnection &Connection, const policy::RequestId &Id,
                  std::string_view Rest) {
-  wire::PeerFrame Frame;
   while (!Rest.empty()) {
     const std::string_view Chunk = Rest.substr(0, BodyChunkBytes);
     Rest.remove_prefix(Chunk.size());
-    wire::PeerBody &Body = *Frame.mutable_body();
-    wire::toWire(Id, *Body.mutable_id());
-    Body.set_data(std::string(Chunk));
-    Body.set_last(Rest.empty());
-    if (!Connection.queue(Frame)) {
+    if (!queueBodyChunk(Connection, Id, Chunk, Rest.empty())) {
       return false;
     }
   }
@@ -125,6 +120,7 @@
   Message.set_organisation(Request.Organisation);
   Message.set_nested(Request.Nested);
   Message.set_route(Request.Route);
+  Message.set_bulk(Request.Bulk);
   const std::string_view Body = Request.Body;
   Message.set_body(std::string(Body.substr(0, BodyChunkBytes)));
   Message.set_body_continues(Body.size() > BodyChunkBytes);
@@ -133,9 +129,20 @@
           queueChunks(Connection, Request.Id, Body.substr(BodyChunkBytes)));
 }
 
+bool queueBodyChunk(PeerConnection &Connection, const policy::RequestId &Id,
+                    std::string_view Chunk, bool Last) {
+  wire::PeerFrame Frame;
+  wire::PeerBody &Body = *Frame.mutable_body();
+  wire::toWire(Id, *Body.mutable_id());
+  Body.set_data(std::string(Chunk));
+  Body.set_last(Last);
+  return Connection.queue(Frame);
+}
+
 bool queueResponse(PeerConnection &Connection, const policy::RequestId &Id,
-                   const CallResponse &Response) {
-  reserveFrames(Connection, Response.Body.size());
+                   const CallResponse &Response, std::size_t FirstChunkBytes) {
+  const bool IsWhole = FirstChunkBytes >= BodyChunkBytes;
+  reserveFrames(Connection, IsWhole ? Response.Body.size() : FirstChunkBytes);
   wire::PeerFrame Frame;
   wire::PeerAnswer &Message = *Frame.mutable_answer();
   wire::toWire(Id, *Message.mutable_id());
@@ -151,11 +158,12 @@
   Message.set_status(Response.Status);
   writeHeaders(Response.Headers, Message);
   const std::string_view Body = Response.Body;
-  Message.set_body(std::string(Body.substr(0, BodyChunkBytes)));
-  Message.set_body_continues(Body.size() > BodyChunkBytes);
+  const std::size_t First = std::min(FirstChunkBytes, BodyChunkBytes);
+  Message.set_body(std::string(Body.substr(0, First)));
+  Message.set_body_continues(Body.size() > First);
   return Connection.queue(Frame) &&
-         (!Message.body_continues() ||
-          queueChunks(Connection, Id, Body.substr(BodyChunkBytes)));
+         (!IsWhole || !Message.body_continues() ||
+          queueChunks(Connection, Id, Body.substr(First)));
 }
 
 AssemblyStatus BodyAssembly::add(std::string &Body, wire::PeerBody &Chunk) {
@@ -215,6 +223,7 @@
   Request.Organisation = Message.organisation();
   Request.Nested = Message.nested();
   Request.Route = Message.route();
+  Request.Bulk = Message.bulk();
   return readHeaders(Message, Request.Headers) &&
          hasNoBlanksOrControls(Request.Method) &&
          hasNoBlanksOrControls(Request.Target);
--- a/packages/daemon/src/daemon/peer/call_frames.h
+++ b/packages/daemon/src/daemon/peer/call_frames.h
@@ -3,9 +3,11 @@
 
 #include "daemon/memory/fwd.h"
 #include "daemon/peer/call.h"
+#include "wire/frame/limits.h"
 
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace magnolia::wire {
 class PeerBody;
@@ -22,9 +24,15 @@
 [[nodiscard]] bool queueRequest(PeerConnection &Connection,
                                 const CallRequest &Request,
                                 policy::TimePoint Now);
-[[nodiscard]] bool queueResponse(PeerConnection &Connection,
-                                 const policy::RequestId &Id,
-                                 const CallResponse &Response);
+// If the first chunk is limited to less than a frame holds, queueResponse
+// queues the first frame only, and the caller queues the rest of the body.
+[[nodiscard]] bool
+queueResponse(PeerConnection &Connection, const policy::RequestId &Id,
+              const CallResponse &Response,
+              std::size_t FirstChunkBytes = wire::BodyChunkBytes);
+[[nodiscard]] bool queueBodyChunk(PeerConnection &Connection,
+                                  const policy::RequestId &Id,
+                                  std::string_view Chunk, bool Last);
 
 enum class AssemblyStatus : std::uint8_t {
   More,
--- a/packages/daemon/src/daemon/sidecar/peer_service.cpp
+++ b/packages/daemon/src/daemon/sidecar/peer_service.cpp
@@ -1,5 +1,7 @@
 #include "daemon/sidecar/peer_service.h"
 
+#include "daemon/link/link_pacer.h"
+#include "daemon/link/link_transfer.h"
 #include "daemon/net/adaptive_spin.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
@@ -14,6 +16,14 @@
 
 using policy::ErrorKind;
 
+namespace {
+
+// Size of the pieces in which a large body is sent. A short message waits
+// behind at most one piece of each body.
+constexpr std::size_t PieceBytes = 16'384;
+
+} // namespace
+
 void PeerService::serve(Session &Accepted) {
   PeerConnection Connection(Accepted.fd());
   if (!handshakeAsServer(Connection, Options.Own,
@@ -101,6 +111,9 @@
     Refusal.Load = Owner.load();
     return sendResponse(Connection, Id, Refusal);
   }
+  if (Request.Bulk && Options.Link && Options.Link->isLimited()) {
+    return serveBulkRequest(Connection, std::move(Request));
+  }
   SidecarCall Call(Owner, std::move(Request));
   Call.start(now());
   if (!waitForCall(Connection, Call)) {
@@ -109,6 +122,75 @@
   return sendResponse(Connection, Id, Call.response());
 }
 
+PeerService::Next PeerService::serveBulkRequest(PeerConnection &Connection,
+                                                CallRequest Request) {
+  const policy::RequestId Id = Request.Id;
+  LinkTransfer Transfer(*Options.Link, Request, now());
+  if (!Transfer.accepted()) {
+    Owner.metrics().count(Counter::LinkRejections);
+    CallResponse Refusal = callErrorResponse(ErrorKind::SlowInstance,
+                                             "the link of the node is busy");
+    Refusal.Load = Owner.load();
+    return sendResponse(Connection, Id, Refusal);
+  }
+  SidecarCall Call(Owner, std::move(Request));
+  Call.start(now());
+  if (!waitForCall(Connection, Call)) {
+    return Next::Close;
+  }
+  Transfer.setBodyBytes(Call.response().Body.size());
+  return Call.response().Body.size() > PieceBytes
+             ? sendInPieces(Connection, Call.request(), Call.response())
+             : sendResponse(Connection, Id, Call.response());
+}
+
+PeerService::Next PeerService::sendInPieces(PeerConnection &Connection,
+                                            const CallRequest &Request,
+                                            const CallResponse &Response) {
+  // A response that is late for the caller is still sent, because it may be on
+  // its way to the caller already.
+  const policy::TimePoint Latest = Request.Deadline + Options.ReadTimeout;
+  if (!Options.Link->awaitPiece(PieceBytes, Latest) ||
+      !queueResponse(Connection, Request.Id, Response, PieceBytes) ||
+      !Connection.flush(now() + Options.ReadTimeout)) {
+    return Next::Close;
+  }
+  std::string_view Rest = std::string_view(Response.Body).substr(PieceBytes);
+  while (!Rest.empty()) {
+    const std::string_view Piece = Rest.substr(0, PieceBytes);
+    Rest.remove_prefix(Piece.size());
+    if (!Options.Link->awaitPiece(Piece.size(), Latest) ||
+        !takeFramesDuringSend(Connection, Request.Id) ||
+        !queueBodyChunk(Connection, Request.Id, Piece, Rest.empty()) ||
+        !Connection.flush(now() + Options.ReadTimeout)) {
+      return Next::Close;
+    }
+  }
+  return Next::Continue;
+}
+
+bool PeerService::takeFramesDuringSend(PeerConnection &Connection,
+                                       const policy::RequestId &Id) {
+  wire::PeerFrame Frame;
+  for (;;) {
+    switch (Connection.receive(Frame)) {
+    case ReceiveStatus::Nothing:
+      return true;
+    case ReceiveStatus::Broken:
+      return false;
+    case ReceiveStatus::Frame:
+      break;
+    }
+    const bool IsCancel = Frame.has_cancel();
+    if (IsCancel ? wire::fromWire(Frame.cancel().id()) == Id
+                 : !answerControl(Connection, Frame)) {
+      // The rest of a cancelled body is not sent, so the connection cannot
+      // carry another response.
+      return false;
+    }
+  }
+}
+
 CallResponse PeerService::bodyRefusal(bool Readable, bool LacksMemory) const {
   if (!Readable) {
     return callErrorResponse(ErrorKind::BadRequest,
--- a/packages/daemon/src/daemon/sidecar/peer_service.h
+++ b/packages/daemon/src/daemon/sidecar/peer_service.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_SIDECAR_PEER_SERVICE_H
 #define DAEMON_SIDECAR_PEER_SERVICE_H
 
+#include "daemon/link/fwd.h"
 #include "daemon/net/connection_server.h"
 #include "daemon/peer/call_frames.h"
 #include "daemon/peer/peer_connection.h"
@@ -19,6 +20,8 @@
   std::size_t BodyBytes = 0;
   // Memory for the bodies of requests; null for no limit on their sum.
   BodyMemory *Memory = nullptr;
+  // Shares the link of the node among large bodies; null for no limit.
+  LinkPacer *Link = nullptr;
   policy::Duration HandshakeTimeout = std::chrono::seconds(2);
   // Maximum pause within a message.
   policy::Duration ReadTimeout = std::chrono::seconds(10);
@@ -62,6 +65,17 @@
   [[nodiscard]] Next sendResponse(PeerConnection &Connection,
                                   const policy::RequestId &Id,
                                   const CallResponse &Response);
+  // Runs a request whose response has a large body.
+  [[nodiscard]] Next serveBulkRequest(PeerConnection &Connection,
+                                      CallRequest Request);
+  // Sends a response in pieces, at the rate that the link allows.
+  [[nodiscard]] Next sendInPieces(PeerConnection &Connection,
+                                  const CallRequest &Request,
+                                  const CallResponse &Response);
+  // Responds to the frames that arrived while a response is being sent. Returns
+  // false if the connection must be closed.
+  [[nodiscard]] bool takeFramesDuringSend(PeerConnection &Connection,
+                                          const policy::RequestId &Id);
 
   Sidecar &Owner;
   const PeerServiceOptions &Options;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -201,6 +201,10 @@
       Settings->BodyMemory = policy::bodyBytesFor(*Memory);
     }
   }
+  if (Speaks.ReadLinkRate) {
+    Settings->LinkBytesPerSecond = Speaks.ReadLinkRate(Settings->InterfaceKeys)
+                                       .value_or(Settings->LinkBytesPerSecond);
+  }
   std::optional<store::WatchResult> Known;
   if (KeyInStore) {
     auto Start = daemon::readStartRecords(
--- /dev/null
+++ b/packages/policy/src/policy/link/fwd.h
@@ -0,0 +1,12 @@
+#ifndef POLICY_LINK_FWD_H
+#define POLICY_LINK_FWD_H
+
+namespace magnolia::policy {
+
+struct LinkOptions;
+struct LinkState;
+struct TransferQuery;
+
+} // namespace magnolia::policy
+
+#endif
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -108,6 +108,8 @@
   Milliseconds ShutdownDrain{};
   Milliseconds ShutdownTimeout{};
   std::size_t BodyMemory = std::size_t{256} << 20;
+  // Bytes per second; 0 if unknown.
+  double LinkBytesPerSecond = 0;
   // Time from the signal to stop until the process is killed, as the interface
   // states it; 0 if unknown. It replaces the sum of the times above.
   std::chrono::nanoseconds ShutdownGrace{};
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -224,6 +224,11 @@
                             "bytes",
                             "Maximum size of the head (first line and headers) "
                             "of a request or response."),
+    number<&N::LinkBytesPerSecond>(
+        Limits, "link_bytes_per_second", "0", 0, 1'000'000'000'000, "bytes/s",
+        "Capacity of the instance's network link. Responses of bulk routes are "
+        "then sent in pieces at a share of it, and requests that would wait "
+        "too long for the link are rejected; 0: unknown, no limit."),
     number<&N::HeldConnections>(
         Limits, "held_connections", "1024", 1, 100'000, "connections",
         "Maximum number of concurrent connections of callers."),
