Add the setting that switches admission by workload

Cause: the coming admission by nested calls, priorities and losses must leave deployments as they are that do not ask for it, and must follow the routing table where the setting says auto.

The routing table counts its routes with large bodies; each change adds and removes its own, so the question costs no pass over the routes. The order of the route index compares the fields bulk and public too: of two routes that differed only in these, a change could have removed the other one.

The random route lines of the test of the routing table state bulk in a quarter of the cases; nothing else in it changed.

--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -11,6 +11,7 @@
 #include "daemon/view/share_overrides.h"
 #include "daemon/view/view_holder.h"
 #include "policy/overload/late_request.h"
+#include "policy/overload/workload_aware.h"
 
 #include <atomic>
 #include <cstdint>
@@ -31,6 +32,8 @@
   const Dialect *Speaks = nullptr;
   // Service of the local backend server, as named in the settings.
   std::string LocalService;
+  // Whether the entry node admits requests by the losses of nested calls.
+  policy::WorkloadSetting WorkloadAware = policy::WorkloadSetting::Off;
   ServiceTable::Options Services;
   ExchangeOptions Exchange;
 };
--- a/packages/daemon/src/daemon/view/route_index.cpp
+++ b/packages/daemon/src/daemon/view/route_index.cpp
@@ -42,7 +42,8 @@
   }
   const auto FieldsOf = [](const HostRoute &Route) {
     return std::tie(Route.Name, Route.Idempotent, Route.TimeoutMs,
-                    Route.ObjectiveMs, Route.MaxAttempts, Route.Priority);
+                    Route.ObjectiveMs, Route.MaxAttempts, Route.Priority,
+                    Route.Bulk, Route.Public);
   };
   if (FieldsOf(Left) != FieldsOf(Right)) {
     return FieldsOf(Right) < FieldsOf(Left);
--- a/packages/daemon/src/daemon/view/routing_table.cpp
+++ b/packages/daemon/src/daemon/view/routing_table.cpp
@@ -2,6 +2,8 @@
 
 #include "settings/record/routing_change.h"
 
+#include <algorithm>
+#include <span>
 #include <utility>
 
 namespace magnolia::daemon {
@@ -36,6 +38,12 @@
   return std::make_shared<const ServiceMap>(std::move(Services));
 }
 
+std::size_t countBulk(std::span<const RouteIndex::Route> Routes) {
+  return static_cast<std::size_t>(
+      std::count_if(Routes.begin(), Routes.end(),
+                    [](const RouteIndex::Route &Next) { return Next->Bulk; }));
+}
+
 } // namespace
 
 std::optional<RoutingTable> withChange(const RoutingTable &Last,
@@ -50,7 +58,10 @@
                       .Routes = withChanges(Last.Routes, Change.RemovedRoutes,
                                             Change.AddedRoutes),
                       .Services = std::move(Services),
-                      .Callers = Change.Callers};
+                      .Callers = Change.Callers,
+                      .BulkRoutes = Last.BulkRoutes +
+                                    countBulk(Change.AddedRoutes) -
+                                    countBulk(Change.RemovedRoutes)};
 }
 
 const settings::HostRoute *findRoute(const RoutingTable &Table,
--- a/packages/daemon/src/daemon/view/routing_table.h
+++ b/packages/daemon/src/daemon/view/routing_table.h
@@ -7,6 +7,7 @@
 #include "settings/record/host_route.h"
 #include "settings/record/service_limits.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -34,8 +35,15 @@
   std::shared_ptr<const ServiceMap> Services =
       std::make_shared<const ServiceMap>();
   settings::CallerLimits Callers;
+  // Number of routes with large request or response bodies.
+  std::size_t BulkRoutes = 0;
 };
 
+// Returns whether the table has routes with large request or response bodies.
+[[nodiscard]] inline bool hasBulkRoutes(const RoutingTable &Table) {
+  return Table.BulkRoutes > 0;
+}
+
 // Returns the table with the change, which was made against the value of the
 // last table. Returns nothing and sets the error if a service has two lines.
 [[nodiscard]] std::optional<RoutingTable>
--- a/packages/daemon/test/daemon/view/routing_table.cpp
+++ b/packages/daemon/test/daemon/view/routing_table.cpp
@@ -76,7 +76,8 @@
          "\",\"/" + text(Engine, 6) + "\",\"r" +
          std::to_string(below(Engine, 20)) + "\",\"s" +
          std::to_string(below(Engine, 4)) + "\",false," +
-         std::to_string(below(Engine, 3)) + "]";
+         std::to_string(below(Engine, 3)) +
+         (below(Engine, 4) == 0 ? ",0,1,0,true]" : "]");
 }
 
 std::string serviceLine(Random &Engine) {
@@ -144,6 +145,11 @@
   EXPECT_TRUE(routesOf(Table) == routesOf(Expected));
   EXPECT_EQ(*Table.Services, *Expected.Services);
   EXPECT_EQ(Table.Callers, Expected.Callers);
+  EXPECT_EQ(Table.BulkRoutes, Expected.BulkRoutes);
+  const std::vector<HostRoute> Routes = routesOf(Table);
+  EXPECT_EQ(hasBulkRoutes(Table),
+            std::any_of(Routes.begin(), Routes.end(),
+                        [](const HostRoute &Route) { return Route.Bulk; }));
 }
 
 // Guards against a table that depends on the versions before it: nodes that
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -125,6 +125,9 @@
   std::uint32_t RetryBurst = 0;
   std::uint32_t RetryFloor = 0;
 
+  // off, auto or on.
+  std::string WorkloadAware;
+
   std::string LogLevel;
   std::string LogFile;
 };
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -339,6 +339,16 @@
     number<&N::RetryFloor>(
         Limits, "retry_floor", "1000", 0, 1'000'000, "retries per 100 s",
         "Retries of one service that a node may send regardless of traffic."),
+    {.Section = "admission",
+     .Key = "workload_aware",
+     .Default = "off",
+     .Unit = {},
+     .Choices = "off|auto|on",
+     .Meaning = "Whether admission weighs nested calls, priorities and the "
+                "losses of nested calls; auto: while the routing table has "
+                "routes of kind upload or download.",
+     .Store = store<&N::WorkloadAware>,
+     .Type = Type::Choice},
     live({.Section = "log",
           .Key = "level",
           .Default = "info",
