--- a/packages/policy/src/policy/chain/fwd.h
+++ b/packages/policy/src/policy/chain/fwd.h
@@ -3,8 +3,19 @@
 
 namespace magnolia::policy {
 
+struct AdmittedRoute;
 struct ChainContext;
 struct ChainHeader;
+struct NestedResult;
+struct RankedRoute;
+struct ReturnPromise;
+struct RouteAdmissionOptions;
+struct RouteAdmissionState;
+struct RouteArrival;
+struct RouteCounts;
+struct RouteDecision;
+struct RouteEvidence;
+struct RouteLossWindow;
 
 } // namespace magnolia::policy
 
