Shed requests whose nested calls are rejected

Cause: the sidecars told nobody that runs lose their nested calls, and the entry node did not weigh what a request will need after its own service.

Change: while admission by workload is on, RunningRequests keeps which runs lost a nested call and the counts of their routes, which each response of the route carries. The entry node of a nested call, which is the node of its parent, marks the parent when the call is rejected; a nested call that failed for a loss of its own counts too, so that longer chains are covered. Before an attempt, the entry node asks RouteGate whether the route is shed; rejected callers get the Retry-After that it plans.

With the setting off, or auto without bulk routes, responses carry no counts, no request is shed, and Retry-After is drawn as before (tests of entry and sidecar). Not measured on a deployment.

--- a/packages/daemon/src/daemon/control/control_options.h
+++ b/packages/daemon/src/daemon/control/control_options.h
@@ -5,6 +5,7 @@
 #include "policy/fleet/join_options.h"
 #include "policy/membership/contact.h"
 #include "policy/membership/member.h"
+#include "policy/overload/workload_aware.h"
 #include "store/client/http_store.h"
 #include "store/core/store_operations.h"
 #include "store/core/watch_result.h"
@@ -33,6 +34,8 @@
   policy::Duration ZoneDistance = std::chrono::milliseconds(1);
   policy::Duration RegionDistance = std::chrono::milliseconds(30);
   std::uint64_t Seed = 0;
+  // Whether the sidecar counts the losses of nested calls.
+  policy::WorkloadSetting WorkloadAware = policy::WorkloadSetting::Off;
   store::StoreOperations (*OpenStore)(const store::HttpStoreOptions &Options) =
       store::httpStore;
   policy::JoinOptions Join;
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -10,6 +10,7 @@
 #include "daemon/view/view_holder.h"
 #include "policy/core/epoch.h"
 #include "policy/fleet/join.h"
+#include "policy/overload/workload_aware.h"
 #include "settings/record/format_record.h"
 #include "settings/record/parse_record.h"
 #include "settings/record/record_key.h"
@@ -334,6 +335,8 @@
                   });
   Shared.Own.setRun(Membership->self().Run);
   Shared.Own.setZoneOut(View.ZonesOut.contains(Options.Self.Zone));
+  Shared.Own.running().setCounting(policy::isWorkloadAware(
+      Options.WorkloadAware, View.Routing && hasBulkRoutes(*View.Routing)));
   if (View.Routing) {
     const auto Limits =
         View.Routing->Services->find(Shared.Backend.state().Service);
--- a/packages/daemon/src/daemon/dump/dump.cpp
+++ b/packages/daemon/src/daemon/dump/dump.cpp
@@ -126,6 +126,29 @@
   return Text + "}";
 }
 
+namespace {
+
+Json routes(const policy::RouteAdmissionState &State, policy::TimePoint Now) {
+  Json Value = Json::array();
+  for (const auto &[Key, Route] : State.Routes) {
+    const policy::RouteEvidence Evidence =
+        policy::evidenceOf(Route, State.Options, Now);
+    Value.push_back({{"route", Key.first},
+                     {"priority", Route.Priority},
+                     {"share", Route.Share},
+                     {"higher_share", Route.HigherShare},
+                     {"runs", Evidence.Runs},
+                     {"losses", Evidence.Losses},
+                     {"trust", Evidence.Trust},
+                     {"age_ms", inMs(Evidence.Age)},
+                     {"promises", Route.Promises.size()},
+                     {"shed", Route.Shed}});
+  }
+  return Value;
+}
+
+} // namespace
+
 std::string dumpEntry(Entry &From) {
   const policy::TimePoint Now = now();
   const auto View = From.Use.Views.current();
@@ -135,6 +158,7 @@
   Value["idle_peer_connections"] = From.Use.Peers.idle();
   Value["opened_peer_connections"] = From.Use.Peers.opened();
   Value["evidence_dropped"] = From.Use.Responses.dropped();
+  Value["routes"] = routes(From.Gate.state(), Now);
   Value["services"] = Json::object();
   for (const auto &[Name, Runtime] : From.Services.all()) {
     Value["services"][Name] = service(*Runtime, Now);
--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -2,6 +2,7 @@
 #define DAEMON_ENTRY_ENTRY_H
 
 #include "daemon/dialect/dialect.h"
+#include "daemon/entry/route_gate.h"
 #include "daemon/entry/service_runtime.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/peer/peer_exchange.h"
@@ -74,6 +75,7 @@
   const EntryOptions Options;
   const Parts Use;
   ServiceTable Services;
+  RouteGate Gate;
 
 private:
   std::atomic<std::uint64_t> Sequence = 0;
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -44,7 +44,10 @@
 
 CallResponse EntryCall::run() {
   if (const auto Refusal = initialRefusal()) {
-    Result = callErrorResponse(*Refusal, "refused by the entry node");
+    Result = callErrorResponse(
+        *Refusal, Shed ? "nested calls of the route find no capacity"
+                       : "refused by the entry node");
+    applyResult(now());
     logEnd(now());
     return std::move(*Result);
   }
@@ -57,6 +60,7 @@
   }
   const policy::TimePoint End = now();
   cancelInFlight(End);
+  applyResult(End);
   logEnd(End);
   const bool Accepted =
       !Result->Kind || !policy::isCapacityRejection(*Result->Kind);
@@ -254,6 +258,9 @@
 
 void EntryCall::handleResponse(std::list<Attempt>::iterator It,
                                CallResponse Response, policy::TimePoint Now) {
+  reportCounts(It->Peer.Node,
+               {.Runs = Response.RouteRuns, .Losses = Response.RouteLosses},
+               Now);
   if (Response.Kind) {
     handleFailure(It, std::move(Response), Now);
     return;
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -35,6 +35,10 @@
     // True if a hedge may be sent to another server while the first attempt
     // runs.
     bool MayHedge = true;
+    // True if the request is admitted by the losses of nested calls.
+    bool WorkloadAware = false;
+    // Time until which the caller waits; unset if it states none.
+    policy::TimePoint CallerDeadline{};
     // Connection of the caller. The call is cancelled when it closes.
     int CallerFd = -1;
   };
@@ -46,6 +50,11 @@
 
   // True if the response must carry Magnolia-Retry: exhausted.
   [[nodiscard]] bool retriesExhausted() const { return Exhausted; }
+  // Time after which a rejected caller should return; nothing if no moment is
+  // planned for it.
+  [[nodiscard]] std::optional<policy::Duration> retryAfter() const {
+    return ReturnAfter;
+  }
 
 private:
   // One attempt at one sidecar. Exactly one of Remote and Local is set.
@@ -61,6 +70,17 @@
   };
 
   [[nodiscard]] std::optional<policy::ErrorKind> initialRefusal();
+  // Returns false if the request is rejected because nested calls of its route
+  // find no capacity.
+  [[nodiscard]] bool admitByLosses(policy::TimePoint Now);
+  [[nodiscard]] policy::RouteArrival arrival() const;
+  // Records the counts of the request's route that a sidecar reported.
+  void reportCounts(policy::NodeId Sidecar, const policy::RouteCounts &Counts,
+                    policy::TimePoint Now);
+  // Records a lost nested call at its parent, and plans the return of a
+  // rejected caller.
+  void applyResult(policy::TimePoint Now);
+  void logShed() const;
   // Limits the deadline to the end of a planned stop. Returns false if no
   // attempt may start because the stop could cut it.
   [[nodiscard]] bool limitToStop(policy::TimePoint Now);
@@ -105,6 +125,9 @@
   std::optional<CallResponse> LastError;
   std::optional<CallResponse> Result;
   bool Exhausted = false;
+  // Decision that rejected the request for lost nested calls.
+  std::optional<policy::RouteDecision> Shed;
+  std::optional<policy::Duration> ReturnAfter;
   // True once the caller has closed its connection.
   bool CallerGone = false;
 };
--- a/packages/daemon/src/daemon/entry/entry_call_refusals.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call_refusals.cpp
@@ -23,6 +23,9 @@
   if (!limitToStop(Now)) {
     return ErrorKind::Shutdown;
   }
+  if (!admitByLosses(Now)) {
+    return ErrorKind::Overloaded;
+  }
   ServiceRuntime &Runtime = *Call.Runtime;
   const std::lock_guard Lock(Runtime.Mutex);
   policy::recordRequest(Runtime.Probes, Now);
--- a/packages/daemon/src/daemon/entry/fwd.h
+++ b/packages/daemon/src/daemon/entry/fwd.h
@@ -7,6 +7,7 @@
 class EntryCall;
 class HttpService;
 class Prober;
+class RouteGate;
 class ServiceTable;
 struct EntryOptions;
 struct ServiceRuntime;
--- a/packages/daemon/src/daemon/entry/http_service.cpp
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -235,7 +235,7 @@
   if (Result.Kind) {
     Counts.countError(*Result.Kind);
     return errorResponse(Speaks, *Result.Kind, Result.Detail,
-                         Running.retriesExhausted());
+                         Running.retriesExhausted(), Running.retryAfter());
   }
   HttpResponse Response;
   Response.Status = Result.Status;
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -195,7 +195,13 @@
   Call.Request.Priority = Call.Request.Nested
                               ? NestedCallPriority
                               : Route->Priority + NestedCallPriority + 1;
-  setTimes(Call, *Route, deadlineOf(Speaks, Request), Owner.Options, Now);
+  Call.WorkloadAware = policy::isWorkloadAware(Owner.Options.WorkloadAware,
+                                               hasBulkRoutes(*View->Routing));
+  const auto CallerTimeout = deadlineOf(Speaks, Request);
+  if (CallerTimeout) {
+    Call.CallerDeadline = Now + *CallerTimeout;
+  }
+  setTimes(Call, *Route, CallerTimeout, Owner.Options, Now);
   takeMessage(Call, std::move(Request));
   if (!Speaks.Headers.CallerService.empty()) {
     replaceHeader(Call.Request.Headers, Speaks.Headers.CallerService,
@@ -270,7 +276,8 @@
 }
 
 HttpResponse errorResponse(const Dialect &Speaks, ErrorKind Kind,
-                           std::string_view Detail, bool RetriesExhausted) {
+                           std::string_view Detail, bool RetriesExhausted,
+                           std::optional<policy::Duration> RetryAfter) {
   const policy::ErrorEntry &Entry = policy::errorEntry(Kind);
   HttpResponse Response;
   Response.Status = Speaks.StatusOf(Kind);
@@ -280,7 +287,8 @@
   if (!Speaks.Headers.RetryAfter.empty() && Entry.Retryable) {
     Response.Headers.push_back(
         {std::string(Speaks.Headers.RetryAfter),
-         secondsText(policy::returnDelay(Kind, threadEngine()))});
+         secondsText(RetryAfter ? *RetryAfter
+                                : policy::returnDelay(Kind, threadEngine()))});
   }
   if (RetriesExhausted) {
     Response.Headers.push_back({std::string(policy::RetryHeader),
--- a/packages/daemon/src/daemon/entry/parse_call.h
+++ b/packages/daemon/src/daemon/entry/parse_call.h
@@ -29,11 +29,12 @@
           policy::Error &LastError);
 
 // Builds the error response to a caller, with the headers that state whether
-// the request ran.
-[[nodiscard]] HttpResponse errorResponse(const Dialect &Speaks,
-                                         policy::ErrorKind Kind,
-                                         std::string_view Detail,
-                                         bool RetriesExhausted);
+// the request ran. A rejected caller is asked to return after the given time,
+// or after a random one.
+[[nodiscard]] HttpResponse
+errorResponse(const Dialect &Speaks, policy::ErrorKind Kind,
+              std::string_view Detail, bool RetriesExhausted,
+              std::optional<policy::Duration> RetryAfter = std::nullopt);
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/daemon/metrics/metrics.cpp
+++ b/packages/daemon/src/daemon/metrics/metrics.cpp
@@ -31,6 +31,13 @@
      "Fences that found the request started."},
     {Counter::FencesSilent, "fences_silent", "Fences without a result."},
     {Counter::Cancels, "cancels", "Requests cancelled by this entry node."},
+    {Counter::RequestsShed, "requests_shed",
+     "Requests rejected at the entry node because nested calls of their route "
+     "find no capacity."},
+    {Counter::ReturnsKept, "returns_kept",
+     "Requests admitted first because their callers returned as asked."},
+    {Counter::NestedCallsLost, "nested_calls_lost",
+     "Calls of running requests that were rejected."},
     {Counter::SilentConnections, "silent_connections",
      "Busy peer connections that broke or went silent."},
     {Counter::PeerConnectFailures, "peer_connect_failures",
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -250,6 +250,7 @@
       .StorePort = Settings.Store.Port,
       .ZoneDistance = Settings.ZoneDistance,
       .Seed = Id ^ Run,
+      .WorkloadAware = policy::workloadSettingOf(Settings.WorkloadAware),
       .OpenStore = Speaks.OpenStore,
       .Join = joinOptions(Settings),
       .StartRecords = std::move(Known),
--- a/packages/daemon/src/daemon/sidecar/running_requests.cpp
+++ b/packages/daemon/src/daemon/sidecar/running_requests.cpp
@@ -1,5 +1,7 @@
 #include "daemon/sidecar/running_requests.h"
 
+#include "policy/chain/count_runs.h"
+
 #include <iterator>
 #include <utility>
 
@@ -10,12 +12,36 @@
   Requests.emplace(Id, std::move(Started));
 }
 
-void RunningRequests::end(std::string_view Id) {
+void RunningRequests::end(std::string_view Id, std::optional<bool> Failed,
+                          policy::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   const auto Found = Requests.find(Id);
-  if (Found != Requests.end()) {
-    Requests.erase(Found);
+  if (Found == Requests.end()) {
+    return;
+  }
+  const RunningRequest &Ended = Found->second;
+  if (Failed && Counting) {
+    policy::countRun(Losses, Ended.Route, *Failed && Ended.LostCall, Now);
+  }
+  Requests.erase(Found);
+}
+
+bool RunningRequests::markLostCall(std::string_view Id) {
+  const std::lock_guard Lock(Mutex);
+  const auto [First, Last] = Requests.equal_range(Id);
+  for (auto Next = First; Next != Last; ++Next) {
+    Next->second.LostCall = true;
   }
+  return First != Last;
+}
+
+policy::RouteCounts RunningRequests::counts(std::string_view Route,
+                                            policy::TimePoint Now) const {
+  if (!Counting) {
+    return {};
+  }
+  const std::lock_guard Lock(Mutex);
+  return policy::countsOf(Losses, Route, Now);
 }
 
 bool RunningRequests::has(std::string_view Id) const {
--- a/packages/daemon/src/daemon/sidecar/running_requests.h
+++ b/packages/daemon/src/daemon/sidecar/running_requests.h
@@ -2,7 +2,11 @@
 #define DAEMON_SIDECAR_RUNNING_REQUESTS_H
 
 #include "daemon/sidecar/running_request.h"
+#include "policy/chain/route_loss_window.h"
+#include "policy/core/types.h"
 
+#include <atomic>
+#include <functional>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -16,7 +20,21 @@
 class RunningRequests {
 public:
   void begin(const std::string &Id, RunningRequest Started);
-  void end(std::string_view Id);
+  // Ends one request with the id. Failed is true if it did not succeed, nothing
+  // if it has not run; a run is counted for its route.
+  void end(std::string_view Id, std::optional<bool> Failed,
+           policy::TimePoint Now);
+
+  // Records that a nested call of the requests with the id was rejected.
+  // Returns false if none runs.
+  bool markLostCall(std::string_view Id);
+
+  // Switches the counts of runs on or off. They are off at first.
+  void setCounting(bool On) { Counting = On; }
+  // Returns the runs of the route in the last second; zeros if the counts are
+  // off.
+  [[nodiscard]] policy::RouteCounts counts(std::string_view Route,
+                                           policy::TimePoint Now) const;
 
   [[nodiscard]] bool has(std::string_view Id) const;
   // Returns the request that began last with the id, or nothing if none runs.
@@ -25,6 +43,8 @@
 private:
   mutable std::mutex Mutex;
   std::multimap<std::string, RunningRequest, std::less<>> Requests;
+  policy::RouteLossWindow Losses;
+  std::atomic<bool> Counting = false;
 };
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -6,6 +6,7 @@
 #include "daemon/net/socket.h"
 #include "policy/admission/admit.h"
 #include "policy/chain/chain_headers.h"
+#include "policy/chain/route_counts.h"
 
 #include <algorithm>
 #include <utility>
@@ -25,6 +26,18 @@
 constexpr policy::Duration MaxNonIdempotentIdle =
     std::chrono::milliseconds(100);
 
+// Returns whether a run failed, or nothing if the request has not run.
+std::optional<bool> failedRun(const CallResponse &Ended) {
+  constexpr std::uint16_t FirstServerError = 500;
+  if (!Ended.Kind) {
+    return Ended.Status >= FirstServerError;
+  }
+  if (policy::errorEntry(*Ended.Kind).Run == policy::RunOutcome::No) {
+    return std::nullopt;
+  }
+  return *Ended.Kind != ErrorKind::AnswerTooLarge;
+}
+
 } // namespace
 
 SidecarCall::SidecarCall(Sidecar &Owner, CallRequest NewRequest)
@@ -267,10 +280,14 @@
 
 void SidecarCall::finish(CallResponse Ended) {
   Step = Stage::Done;
+  const policy::TimePoint Now = now();
   if (Registered) {
-    Owner.running().end(SentId);
+    Owner.running().end(SentId, failedRun(Ended), Now);
   }
   Result = std::move(Ended);
+  const policy::RouteCounts Runs = Owner.running().counts(Request.Route, Now);
+  Result.RouteRuns = Runs.Runs;
+  Result.RouteLosses = Runs.Losses;
   Result.Reached = Sent != policy::TimePoint{};
   Result.Load = Owner.load();
   if (Sent != policy::TimePoint{}) {
