Stop shedding that does not lower the losses

Cause: calls may be rejected for another reason than load, for example by one faulty server.

Change: an episode of losses keeps what was admitted and which part succeeded; if fewer requests are admitted and that part has not risen as it would under load, the present losses are tolerated for a while.

--- a/packages/daemon/src/daemon/dump/dump.cpp
+++ b/packages/daemon/src/daemon/dump/dump.cpp
@@ -137,6 +137,7 @@
                      {"priority", Route.Priority},
                      {"share", Route.Share},
                      {"higher_share", Route.HigherShare},
+                     {"tolerated_loss", Route.ToleratedLoss},
                      {"runs", Evidence.Runs},
                      {"losses", Evidence.Losses},
                      {"trust", Evidence.Trust},
--- a/packages/policy/src/policy/chain/admitted_route.h
+++ b/packages/policy/src/policy/chain/admitted_route.h
@@ -3,6 +3,7 @@
 
 #include "policy/chain/return_promise.h"
 #include "policy/chain/route_counts.h"
+#include "policy/chain/shed_episode.h"
 #include "policy/core/types.h"
 
 #include <cstddef>
@@ -35,11 +36,17 @@
   double HigherShare = 1;
   TimePoint Stepped{};
   TimePoint LastLosses{};
+  ShedEpisode Episode;
+  // Share of the runs that lost a call, averaged over some seconds, and the
+  // share that is accepted because shedding did not lower it.
+  double AverageLoss = 0;
+  double ToleratedLoss = 0;
   // Part of a request that may still be admitted; negative after returned
   // callers were admitted ahead of new ones.
   double Credit = 0;
-  // Requests per second, averaged over about a second.
+  // Requests per second, averaged over about a second and over several.
   double Rate = 0;
+  double SlowRate = 0;
   TimePoint LastRequest{};
   // Earliest moment that is not promised to a caller yet.
   TimePoint NextPlace{};
--- a/packages/policy/src/policy/chain/fwd.h
+++ b/packages/policy/src/policy/chain/fwd.h
@@ -16,6 +16,7 @@
 struct RouteDecision;
 struct RouteEvidence;
 struct RouteLossWindow;
+struct ShedEpisode;
 
 } // namespace magnolia::policy
 
--- a/packages/policy/src/policy/chain/route_admission_options.h
+++ b/packages/policy/src/policy/chain/route_admission_options.h
@@ -29,6 +29,9 @@
   double MinShare = 0.05;
   // Each rank keeps this multiple of the share that all of them get.
   double RankFloor = 0.25;
+  // Part of the admitted requests at the start of an episode of losses below
+  // which it is tested whether shedding helps.
+  double TestedShare = 0.8;
   // Interval of the changes, and the time from a change of the share until the
   // counts reflect it: a run, half of the window, and half of the time between
   // two reports.
--- a/packages/policy/test/policy/chain/admit_route.cpp
+++ b/packages/policy/test/policy/chain/admit_route.cpp
@@ -92,6 +92,25 @@
   }
 }
 
+// Guards against a share that falls to its minimum because calls are rejected
+// for another reason than load, which shedding cannot change.
+TEST(AdmitRoute, SheddingThatDoesNotHelpIsGivenUp) {
+  for (const double Rejected : {0.05, 0.1, 0.2, 0.4}) {
+    double Answered[2] = {0, 0};
+    for (const bool Aware : {false, true}) {
+      ChainReplay Replay(1);
+      Replay.Routes = {{.Name = "lookups", .PerSecond = 200, .Calls = 2}};
+      Replay.Capacity = [](std::size_t, double) { return 2000.0; };
+      Replay.AlwaysRejected = Rejected;
+      Replay.Aware = Aware;
+      Replay.MeasureFrom = 10;
+      const ReplayResult Result = Replay.run(60)[0];
+      Answered[Aware ? 1 : 0] = Result.Answered / Result.Requests;
+    }
+    EXPECT_GT(Answered[1], 0.6 * Answered[0]) << Rejected;
+  }
+}
+
 // Guards against a low rank that is shed because a higher one calls another
 // service that is full.
 TEST(AdmitRoute, RouteThatLosesNothingIsNotShed) {
--- a/packages/policy/test/policy/chain/chain_replay.h
+++ b/packages/policy/test/policy/chain/chain_replay.h
@@ -52,6 +52,8 @@
   std::size_t Servers = 8;
   // Calls per second that a called service bears at a time.
   std::function<double(std::size_t Called, double Second)> Capacity;
+  // Share of the calls that is rejected whatever the load is.
+  double AlwaysRejected = 0;
   bool Aware = true;
   // Time from which sidecars report nothing.
   double ReportsUntil = 1e9;
@@ -166,7 +168,8 @@
     From.Tokens = std::min(From.Tokens + (Now - From.Filled) * PerSecond,
                            std::max(1.0, 0.05 * PerSecond));
     From.Filled = Now;
-    if (From.Tokens < 1) {
+    if (From.Tokens < 1 ||
+        std::uniform_real_distribution<>(0, 1)(Random) < AlwaysRejected) {
       return false;
     }
     From.Tokens -= 1;
