--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -2,6 +2,7 @@
 #define DAEMON_ENTRY_ENTRY_H
 
 #include "daemon/dialect/dialect.h"
+#include "daemon/entry/route_gate.h"
 #include "daemon/entry/service_runtime.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/peer/peer_exchange.h"
@@ -11,6 +12,7 @@
 #include "daemon/view/share_overrides.h"
 #include "daemon/view/view_holder.h"
 #include "policy/overload/late_request.h"
+#include "policy/overload/workload_aware.h"
 
 #include <atomic>
 #include <cstdint>
@@ -31,6 +33,8 @@
   const Dialect *Speaks = nullptr;
   // Service of the local backend server, as named in the settings.
   std::string LocalService;
+  // Whether the entry node admits requests by the losses of nested calls.
+  policy::WorkloadSetting WorkloadAware = policy::WorkloadSetting::Off;
   ServiceTable::Options Services;
   ExchangeOptions Exchange;
 };
@@ -71,6 +75,7 @@
   const EntryOptions Options;
   const Parts Use;
   ServiceTable Services;
+  RouteGate Gate;
 
 private:
   std::atomic<std::uint64_t> Sequence = 0;
--- a/packages/policy/src/policy/chain/fwd.h
+++ b/packages/policy/src/policy/chain/fwd.h
@@ -3,8 +3,20 @@
 
 namespace magnolia::policy {
 
+struct AdmittedRoute;
 struct ChainContext;
 struct ChainHeader;
+struct NestedResult;
+struct RankedRoute;
+struct ReturnPromise;
+struct RouteAdmissionOptions;
+struct RouteAdmissionState;
+struct RouteArrival;
+struct RouteCounts;
+struct RouteDecision;
+struct RouteEvidence;
+struct RouteLossWindow;
+struct ShedEpisode;
 
 } // namespace magnolia::policy
 
