Add lines of organisations to the routing table

Cause: organisations with keys need a place in the published table in which a changed key costs one line.

Change: one line for each organisation with name, keys and optional priority; compareRouting reports the organisations that changed, and nodes apply them to an index by name and by a keyed digest (HMAC-SHA256 under a secret of the process, candidates compared in constant time). Two lines of an organisation, a name that cannot be a header value and a key that is no text reject the table; no error contains a key. A key of several organisations belongs to the one with the lowest name. Names and keys have no limit of their own, because one text would reject the whole table.

The test ChangesGiveTheTableOfAParseFromScratch has random lines of organisations now and compares their index, too.

Result: a changed key is one removed and one added organisation and no route or service; over random changes the index is that of a parse from scratch.

--- a/packages/daemon/src/daemon/view/routing_table.cpp
+++ b/packages/daemon/src/daemon/view/routing_table.cpp
@@ -36,6 +36,21 @@
   return std::make_shared<const ServiceMap>(std::move(Services));
 }
 
+// Returns null and sets the error if the organisations contradict each other.
+std::shared_ptr<const OrganisationIndex>
+withOrganisations(const std::shared_ptr<const OrganisationIndex> &Last,
+                  const settings::RoutingChange &Change,
+                  policy::Error &LastError) {
+  if (Change.RemovedOrganisations.empty() &&
+      Change.AddedOrganisations.empty()) {
+    return Last;
+  }
+  auto Next = withChanges(*Last, Change.RemovedOrganisations,
+                          Change.AddedOrganisations, LastError);
+  return Next ? std::make_shared<const OrganisationIndex>(*std::move(Next))
+              : nullptr;
+}
+
 } // namespace
 
 std::optional<RoutingTable> withChange(const RoutingTable &Last,
@@ -46,10 +61,16 @@
   if (!Services) {
     return std::nullopt;
   }
+  std::shared_ptr<const OrganisationIndex> Organisations =
+      withOrganisations(Last.Organisations, Change, LastError);
+  if (!Organisations) {
+    return std::nullopt;
+  }
   return RoutingTable{.Version = Change.Version,
                       .Routes = withChanges(Last.Routes, Change.RemovedRoutes,
                                             Change.AddedRoutes),
                       .Services = std::move(Services),
+                      .Organisations = std::move(Organisations),
                       .Callers = Change.Callers};
 }
 
--- a/packages/daemon/src/daemon/view/routing_table.h
+++ b/packages/daemon/src/daemon/view/routing_table.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_VIEW_ROUTING_TABLE_H
 #define DAEMON_VIEW_ROUTING_TABLE_H
 
+#include "daemon/view/organisation_index.h"
 #include "daemon/view/route_index.h"
 #include "policy/core/error.h"
 #include "settings/record/caller_limits.h"
@@ -33,11 +34,15 @@
   // Never null.
   std::shared_ptr<const ServiceMap> Services =
       std::make_shared<const ServiceMap>();
+  // Never null. Without organisations requests need no key.
+  std::shared_ptr<const OrganisationIndex> Organisations =
+      std::make_shared<const OrganisationIndex>();
   settings::CallerLimits Callers;
 };
 
 // Returns the table with the change, which was made against the value of the
-// last table. Returns nothing and sets the error if a service has two lines.
+// last table. Returns nothing and sets the error if a service or an
+// organisation has two lines.
 [[nodiscard]] std::optional<RoutingTable>
 withChange(const RoutingTable &Last, const settings::RoutingChange &Change,
            policy::Error &LastError);
--- a/packages/daemon/test/daemon/view/routing_table.cpp
+++ b/packages/daemon/test/daemon/view/routing_table.cpp
@@ -85,6 +85,12 @@
          "\",\"connections\":" + std::to_string(below(Engine, 3)) + "}";
 }
 
+std::string organisationLine(Random &Engine) {
+  return std::string("{\"organisation\":\"o")
+             .append(std::to_string(below(Engine, 40))) +
+         "\",\"keys\":[\"k" + std::to_string(below(Engine, 60)) + "\"]}";
+}
+
 std::string malformedLine(Random &Engine) {
   const char *const Lines[] = {
       "", "7", "[", "{", "[\"h\"]", "{\"service\":\"a/b\"}", "[\"h\",\"/\",1]"};
@@ -101,7 +107,7 @@
     return Lines.begin() +
            static_cast<std::ptrdiff_t>(below(Engine, Lines.size()));
   };
-  switch (below(Engine, Lines.empty() ? 2 : 9)) {
+  switch (below(Engine, Lines.empty() ? 2 : 10)) {
   case 0:
   case 1:
     Lines.insert(Place(), routeLine(Engine));
@@ -119,6 +125,9 @@
   case 6:
     Lines.push_back(*Existing());
     break;
+  case 8:
+    Lines.insert(Place(), organisationLine(Engine));
+    break;
   case 7:
     std::shuffle(Lines.begin(), Lines.end(), Engine);
     break;
@@ -143,6 +152,14 @@
   EXPECT_EQ(Table.Routes.Size, Expected.Routes.Size);
   EXPECT_TRUE(routesOf(Table) == routesOf(Expected));
   EXPECT_EQ(*Table.Services, *Expected.Services);
+  const auto &Organisations = Table.Organisations->Organisations;
+  EXPECT_EQ(Organisations.size(), Expected.Organisations->Organisations.size());
+  EXPECT_EQ(Table.Organisations->Keys.size(),
+            Expected.Organisations->Keys.size());
+  for (const auto &[Name, Record] : Expected.Organisations->Organisations) {
+    const auto Found = Organisations.find(Name);
+    EXPECT_TRUE(Found != Organisations.end() && *Found->second == *Record);
+  }
   EXPECT_EQ(Table.Callers, Expected.Callers);
 }
 
--- a/packages/settings/src/settings/record/fwd.h
+++ b/packages/settings/src/settings/record/fwd.h
@@ -6,6 +6,7 @@
 struct CallerLimits;
 struct ContactRecord;
 struct HostRoute;
+struct OrganisationRecord;
 struct RolloutRequest;
 struct RouteRecord;
 struct RouteTarget;
--- a/packages/settings/src/settings/record/internal/field_reader.cpp
+++ b/packages/settings/src/settings/record/internal/field_reader.cpp
@@ -68,6 +68,8 @@
   return Found == Object.end() ? nullptr : &*Found;
 }
 
+bool FieldReader::has(const char *Name) const { return find(Name) != nullptr; }
+
 bool FieldReader::isText(const char *Name) const {
   const Json *Field = find(Name);
   return Field != nullptr && Field->is_string();
--- a/packages/settings/src/settings/record/internal/field_reader.h
+++ b/packages/settings/src/settings/record/internal/field_reader.h
@@ -42,6 +42,8 @@
   double real(const char *Name, double Maximum, double IfAbsent);
   bool flag(const char *Name);
   std::optional<bool> optionalFlag(const char *Name);
+  // True if the field is there.
+  [[nodiscard]] bool has(const char *Name) const;
   // True if the field is there and a text.
   [[nodiscard]] bool isText(const char *Name) const;
   // Null if the field is absent or not a list of at most MaxSize elements.
--- a/packages/settings/src/settings/record/internal/routing_line.cpp
+++ b/packages/settings/src/settings/record/internal/routing_line.cpp
@@ -65,6 +65,13 @@
   Line += Route.Targets.empty() ? "[]" : "]";
 }
 
+bool hasControls(std::string_view Text) {
+  return std::any_of(Text.begin(), Text.end(), [](char Character) {
+    const auto Code = static_cast<unsigned char>(Character);
+    return Code < ' ' || Code == '\x7f';
+  });
+}
+
 using OptionalValue = std::variant<bool, std::uint64_t>;
 
 // Returns the fields after the targets, which a line may omit from the end on.
@@ -124,7 +131,7 @@
 }
 
 std::string routeLine(const HostRoute &Route) {
-  std::string Line(1, RouteLineStart);
+  std::string Line(RouteLineStart);
   appendText(Line, Route.Host);
   Line += ',';
   appendText(Line, Route.Prefix);
@@ -170,6 +177,25 @@
   return Line;
 }
 
+std::string organisationLine(const OrganisationRecord &Organisation) {
+  std::string Line(OrganisationLineStart);
+  appendText(Line, Organisation.Name);
+  Line += ",\"keys\":[";
+  const char *Separator = "";
+  for (const std::string &Key : Organisation.Keys) {
+    Line += Separator;
+    appendText(Line, Key);
+    Separator = ",";
+  }
+  Line += ']';
+  if (Organisation.Priority) {
+    Line += ",\"priority\":";
+    appendNumber(Line, *Organisation.Priority);
+  }
+  Line += '}';
+  return Line;
+}
+
 bool parseHeadLine(std::string_view Line, std::uint64_t &Version,
                    CallerLimits &Callers, policy::Error &LastError) {
   FieldReader Fields("head", Line);
@@ -206,6 +232,32 @@
                                   : std::optional(std::move(Service));
 }
 
+std::optional<OrganisationRecord>
+parseOrganisationLine(std::string_view Line, policy::Error &LastError) {
+  FieldReader Fields("organisation", policy::parseJson(Line));
+  OrganisationRecord Organisation;
+  Organisation.Name = Fields.anyText("organisation");
+  // The name becomes the value of a header.
+  if (Organisation.Name.empty() || hasControls(Organisation.Name)) {
+    Fields.fail("organisation", "a text without control characters");
+  }
+  if (const Json *const List = Fields.array("keys", MaxRoutingSize)) {
+    for (const Json &Key : *List) {
+      const auto *const Text = Key.get_ptr<const std::string *>();
+      if (Text == nullptr) {
+        Fields.fail("keys", "a list of texts");
+        break;
+      }
+      Organisation.Keys.push_back(*Text);
+    }
+  }
+  if (Fields.has("priority")) {
+    Organisation.Priority = smallNumber(Fields, "priority", 0, 0);
+  }
+  return Fields.report(LastError) ? std::nullopt
+                                  : std::optional(std::move(Organisation));
+}
+
 void readRouteFields(FieldReader &Fields, HostRoute &Route) {
   Route.Name = Fields.anyText("name");
   Route.Host = Fields.anyText("host");
--- a/packages/settings/src/settings/record/routing_change.cpp
+++ b/packages/settings/src/settings/record/routing_change.cpp
@@ -53,19 +53,35 @@
                                          : Value.substr(Break + 1);
 }
 
-std::size_t countKind(std::span<const std::string_view> Lines, char Start) {
+std::size_t countKind(std::span<const std::string_view> Lines,
+                      std::string_view Start) {
   return static_cast<std::size_t>(
       std::count_if(Lines.begin(), Lines.end(), [Start](std::string_view Line) {
         return Line.starts_with(Start);
       }));
 }
 
+std::size_t countServices(std::span<const std::string_view> Lines) {
+  return countKind(Lines, internal::ServiceLineStart) -
+         countKind(Lines, internal::OrganisationLineStart);
+}
+
 // Parses the lines. Returns the first wrong one, or nothing.
 std::optional<std::string_view>
 parseLines(std::span<const std::string_view> Lines,
            std::vector<std::shared_ptr<const HostRoute>> &Routes,
-           std::vector<ServiceLimits> &Services, policy::Error &LastError) {
+           std::vector<ServiceLimits> &Services,
+           std::vector<OrganisationRecord> &Organisations,
+           policy::Error &LastError) {
   for (const std::string_view Line : Lines) {
+    if (Line.starts_with(internal::OrganisationLineStart)) {
+      auto Organisation = internal::parseOrganisationLine(Line, LastError);
+      if (!Organisation) {
+        return Line;
+      }
+      Organisations.push_back(*std::move(Organisation));
+      continue;
+    }
     if (Line.starts_with(internal::ServiceLineStart)) {
       auto Service = internal::parseServiceLine(Line, LastError);
       if (!Service) {
@@ -98,15 +114,15 @@
   Change.Routes = Last.Routes +
                   countKind(Lines.Added, internal::RouteLineStart) -
                   countKind(Lines.Removed, internal::RouteLineStart);
-  Change.Services = Last.Services +
-                    countKind(Lines.Added, internal::ServiceLineStart) -
-                    countKind(Lines.Removed, internal::ServiceLineStart);
-  if (const auto Wrong = parseLines(Lines.Added, Change.AddedRoutes,
-                                    Change.AddedServices, LastError)) {
+  Change.Services =
+      Last.Services + countServices(Lines.Added) - countServices(Lines.Removed);
+  if (const auto Wrong =
+          parseLines(Lines.Added, Change.AddedRoutes, Change.AddedServices,
+                     Change.AddedOrganisations, LastError)) {
     return rejectLine(LastError, Value, *Wrong);
   }
   if (parseLines(Lines.Removed, Change.RemovedRoutes, Change.RemovedServices,
-                 LastError)) {
+                 Change.RemovedOrganisations, LastError)) {
     return reject(LastError,
                   "a line in effect cannot be read: " + LastError.Detail);
   }
--- a/packages/settings/src/settings/record/routing_change.h
+++ b/packages/settings/src/settings/record/routing_change.h
@@ -4,6 +4,7 @@
 #include "policy/core/error.h"
 #include "settings/record/caller_limits.h"
 #include "settings/record/host_route.h"
+#include "settings/record/organisation_record.h"
 #include "settings/record/service_limits.h"
 
 #include <cstddef>
@@ -19,7 +20,8 @@
 struct RoutingLines;
 
 // Difference between the routing table in effect and a new value. A route that
-// changed is in both lists of routes, a service in both lists of services.
+// changed is in both lists of routes, a service in both lists of services, an
+// organisation in both lists of organisations.
 struct RoutingChange {
   std::uint64_t Version = 0;
   CallerLimits Callers;
@@ -27,6 +29,8 @@
   std::vector<std::shared_ptr<const HostRoute>> AddedRoutes;
   std::vector<ServiceLimits> RemovedServices;
   std::vector<ServiceLimits> AddedServices;
+  std::vector<OrganisationRecord> RemovedOrganisations;
+  std::vector<OrganisationRecord> AddedOrganisations;
   // Numbers in the new table.
   std::size_t Routes = 0;
   std::size_t Services = 0;
--- a/packages/settings/src/settings/record/routing_record.h
+++ b/packages/settings/src/settings/record/routing_record.h
@@ -3,6 +3,7 @@
 
 #include "settings/record/caller_limits.h"
 #include "settings/record/host_route.h"
+#include "settings/record/organisation_record.h"
 #include "settings/record/service_limits.h"
 
 #include <cstdint>
@@ -17,6 +18,8 @@
   std::uint64_t Version = 0;
   std::vector<HostRoute> Routes;
   std::vector<ServiceLimits> Services;
+  // Empty if requests need no key.
+  std::vector<OrganisationRecord> Organisations;
   CallerLimits Callers;
 
   bool operator==(const RoutingRecord &) const = default;
--- a/packages/settings/src/settings/record/routing_text.cpp
+++ b/packages/settings/src/settings/record/routing_text.cpp
@@ -23,8 +23,14 @@
   for (const ServiceLimits &Service : Routing.Services) {
     ServiceLines.push_back(internal::serviceLine(Service));
   }
+  std::vector<std::string> OrganisationLines;
+  OrganisationLines.reserve(Routing.Organisations.size());
+  for (const OrganisationRecord &Organisation : Routing.Organisations) {
+    OrganisationLines.push_back(internal::organisationLine(Organisation));
+  }
   std::vector<std::string_view> Lines = std::move(RouteLines);
   Lines.insert(Lines.end(), ServiceLines.begin(), ServiceLines.end());
+  Lines.insert(Lines.end(), OrganisationLines.begin(), OrganisationLines.end());
   std::sort(Lines.begin(), Lines.end());
   std::string Text = internal::headLine(Routing.Version, Routing.Callers);
   std::size_t Size = Text.size();
@@ -55,6 +61,7 @@
   }
   RoutingRecord Routing{.Version = All->Version,
                         .Services = std::move(All->AddedServices),
+                        .Organisations = std::move(All->AddedOrganisations),
                         .Callers = All->Callers};
   for (const std::shared_ptr<const HostRoute> &Route : All->AddedRoutes) {
     Routing.Routes.push_back(*Route);
--- a/packages/settings/src/settings/record/routing_text.h
+++ b/packages/settings/src/settings/record/routing_text.h
@@ -13,7 +13,8 @@
 
 // Value of routing/table: lines separated by '\n'. The first line is a JSON
 // object with the version and the limits of callers. One line for each route, a
-// JSON array, and one for each service, a JSON object, follow in byte order.
+// JSON array, and one for each service and each organisation, JSON objects,
+// follow in byte order.
 // Fields that have their default are left out. JSON escapes line breaks in
 // texts. Equal routes have equal lines.
 [[nodiscard]] std::string formatRouting(const RoutingRecord &Routing);
--- a/packages/wire/src/wire/seal/seal.h
+++ b/packages/wire/src/wire/seal/seal.h
@@ -21,6 +21,8 @@
   Gossip = 'g',
   HelloAnswer = 'a',
   HelloProof = 'p',
+  // Keys of organisations, under a secret of the process.
+  OrganisationKey = 'o',
 };
 
 // Returns the HMAC-SHA256 of purpose and parts; each part is preceded by its
