Share scarce slots between organisations

Cause: a full server takes requests by rank, so an organisation whose requests all have a low rank is hardly served at all.

Change: of the requests that find no free slot, a part goes first: with the probability of 0.35 times the part of all requests that get a slot, plus a credit that the organisation has left. A slot taken that way may leave a debt. The decision is by chance because each of many servers sees only a few requests of a small organisation. At most 1,024 credits, by hash of the name. Without an organisation in the request nothing is drawn or recorded.

--- a/packages/daemon/src/daemon/dump/dump.cpp
+++ b/packages/daemon/src/daemon/dump/dump.cpp
@@ -164,6 +164,8 @@
                         {"refused", State.Refused},
                         {"expired", State.Expired},
                         {"resets", State.Resets},
+                        {"organisations", State.Shares.Credits.size()},
+                        {"organisations_refused", State.Shares.Refused},
                         {"latency_ms", inMs(State.Latency)},
                         {"baseline_ms", inMs(State.Baseline)},
                         {"draining", State.Draining},
--- a/packages/policy/src/policy/admission/admission_state.h
+++ b/packages/policy/src/policy/admission/admission_state.h
@@ -3,7 +3,9 @@
 
 #include "policy/admission/admission_options.h"
 #include "policy/admission/arrival_window.h"
+#include "policy/organisation/fair_share.h"
 
+#include <string>
 #include <vector>
 
 namespace magnolia::policy {
@@ -21,6 +23,10 @@
   // 0 is the highest priority.
   std::uint32_t Priority = 0;
   bool Repeat = false;
+  // See AdmissionQuery.
+  std::string Organisation;
+  // True if it goes first because of the share of its organisation.
+  bool GoesFirst = false;
 };
 
 // Admission state of one backend server. The in-flight count is exact: each Run
@@ -50,6 +56,7 @@
   // End of the cold start that the backend server announced.
   TimePoint ColdUntil{};
   ArrivalWindow Arrivals;
+  FairShare Shares;
   std::uint64_t Admitted = 0;
   std::uint64_t Queued = 0;
   std::uint64_t Refused = 0;
--- a/packages/policy/src/policy/admission/admit.cpp
+++ b/packages/policy/src/policy/admission/admit.cpp
@@ -104,17 +104,52 @@
   return true;
 }
 
-void enqueue(AdmissionState &State, const AdmissionQuery &Query,
-             Duration MaxWaitTime, TimePoint Now) {
+void enqueue(AdmissionState &State, const Waiter &Entry) {
   const auto Position = std::find_if(
       State.Waiting.begin(), State.Waiting.end(),
-      [&](const Waiter &Entry) { return Entry.Priority > Query.Priority; });
-  State.Waiting.insert(Position, {.Id = ++State.LastTicket,
-                                  .Since = Now,
-                                  .Deadline = Query.Deadline,
-                                  .Until = Now + MaxWaitTime,
-                                  .Priority = Query.Priority,
-                                  .Repeat = Query.Repeat});
+      [&](const Waiter &Other) { return Other.Priority > Entry.Priority; });
+  State.Waiting.insert(Position, Entry);
+}
+
+// Priority of a request that goes first because of the share of its
+// organisation: that of the most urgent routes, after nested calls.
+constexpr std::uint32_t FirstPriority = 1;
+
+ShareOutcome servedOutcome(const Waiter &Entry) {
+  return Entry.GoesFirst ? ShareOutcome::ServedFirst : ShareOutcome::Served;
+}
+
+// Decides on a request that finds no free slot.
+AdmissionDecision admitToQueue(AdmissionState &State,
+                               const AdmissionQuery &Query, TimePoint Now) {
+  State.StepReachedLimit = true;
+  const bool First = Query.Priority > FirstPriority &&
+                     goesFirst(State.Shares, Query.Organisation);
+  const std::uint32_t Priority = First ? FirstPriority : Query.Priority;
+  if (First && State.InFlight < limit(State) &&
+      countWaitingBefore(State, Priority) == 0) {
+    takeSlot(State, Query.Repeat, Now);
+    recordShare(State.Shares, Query.Organisation, ShareOutcome::ServedFirst);
+    return {.Action = AdmissionAction::Run};
+  }
+  const Duration Wait = expectedWait(State, Priority, Now);
+  const Duration MaxWaitTime = maxWait(State, Query, Now);
+  const bool Full = State.Waiting.size() >= State.Options.MaxWaiting;
+  if (Wait > MaxWaitTime || Now + Wait >= Query.Deadline ||
+      (Full && !displaceLast(State, Priority, Now))) {
+    recordShare(State.Shares, Query.Organisation, ShareOutcome::Unserved);
+    return refuse(State, fullErrorKind(State));
+  }
+  ++State.Queued;
+  enqueue(State, {.Id = ++State.LastTicket,
+                  .Since = Now,
+                  .Deadline = Query.Deadline,
+                  .Until = Now + MaxWaitTime,
+                  .Priority = Priority,
+                  .Repeat = Query.Repeat,
+                  .Organisation = std::string(Query.Organisation),
+                  .GoesFirst = First});
+  return {.Action = AdmissionAction::Wait, .Id = State.LastTicket};
 }
 
 } // namespace
@@ -142,19 +177,10 @@
   if (State.InFlight < limit(State) &&
       countWaitingBefore(State, Query.Priority) == 0) {
     takeSlot(State, Query.Repeat, Now);
+    recordShare(State.Shares, Query.Organisation, ShareOutcome::Served);
     return {.Action = AdmissionAction::Run};
   }
-  State.StepReachedLimit = true;
-  const Duration Wait = expectedWait(State, Query.Priority, Now);
-  const Duration MaxWaitTime = maxWait(State, Query, Now);
-  const bool Full = State.Waiting.size() >= State.Options.MaxWaiting;
-  if (Wait > MaxWaitTime || Now + Wait >= Query.Deadline ||
-      (Full && !displaceLast(State, Query.Priority, Now))) {
-    return refuse(State, fullErrorKind(State));
-  }
-  ++State.Queued;
-  enqueue(State, Query, MaxWaitTime, Now);
-  return {.Action = AdmissionAction::Wait, .Id = State.LastTicket};
+  return admitToQueue(State, Query, Now);
 }
 
 std::vector<Ticket> complete(AdmissionState &State, const Completion &Ended,
@@ -177,6 +203,7 @@
     }
     Ready.push_back(Entry->Id);
     takeSlot(State, Entry->Repeat, Now);
+    recordShare(State.Shares, Entry->Organisation, servedOutcome(*Entry));
     Entry = State.Waiting.erase(Entry);
   }
   return Ready;
@@ -188,6 +215,7 @@
     if (!isExpired(Entry, Now)) {
       return false;
     }
+    recordShare(State.Shares, Entry.Organisation, ShareOutcome::Unserved);
     Ended.push_back({.Id = Entry.Id,
                      .Kind = Now >= Entry.Deadline
                                  ? ErrorKind::DeadlineExceededNotRun
--- a/packages/policy/src/policy/admission/admit.h
+++ b/packages/policy/src/policy/admission/admit.h
@@ -5,6 +5,8 @@
 #include "policy/core/error_kind.h"
 #include "policy/load/load_report.h"
 
+#include <string_view>
+
 namespace magnolia::policy {
 
 // Request that asks for a slot.
@@ -19,6 +21,9 @@
   bool Repeat = false;
   // True if the entry node can send the request to another sidecar.
   bool HasChoice = false;
+  // Organisation that the slot counts for; empty for nested calls, which go
+  // first anyway, and if none is configured.
+  std::string_view Organisation;
 };
 
 enum class AdmissionAction : std::uint8_t { Run, Wait, Refuse };
