Require keys of organisations and forward the organisation

Cause: with organisations configured, each request has to carry a valid key, and the backend server has to see the organisation instead of it.

Change: policy/organisation decides whether a request may run, for whom and with which rank; the entry node rejects one without a valid key with the new kind Unauthorized (401), or ConfigurationOutdated (503) while it knows of a newer table. Nested calls inherit organisation and rank from the request that runs at this node, and the sidecar keeps their place in front of others. The key header and a stated organisation are removed from each request. The key is checked again before each attempt; a sidecar rejects a request as not run if a key of its organisation was withdrawn while the request waited. Header names are in the dialect.

--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -334,6 +334,8 @@
                   });
   Shared.Own.setRun(Membership->self().Run);
   Shared.Own.setZoneOut(View.ZonesOut.contains(Options.Self.Zone));
+  Shared.Own.setOrganisations(View.Routing ? View.Routing->Organisations
+                                           : nullptr);
   if (View.Routing) {
     const auto Limits =
         View.Routing->Services->find(Shared.Backend.state().Service);
--- a/packages/daemon/src/daemon/dialect/header_names.h
+++ b/packages/daemon/src/daemon/dialect/header_names.h
@@ -23,6 +23,11 @@
   std::string_view Draining;
   // Incarnation of a backend server, in its responses.
   std::string_view Incarnation;
+  // Key of an organisation, and the scheme before it in the header.
+  std::string_view Key;
+  std::string_view KeyScheme;
+  // Organisation of a request, for the backend server.
+  std::string_view Organisation;
   // Seconds after which a rejected caller should retry.
   std::string_view RetryAfter;
 };
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -110,11 +110,18 @@
 std::optional<policy::Outcome> EntryCall::startAttempt() {
   policy::Error ChooseError{ErrorKind::Shutdown,
                             "the node stops before the deadline"};
-  std::optional<Attempt> Current =
-      limitToStop(now()) ? chooseTarget(ChooseError) : std::nullopt;
+  const auto Withdrawn = keyRefusal();
+  if (Withdrawn) {
+    ChooseError = {*Withdrawn, "the key was withdrawn"};
+  }
+  std::optional<Attempt> Current = !Withdrawn && limitToStop(now())
+                                       ? chooseTarget(ChooseError)
+                                       : std::nullopt;
   if (!Current) {
     if (InFlight.empty()) {
-      Result = LastError
+      // After a run only the last error tells whether the request ran.
+      const bool HasRun = State.Runs > 0;
+      Result = LastError && (!Withdrawn || HasRun)
                    ? std::move(*LastError)
                    : callErrorResponse(ChooseError.Kind, ChooseError.Detail);
     }
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -5,6 +5,7 @@
 #include "daemon/peer/call.h"
 #include "daemon/peer/peer_exchange.h"
 #include "daemon/sidecar/sidecar_call.h"
+#include "daemon/view/organisation_index.h"
 #include "policy/retry/attempt_state.h"
 #include "policy/retry/outcome.h"
 #include "policy/retry/retry_decision.h"
@@ -35,6 +36,9 @@
     // True if a hedge may be sent to another server while the first attempt
     // runs.
     bool MayHedge = true;
+    // Set if the request was accepted because of this key. It is checked again
+    // before each attempt, because it may be withdrawn while the request waits.
+    std::optional<KeyDigest> Key;
     // Connection of the caller. The call is cancelled when it closes.
     int CallerFd = -1;
   };
@@ -64,6 +68,8 @@
   // Limits the deadline to the end of a planned stop. Returns false if no
   // attempt may start because the stop could cut it.
   [[nodiscard]] bool limitToStop(policy::TimePoint Now);
+  // Returns the kind of the refusal if the key was withdrawn.
+  [[nodiscard]] std::optional<policy::ErrorKind> keyRefusal() const;
   // Starts an attempt. Returns an outcome if the attempt ended immediately.
   [[nodiscard]] std::optional<policy::Outcome> startAttempt();
   [[nodiscard]] std::optional<Attempt> chooseTarget(policy::Error &LastError);
--- a/packages/daemon/src/daemon/entry/entry_call_refusals.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call_refusals.cpp
@@ -1,3 +1,4 @@
+#include "daemon/entry/call_identity.h"
 #include "daemon/entry/entry_call.h"
 
 #include "daemon/net/clock.h"
@@ -33,6 +34,12 @@
   return std::nullopt;
 }
 
+std::optional<ErrorKind> EntryCall::keyRefusal() const {
+  return Call.Key ? refusalOf(*Owner.Use.Views.current(), *Call.Key,
+                              Call.Request.Organisation)
+                  : std::nullopt;
+}
+
 bool EntryCall::limitToStop(policy::TimePoint Now) {
   const auto Stop = Owner.stop();
   if (!Stop) {
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry/parse_call.h"
 
+#include "daemon/entry/call_identity.h"
 #include "daemon/log/log.h"
 #include "policy/chain/chain_headers.h"
 #include "policy/overload/return_delay.h"
@@ -127,18 +128,14 @@
   Call.Request.Share = std::move(Request.Share);
 }
 
-// Calls made for a request that is already running take priority over new
-// requests, because rejecting one wastes the work done for its parent.
-constexpr std::uint32_t NestedCallPriority = 0;
-
-// True if the local backend server makes the call on behalf of a request that
-// it is running.
-bool isCallOfRunningRequest(Entry &Owner, const Dialect &Speaks,
-                            const HttpRequest &Request) {
+// Returns the request that the local backend server is running and on whose
+// behalf it makes the call, or nothing.
+std::optional<RunningRequest> parentOf(Entry &Owner, const Dialect &Speaks,
+                                       const HttpRequest &Request) {
   const std::string *Id = findHeader(Request.Headers, Speaks.Headers.RequestId);
   const std::string_view Parent =
       Id && Speaks.ParentOf ? Speaks.ParentOf(*Id) : std::string_view();
-  return !Parent.empty() && Owner.Use.Own.running().has(Parent);
+  return Parent.empty() ? std::nullopt : Owner.Use.Own.running().find(Parent);
 }
 
 // The version tells a node whose table is outdated from a route that no table
@@ -176,6 +173,11 @@
                  "no route matches the host and path"};
     return std::nullopt;
   }
+  const auto Parent = parentOf(Owner, Speaks, Request);
+  auto Identity = identify(Speaks, *View, *Route, Request, Parent, LastError);
+  if (!Identity) {
+    return std::nullopt;
+  }
   std::uniform_real_distribution<double> Point(0, 1);
   const settings::RouteTarget &Target = targetAt(*Route, Point(threadEngine()));
   EntryCall::Parameters Call;
@@ -191,12 +193,11 @@
   Call.Request.Service = Target.Service;
   Call.Request.Idempotent = Route->Idempotent;
   Call.Request.Route = Route->Name;
-  Call.Request.Nested = isCallOfRunningRequest(Owner, Speaks, Request);
-  Call.Request.Priority = Call.Request.Nested
-                              ? NestedCallPriority
-                              : Route->Priority + NestedCallPriority + 1;
+  Call.Request.Nested = Parent.has_value();
   setTimes(Call, *Route, deadlineOf(Speaks, Request), Owner.Options, Now);
   takeMessage(Call, std::move(Request));
+  applyIdentity(Speaks, *View, *Identity, Call.Request);
+  Call.Key = std::move(Identity->Key);
   if (!Speaks.Headers.CallerService.empty()) {
     replaceHeader(Call.Request.Headers, Speaks.Headers.CallerService,
                   Owner.Options.LocalService);
@@ -282,6 +283,10 @@
         {std::string(Speaks.Headers.RetryAfter),
          secondsText(policy::returnDelay(Kind, threadEngine()))});
   }
+  if (Kind == ErrorKind::Unauthorized && !Speaks.Headers.KeyScheme.empty()) {
+    Response.Headers.push_back(
+        {"WWW-Authenticate", std::string(Speaks.Headers.KeyScheme)});
+  }
   if (RetriesExhausted) {
     Response.Headers.push_back({std::string(policy::RetryHeader),
                                 std::string(policy::RetryExhausted)});
--- a/packages/daemon/src/daemon/peer/call.h
+++ b/packages/daemon/src/daemon/peer/call.h
@@ -12,6 +12,10 @@
 
 namespace magnolia::daemon {
 
+// Calls made for a request that is already running take priority over new
+// requests, because rejecting one wastes the work done for its parent.
+inline constexpr std::uint32_t NestedCallPriority = 0;
+
 // Request that an entry node sends to a sidecar.
 struct CallRequest {
   policy::RequestId Id;
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -22,6 +22,7 @@
       Ledger(Opts.Run, {.MaxRequests = Opts.LedgerEntries}),
       Cancelled([this] { complete({.NotSent = true}, now()); }) {
   Admitted.Options.AnnouncesCold = dialect().ReportsColdStart;
+  Admitted.Shares.Seed = Opts.Run;
   setAdmission(Options);
 }
 
@@ -58,14 +59,16 @@
   }
   const std::lock_guard Lock(Mutex);
   expireWaits(Now);
-  const policy::AdmissionDecision Decision =
-      policy::admit(Admitted,
-                    {.Deadline = Request.Deadline,
-                     .Objective = Request.Objective,
-                     .Priority = Request.Priority,
-                     .Repeat = Request.Repeat,
-                     .HasChoice = Request.HasChoice},
-                    Now);
+  const policy::AdmissionDecision Decision = policy::admit(
+      Admitted,
+      {.Deadline = Request.Deadline,
+       .Objective = Request.Objective,
+       .Priority = Request.Nested ? NestedCallPriority : Request.Priority,
+       .Repeat = Request.Repeat,
+       .HasChoice = Request.HasChoice,
+       .Organisation = Request.Nested ? std::string_view()
+                                      : std::string_view(Request.Organisation)},
+      Now);
   switch (Decision.Action) {
   case policy::AdmissionAction::Run:
     return std::monostate();
@@ -229,6 +232,22 @@
   }
 }
 
+void Sidecar::setOrganisations(
+    std::shared_ptr<const OrganisationIndex> InEffect) {
+  const std::lock_guard Lock(Mutex);
+  Organisations = std::move(InEffect);
+}
+
+std::shared_ptr<const settings::OrganisationRecord>
+Sidecar::organisation(std::string_view Name) const {
+  const std::lock_guard Lock(Mutex);
+  if (!Organisations) {
+    return nullptr;
+  }
+  const auto Found = Organisations->Organisations.find(Name);
+  return Found == Organisations->Organisations.end() ? nullptr : Found->second;
+}
+
 void Sidecar::onOtherInstance() {
   log(LogLevel::Warning, "another backend server has the address");
   Pool.closeAll();
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -9,6 +9,7 @@
 #include "daemon/sidecar/cancelled_connections.h"
 #include "daemon/sidecar/running_requests.h"
 #include "daemon/view/local_backend.h"
+#include "daemon/view/organisation_index.h"
 #include "policy/admission/admission_state.h"
 #include "policy/core/error.h"
 #include "policy/ledger/run_ledger.h"
@@ -19,6 +20,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -114,6 +116,12 @@
   // the service; 0 leaves a value unchanged.
   void setCapacity(std::uint32_t Connections, double ColdPerSecond);
 
+  // Applies the organisations of the routing table; null if there is no table.
+  void setOrganisations(std::shared_ptr<const OrganisationIndex> InEffect);
+  // Returns the organisation, or null if the routing table does not have it.
+  [[nodiscard]] std::shared_ptr<const settings::OrganisationRecord>
+  organisation(std::string_view Name) const;
+
   // Applies the state from an announcement or the settings.
   void apply(const LocalBackendState &State, policy::TimePoint Now);
   // Applies changed admission limits. Other options stay as at the start.
@@ -169,6 +177,7 @@
   policy::AdmissionState Admitted;
   policy::RunLedger Ledger;
   std::unordered_map<policy::Ticket, std::shared_ptr<SlotWait>> Waits;
+  std::shared_ptr<const OrganisationIndex> Organisations;
   CancelledConnections Cancelled;
 };
 
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -46,9 +46,12 @@
   if (const auto *Refusal = std::get_if<policy::Error>(&Admission)) {
     logRefusal(Refusal->Kind);
     finishUnsent(Refusal->Kind, Refusal->Detail);
-  } else if (auto *Waiting =
+  } else if (auto *Queued =
                  std::get_if<std::shared_ptr<SlotWait>>(&Admission)) {
-    Wait = std::move(*Waiting);
+    Wait = std::move(*Queued);
+    if (!Request.Organisation.empty() && !Request.Nested) {
+      Waiting = Owner.organisation(Request.Organisation);
+    }
     Step = Stage::Waiting;
   } else {
     run(Now);
@@ -88,7 +91,7 @@
       finishUnsent(Refusal, "no slot became free in time");
       return;
     case Sidecar::WaitStatus::Granted:
-      run(Now);
+      runAfterWait(Now);
       return;
     }
   }
@@ -120,6 +123,18 @@
   }
 }
 
+// The sidecar does not know the key. The entry node does, and sends the request
+// again if it is still valid.
+void SidecarCall::runAfterWait(policy::TimePoint Now) {
+  if (Waiting &&
+      lostKey(*Waiting, Owner.organisation(Request.Organisation).get())) {
+    refuseUnsent(ErrorKind::ConfigurationOutdated,
+                 "a key of the organisation was withdrawn", Now);
+    return;
+  }
+  run(Now);
+}
+
 void SidecarCall::run(policy::TimePoint Now) {
   if (!connect(Now)) {
     Owner.onConnectFailure(Now);
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -42,6 +42,9 @@
   // Asks for a slot, and runs the request, waits or ends.
   void askAdmission(policy::TimePoint Now);
   void run(policy::TimePoint Now);
+  // Runs the request, which has waited for its slot, unless its key may have
+  // been withdrawn meanwhile.
+  void runAfterWait(policy::TimePoint Now);
   [[nodiscard]] bool connect(policy::TimePoint Now);
   // True if a refusal of an earlier attempt, or of another request without an
   // id, could not be told from one of this attempt.
@@ -84,6 +87,9 @@
   CallRequest Request;
   Stage Step = Stage::New;
   std::shared_ptr<SlotWait> Wait;
+  // The organisation at the time when the wait began; null if it was not known
+  // here, or for a nested call.
+  std::shared_ptr<const settings::OrganisationRecord> Waiting;
   std::unique_ptr<BackendConnection> Connection;
   // Request id sent to the backend server, which echoes it in its response.
   std::string SentId;
--- a/packages/policy/src/policy/core/error_kind.cpp
+++ b/packages/policy/src/policy/core/error_kind.cpp
@@ -59,7 +59,10 @@
      "The instance is currently slow; another backend server may respond "
      "sooner."},
     {ErrorKind::ConfigurationOutdated, 503, No, true, "ConfigurationOutdated",
-     "No route matches, but the node does not have the newest routing table."},
+     "No route or key matches, but the node does not have the newest routing "
+     "table."},
+    {ErrorKind::Unauthorized, 401, No, false, "Unauthorized",
+     "The request carries no valid key of an organisation."},
 }};
 
 constexpr bool inOrder() {
--- a/packages/policy/src/policy/core/error_kind.h
+++ b/packages/policy/src/policy/core/error_kind.h
@@ -35,10 +35,11 @@
   Internal,
   SlowInstance,
   ConfigurationOutdated,
+  Unauthorized,
 };
 
 inline constexpr std::size_t ErrorKindCount =
-    static_cast<std::size_t>(ErrorKind::ConfigurationOutdated) + 1;
+    static_cast<std::size_t>(ErrorKind::Unauthorized) + 1;
 
 // Whether the request ran on a backend server before the error response.
 enum class RunOutcome : std::uint8_t { No, Unknown, Yes };
