Order the threads of the test of a nested call

Cause: BackendServerSeesTheOrganisation read what the thread of the scripted backend server wrote, without a synchronisation that a sanitizer can see.

Change: the request goes through a promise; the test is as strict as before.

--- a/packages/daemon/test/daemon/entry/call_identity.cpp
+++ b/packages/daemon/test/daemon/entry/call_identity.cpp
@@ -17,6 +17,7 @@
 
 #include <cstdio>
 #include <fstream>
+#include <future>
 #include <memory>
 #include <sstream>
 #include <string>
@@ -236,12 +237,14 @@
 // Guards against a backend server that sees the key, or whose own calls run for
 // another organisation than the request that makes them.
 TEST_F(KeyedCall, BackendServerSeesTheOrganisation) {
-  std::optional<CallRequest> Nested;
+  std::promise<std::optional<CallRequest>> Made;
   test::ScriptedBackend Scripted([&](const std::string &) {
-    auto Call = parse("/b", {{"Id", "p.1"}, {"Org", "org-a"}});
-    if (Call) {
-      Nested = std::move(Call->Request);
-    }
+    policy::Error Rejection;
+    auto Call =
+        parseCall(Node, request("/b", {{"Id", "p.1"}, {"Org", "org-a"}}), now(),
+                  Rejection);
+    Made.set_value(Call ? std::optional(std::move(Call->Request))
+                        : std::nullopt);
     return std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
   });
   Backend.update({.Service = "stock",
@@ -263,7 +266,8 @@
   EXPECT_NE(Seen.find("Org: org-b\r\n"), std::string::npos) << Seen;
   EXPECT_EQ(Seen.find("org-a"), std::string::npos) << Seen;
   EXPECT_EQ(Seen.find("key-b"), std::string::npos) << Seen;
-  ASSERT_TRUE(Nested) << LastError.Detail;
+  const std::optional<CallRequest> Nested = Made.get_future().get();
+  ASSERT_TRUE(Nested);
   EXPECT_EQ(Nested->Organisation, "org-b");
   EXPECT_EQ(Nested->Priority, 1U);
   EXPECT_TRUE(Nested->Nested);
