--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -337,6 +337,8 @@
   Shared.Own.setZoneOut(View.ZonesOut.contains(Options.Self.Zone));
   Shared.Own.running().setCounting(policy::isWorkloadAware(
       Options.WorkloadAware, View.Routing && hasBulkRoutes(*View.Routing)));
+  Shared.Own.setOrganisations(View.Routing ? View.Routing->Organisations
+                                           : nullptr);
   if (View.Routing) {
     const auto Limits =
         View.Routing->Services->find(Shared.Backend.state().Service);
