Keep half of the retry budget of a sidecar for nested calls

Change: with workload-aware admission a nested call is limited by the sidecars only, and half of the sidecar's budget is kept for nested calls. The calls of retried requests now use up the budget of the called service, as its limit asks. Off, nothing changes.

--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -335,7 +335,7 @@
                   });
   Shared.Own.setRun(Membership->self().Run);
   Shared.Own.setZoneOut(View.ZonesOut.contains(Options.Self.Zone));
-  Shared.Own.running().setCounting(policy::isWorkloadAware(
+  Shared.Own.setWorkloadAware(policy::isWorkloadAware(
       Options.WorkloadAware, View.Routing && hasBulkRoutes(*View.Routing)));
   Shared.Own.setOrganisations(View.Routing ? View.Routing->Organisations
                                            : nullptr);
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -40,6 +40,7 @@
   State.Deadline = Call.Request.Deadline;
   State.RetriesExhausted = Call.RetriesExhausted;
   State.MaxRuns = Call.MaxRuns;
+  State.LimitedBySidecars = Call.WorkloadAware && Call.Request.Nested;
 }
 
 CallResponse EntryCall::run() {
--- a/packages/daemon/src/daemon/peer/call.h
+++ b/packages/daemon/src/daemon/peer/call.h
@@ -52,6 +52,9 @@
   std::string Route;
   // True if the request or its response has a large body.
   bool Bulk = false;
+  // True for a nested call of a request that was itself a retry. It counts
+  // against the retry budget of the called service.
+  bool OfRepeat = false;
 };
 
 // Response of a backend server, or an error of the system if Kind is set.
--- a/packages/daemon/src/daemon/peer/call_frames.cpp
+++ b/packages/daemon/src/daemon/peer/call_frames.cpp
@@ -121,6 +121,7 @@
   Message.set_nested(Request.Nested);
   Message.set_route(Request.Route);
   Message.set_bulk(Request.Bulk);
+  Message.set_of_repeat(Request.OfRepeat);
   const std::string_view Body = Request.Body;
   Message.set_body(std::string(Body.substr(0, BodyChunkBytes)));
   Message.set_body_continues(Body.size() > BodyChunkBytes);
@@ -224,6 +225,7 @@
   Request.Nested = Message.nested();
   Request.Route = Message.route();
   Request.Bulk = Message.bulk();
+  Request.OfRepeat = Message.of_repeat();
   return readHeaders(Message, Request.Headers) &&
          hasNoBlanksOrControls(Request.Method) &&
          hasNoBlanksOrControls(Request.Target);
--- a/packages/daemon/src/daemon/sidecar/running_request.h
+++ b/packages/daemon/src/daemon/sidecar/running_request.h
@@ -12,6 +12,8 @@
   // 0 is the highest.
   std::uint32_t Priority = 0;
   std::string Route;
+  // True if the request had reached another backend server before.
+  bool Repeat = false;
   // True once a nested call of the request was rejected.
   bool LostCall = false;
 };
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -65,6 +65,8 @@
        .Objective = Request.Objective,
        .Priority = Request.Nested ? NestedCallPriority : Request.Priority,
        .Repeat = Request.Repeat,
+       .Nested = Request.Nested,
+       .OfRepeat = Request.OfRepeat,
        .HasChoice = Request.HasChoice,
        .Organisation = Request.Nested ? std::string_view()
                                       : std::string_view(Request.Organisation)},
@@ -270,6 +272,15 @@
   policy::beginStop(Admitted, End);
 }
 
+void Sidecar::setWorkloadAware(bool On) {
+  // Half of the budget stays for other requests, so that a service that mostly
+  // receives nested calls does not starve them.
+  constexpr double NestedRepeatShare = 0.5;
+  Running.setCounting(On);
+  const std::lock_guard Lock(Mutex);
+  Admitted.Options.NestedRepeatShare = On ? NestedRepeatShare : 0;
+}
+
 void Sidecar::setZoneOut(bool Out) { ZoneOut = Out; }
 
 void Sidecar::setRun(policy::Incarnation Run) {
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -131,6 +131,8 @@
   void drainNode();
   // Refuses new requests that a stop of the node at this time would cut.
   void beginStop(policy::TimePoint End);
+  // Switches admission by workload on or off.
+  void setWorkloadAware(bool On);
   // Refuses new requests while the zone of this node is out of service.
   void setZoneOut(bool Out);
   // Applies the incarnation by which the cluster knows this node. It is higher
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -206,9 +206,11 @@
   BodyLeft = Request.Body;
   if (!Registered) {
     Registered = true;
-    Owner.running().begin(SentId, {.Organisation = Request.Organisation,
-                                   .Priority = Request.Priority,
-                                   .Route = Request.Route});
+    Owner.running().begin(SentId,
+                          {.Organisation = Request.Organisation,
+                           .Priority = Request.Priority,
+                           .Route = Request.Route,
+                           .Repeat = Request.Repeat || Request.OfRepeat});
   }
   sendMore();
 }
--- a/packages/daemon/test/daemon/entry/call_identity.cpp
+++ b/packages/daemon/test/daemon/entry/call_identity.cpp
@@ -172,7 +172,7 @@
   EXPECT_EQ(headerOf(*Nested, "Key"), "-");
   EXPECT_FALSE(parse("/a", {{"Id", "other.1"}}));
   EXPECT_EQ(LastError.Kind, ErrorKind::Unauthorized);
-  Own.running().end("p");
+  Own.running().end("p", std::nullopt, {});
   EXPECT_FALSE(parse("/a", {{"Id", "p.1"}}));
 }
 
--- a/packages/policy/src/policy/admission/admission_options.h
+++ b/packages/policy/src/policy/admission/admission_options.h
@@ -26,6 +26,9 @@
   // RepeatSlack. If both are 0, retries are not limited here.
   double RepeatRatio = 0;
   double RepeatSlack = 0;
+  // Share of the retry budget that only nested calls may use: rejecting one
+  // wastes the work of the request that makes it.
+  double NestedRepeatShare = 0;
   // If requests take this percentage of the usual time or more, the sidecar
   // rejects those that another sidecar may accept. Measurements older than
   // WorkTimeMaxAge are ignored. 0 disables this.
--- a/packages/policy/src/policy/admission/admission_state.h
+++ b/packages/policy/src/policy/admission/admission_state.h
@@ -22,6 +22,7 @@
   TimePoint Until{};
   // 0 is the highest priority.
   std::uint32_t Priority = 0;
+  // True if the request uses up the retry budget.
   bool Repeat = false;
   // See AdmissionQuery.
   std::string Organisation;
--- a/packages/policy/src/policy/admission/admit.cpp
+++ b/packages/policy/src/policy/admission/admit.cpp
@@ -78,13 +78,19 @@
              State.Options.ColdFactor * State.Options.ColdPerSecond;
 }
 
+bool usesRetryBudget(const AdmissionQuery &Query) {
+  return Query.Repeat || Query.OfRepeat;
+}
+
 bool isRetryAllowed(const AdmissionState &State, const AdmissionQuery &Query,
                     TimePoint Now) {
   const AdmissionOptions &Options = State.Options;
-  return !Query.Repeat ||
-         (Options.RepeatRatio <= 0 && Options.RepeatSlack <= 0) ||
-         isRetryWithinBudget(State.Arrivals, Options.RepeatRatio,
-                             Options.RepeatSlack, Now);
+  if (!Query.Repeat || (Options.RepeatRatio <= 0 && Options.RepeatSlack <= 0)) {
+    return true;
+  }
+  const double Share = Query.Nested ? 1 : 1 - Options.NestedRepeatShare;
+  return isRetryWithinBudget(State.Arrivals, Options.RepeatRatio * Share,
+                             Options.RepeatSlack * Share, Now);
 }
 
 // Returns true if another server probably responds sooner.
@@ -128,7 +134,7 @@
   const std::uint32_t Priority = First ? FirstPriority : Query.Priority;
   if (First && State.InFlight < limit(State) &&
       countWaitingBefore(State, Priority) == 0) {
-    takeSlot(State, Query.Repeat, Now);
+    takeSlot(State, usesRetryBudget(Query), Now);
     recordShare(State.Shares, Query.Organisation, ShareOutcome::ServedFirst);
     return {.Action = AdmissionAction::Run};
   }
@@ -146,7 +152,7 @@
                   .Deadline = Query.Deadline,
                   .Until = Now + MaxWaitTime,
                   .Priority = Priority,
-                  .Repeat = Query.Repeat,
+                  .Repeat = usesRetryBudget(Query),
                   .Organisation = std::string(Query.Organisation),
                   .GoesFirst = First});
   return {.Action = AdmissionAction::Wait, .Id = State.LastTicket};
@@ -176,7 +182,7 @@
   }
   if (State.InFlight < limit(State) &&
       countWaitingBefore(State, Query.Priority) == 0) {
-    takeSlot(State, Query.Repeat, Now);
+    takeSlot(State, usesRetryBudget(Query), Now);
     recordShare(State.Shares, Query.Organisation, ShareOutcome::Served);
     return {.Action = AdmissionAction::Run};
   }
--- a/packages/policy/src/policy/admission/admit.h
+++ b/packages/policy/src/policy/admission/admit.h
@@ -19,6 +19,11 @@
   std::uint32_t Priority = 0;
   // True if an earlier attempt of the request has reached a backend server.
   bool Repeat = false;
+  // True for a call that a backend server makes while it runs a request.
+  bool Nested = false;
+  // True for the first attempt of a nested call whose parent is a retry. It
+  // uses up the retry budget but is not rejected for lack of it.
+  bool OfRepeat = false;
   // True if the entry node can send the request to another sidecar.
   bool HasChoice = false;
   // Organisation that the slot counts for; empty for nested calls, which go
--- a/packages/policy/src/policy/retry/attempt_state.h
+++ b/packages/policy/src/policy/retry/attempt_state.h
@@ -16,6 +16,9 @@
   std::uint32_t MaxRuns = 0;
   // Attempts without a result yet.
   std::uint32_t Open = 0;
+  // True if sidecars limit the retries of the request by the budget of the
+  // service, so that the budget of the entry node is not charged.
+  bool LimitedBySidecars = false;
   // Hops of the call chain, including this one.
   std::uint32_t Hops = 1;
   TimePoint Deadline{};
--- a/packages/policy/src/policy/retry/plan_next.cpp
+++ b/packages/policy/src/policy/retry/plan_next.cpp
@@ -178,7 +178,8 @@
   const bool MayRetry =
       ProvenNotRun || (State.Idempotent && maySucceedElsewhere(Result));
   State.Runs += Result.Reached || mayHaveRun(Result) ? 1 : 0;
-  const bool NotCharged = Budget.Options.FreeRejections && State.Runs == 0;
+  const bool NotCharged = State.LimitedBySidecars ||
+                          (Budget.Options.FreeRejections && State.Runs == 0);
   if (MayRetry && !Result.RetriesExhausted && State.Open == 0 &&
       isAttemptAllowed(State, Budget, Now) &&
       (NotCharged || takeToken(Budget, Now))) {
