Wake a fiber from another fiber of its loop

Cause: calls on fibers of one connection have to be cancelled together. An event descriptor for each would cost three system calls a request.

Change: FiberSignal ends the wait of a fiber from another fiber of the same loop. A loop that has ready fibers does not sleep.

Result: ASignalWakesAFiberOfTheSameLoop passes; it covers a signal that is raised before and during a wait, and that ends one wait only.

--- a/packages/daemon/src/daemon/net/fiber_loop.cpp
+++ b/packages/daemon/src/daemon/net/fiber_loop.cpp
@@ -161,7 +161,8 @@
                         static_cast<int>(Events.size()), Milliseconds);
   };
   const policy::TimePoint Start = now();
-  const int Longest = millisecondsLeft(Start);
+  // A fiber of the last batch may have woken another one.
+  const int Longest = Ready.empty() ? millisecondsLeft(Start) : 0;
   int Count = 0;
   const policy::Duration Spin = Spinner.spin(Opts.Spin);
   if (Spin > policy::Duration{0} && Longest > 0) {
@@ -234,13 +235,27 @@
   }
 }
 
-bool FiberLoop::wait(std::span<pollfd> Fds, policy::TimePoint Deadline) {
+bool FiberLoop::wait(std::span<pollfd> Fds, policy::TimePoint Deadline,
+                     FiberSignal *Signal) {
   Wait Own{.Owner = Running, .Fds = Fds};
+  if (Signal && Signal->take()) {
+    for (pollfd &Entry : Fds) {
+      Entry.revents = 0;
+    }
+    return true;
+  }
   for (pollfd &Entry : Fds) {
     watch(Own, Entry);
   }
   Own.Timer = Deadlines.emplace(Deadline, &Own);
+  if (Signal) {
+    Signal->End = [this, &Own] { wake(Own); };
+  }
   suspend();
+  if (Signal) {
+    Signal->End = nullptr;
+    (void)Signal->take();
+  }
   if (Own.Timer != Deadlines.end()) {
     Deadlines.erase(Own.Timer);
   }
--- a/packages/daemon/src/daemon/net/fiber_loop.h
+++ b/packages/daemon/src/daemon/net/fiber_loop.h
@@ -2,6 +2,7 @@
 #define DAEMON_NET_FIBER_LOOP_H
 
 #include "daemon/net/adaptive_spin.h"
+#include "daemon/net/fiber_signal.h"
 #include "daemon/net/fiber_stacks.h"
 #include "daemon/net/unique_fd.h"
 #include "policy/core/types.h"
@@ -49,8 +50,10 @@
 
   // Suspends the calling fiber of this loop until a descriptor is ready or the
   // deadline passes, like poll for a thread. The descriptors must not be closed
-  // during the wait.
-  [[nodiscard]] bool wait(std::span<pollfd> Fds, policy::TimePoint Deadline);
+  // during the wait. A signal, which may be null, ends the wait like a ready
+  // descriptor.
+  [[nodiscard]] bool wait(std::span<pollfd> Fds, policy::TimePoint Deadline,
+                          FiberSignal *Signal = nullptr);
 
 private:
   struct Fiber {
--- a/packages/daemon/src/daemon/net/fwd.h
+++ b/packages/daemon/src/daemon/net/fwd.h
@@ -6,6 +6,7 @@
 class ConnectionServer;
 class FiberLoop;
 class FiberPool;
+class FiberSignal;
 class FiberStacks;
 class Session;
 class AdaptiveSpin;
--- a/packages/daemon/src/daemon/net/socket.cpp
+++ b/packages/daemon/src/daemon/net/socket.cpp
@@ -186,9 +186,9 @@
 }
 
 bool waitReady(std::span<pollfd> Fds, policy::TimePoint Deadline,
-               policy::Duration Spin) {
+               policy::Duration Spin, FiberSignal *Signal) {
   if (FiberLoop *Loop = FiberLoop::current()) {
-    return Loop->wait(Fds, Deadline);
+    return Loop->wait(Fds, Deadline, Signal);
   }
   if (Spin > policy::Duration{0}) {
     const policy::TimePoint SpinEnd = std::min(Deadline, now() + Spin);
--- a/packages/daemon/src/daemon/net/socket.h
+++ b/packages/daemon/src/daemon/net/socket.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_NET_SOCKET_H
 #define DAEMON_NET_SOCKET_H
 
+#include "daemon/net/fwd.h"
 #include "daemon/net/unique_fd.h"
 #include "policy/core/error.h"
 #include "policy/core/types.h"
@@ -65,9 +66,10 @@
 // Waits until one of the descriptors is ready or the deadline passes. On a
 // fiber, other fibers run during the wait. A thread first polls for the spin
 // time without sleeping, because a sleeping thread takes tens of microseconds
-// to wake up.
+// to wake up. A signal ends the wait of a fiber too; a thread ignores it.
 [[nodiscard]] bool waitReady(std::span<pollfd> Fds, policy::TimePoint Deadline,
-                             policy::Duration Spin);
+                             policy::Duration Spin,
+                             FiberSignal *Signal = nullptr);
 
 // Waits until the descriptor is readable or the deadline passes.
 [[nodiscard]] bool waitReadable(int Fd, policy::TimePoint Deadline,
--- a/packages/daemon/test/daemon/net/fiber_loop.cpp
+++ b/packages/daemon/test/daemon/net/fiber_loop.cpp
@@ -69,6 +69,30 @@
   EXPECT_EQ(Received.get_future().get(), "a");
 }
 
+// Guards against a signal that is lost because no fiber waits for it yet, or
+// that leaves the loop asleep although it woke a fiber.
+TEST(FiberLoop, ASignalWakesAFiberOfTheSameLoop) {
+  FiberLoop Loop({});
+  FiberSignal There;
+  FiberSignal Back;
+  std::promise<bool> Woken;
+  Loop.spawn([&] {
+    There.raise();
+    Woken.set_value(waitReady({}, now() + WaitTimeout, {}, &Back));
+  });
+  Loop.spawn([&] {
+    SocketPair Link = connectedPair();
+    pollfd Entry{.fd = Link.Near.fd(), .events = POLLIN, .revents = POLLIN};
+    EXPECT_TRUE(waitReady({&Entry, 1}, now() + WaitTimeout, {}, &There));
+    EXPECT_EQ(Entry.revents, 0);
+    Back.raise();
+  });
+  EXPECT_TRUE(Woken.get_future().get());
+  // Each signal ends one wait.
+  EXPECT_FALSE(
+      onFiber(Loop, [&] { return waitReady({}, now() + 1ms, {}, &Back); }));
+}
+
 // Guards against timers that expire only when descriptors have events.
 TEST(FiberLoop, WaitEndsAtItsDeadline) {
   FiberLoop Loop({});
