Run the idempotent requests of one connection at the same time

Cause: HttpService ran the requests of a connection one after the other, and a request that arrived meanwhile counted its time from the start of the one in front of it. A call watched the socket of its caller itself, which works for one call a connection only.

Change: CallerConnection carries out policy/pipeline. The fiber of the connection runs the first unanswered request, whose waits also read the connection; idempotent requests behind it run on fibers of their own, within [limits] pipeline_requests and pipeline_bytes. CallerWatch tells each call that its caller is gone. The time of a request counts from its arrival. A stopping node closes a connection with the response to the last request that it read. Services on threads, and pipeline_requests = 1, serve one after the other as before. The check for input behind each request is gone for requests whose waits watch the connection.

Existing tests: the handlers in daemon/entry/http_service.cpp take the new second parameter; their checks are unchanged. TestNode takes a dialect.

--- /dev/null
+++ b/packages/daemon/src/daemon/entry/caller_connection.cpp
@@ -0,0 +1,390 @@
+#include "daemon/entry/caller_connection.h"
+
+#include "daemon/log/log.h"
+#include "daemon/memory/release_buffer.h"
+#include "daemon/net/clock.h"
+#include "daemon/net/fiber_loop.h"
+#include "daemon/net/socket.h"
+#include "policy/pipeline/plan_pipeline.h"
+
+#include <algorithm>
+#include <chrono>
+#include <exception>
+#include <iterator>
+#include <utility>
+#include <vector>
+
+namespace magnolia::daemon {
+
+namespace {
+
+// Time that a request may run without a wait that watches the connection before
+// its later input counts as having arrived unnoticed.
+constexpr policy::Duration UnwatchedMaximum = std::chrono::milliseconds(1);
+
+// Maximum time of one wait for a worker.
+constexpr policy::Duration LongestWait = std::chrono::hours(1);
+
+constexpr short ClosedEvents = POLLRDHUP | POLLHUP | POLLERR;
+
+std::size_t bytesOf(const HttpResponse &Response) {
+  std::size_t Sum = Response.Body.size();
+  for (const HttpHeader &Header : Response.Headers) {
+    Sum += Header.Name.size() + Header.Value.size();
+  }
+  return Sum;
+}
+
+} // namespace
+
+CallerConnection::CallerConnection(HttpServiceState &Service, Session &Accepted)
+    : Service(Service), Accepted(Accepted), Limits(Service.Options.Pipeline),
+      Current(Service.currentOptions()),
+      Reader(HttpReader::Kind::Request, Current.Limits, Service.Options.Memory),
+      EmptyUntil(now()) {
+  if (!Service.MayOverlap || !FiberLoop::current()) {
+    Limits.Requests = 1;
+  }
+}
+
+void CallerConnection::serve() {
+  std::exception_ptr Failure;
+  try {
+    serveRequests();
+  } catch (...) {
+    Failure = std::current_exception();
+  }
+  // A fiber must not be suspended inside of the handler.
+  close();
+  awaitWorkers();
+  if (Failure) {
+    std::rethrow_exception(Failure);
+  }
+}
+
+void CallerConnection::serveRequests() {
+  while (!policy::isOver(State)) {
+    readInput();
+    startRequests();
+    if (std::exchange(RunsFirst, false)) {
+      run(Exchanges.front());
+    }
+    if (!writeFirst() && !policy::isOver(State)) {
+      wait();
+    }
+  }
+}
+
+void CallerConnection::awaitWorkers() {
+  while (Workers > 0) {
+    (void)waitReady({}, now() + LongestWait, {}, &WorkerEnded);
+  }
+}
+
+void CallerConnection::readInput() {
+  State.Stopping = Service.Closing;
+  while (policy::readsOn(State, Limits)) {
+    const HttpReadStatus Status = Reader.read();
+    if (Status == HttpReadStatus::Ready) {
+      addRequest();
+    } else if (Status != HttpReadStatus::NeedMore) {
+      addRejection(Status);
+    } else {
+      sendContinue();
+      if (!Readable || !receive()) {
+        return;
+      }
+    }
+  }
+}
+
+bool CallerConnection::receive() {
+  const std::span<char> Space = Reader.prepare();
+  const auto Count = receiveSome(Accepted.fd(), Space);
+  Readable = Count > 0 && static_cast<std::size_t>(Count) == Space.size();
+  const policy::TimePoint Now = now();
+  if (Count > 0) {
+    ReadAt = EmptyUntil;
+    if (!Reader.hasBytes()) {
+      Current = Service.currentOptions();
+      Reader.limit(Current.Limits);
+      HeadStart = Now;
+    }
+    Reader.commit(static_cast<std::size_t>(Count));
+  }
+  if (!Readable) {
+    EmptyUntil = Now;
+  }
+  if (Count < 0) {
+    State.CallerGone = true;
+    cancelRunning();
+  }
+  return Count > 0;
+}
+
+void CallerConnection::addRequest() {
+  PipelinedExchange &Added = Exchanges.emplace_back(*this);
+  Added.Request = Reader.takeRequest();
+  Reader.begin();
+  Added.Request.Arrived = Added.Arrived = ReadAt;
+  Added.Method = Added.Request.Method;
+  const bool Closes = !Added.Request.KeepAlive;
+  State.Requests.push_back(
+      {.Idempotent = Limits.Requests > 1 && Service.MayOverlap(Added.Request),
+       .Closes = Closes});
+  State.InputEnded = Closes;
+  ContinueSent = false;
+}
+
+void CallerConnection::addRejection(HttpReadStatus Status) {
+  PipelinedExchange &Added = Exchanges.emplace_back(*this);
+  Added.Response = rejectUnread(Service, Status, Current.Limits);
+  Added.Drain = drainLimits(Status, Current.Limits);
+  State.Requests.push_back({.Stage = policy::RequestStage::Done,
+                            .Closes = true,
+                            .ResponseBytes = bytesOf(Added.Response)});
+  State.InputEnded = true;
+}
+
+void CallerConnection::sendContinue() {
+  if (!State.Requests.empty() || ContinueSent || !Reader.expectsContinue()) {
+    return;
+  }
+  ContinueSent = true;
+  if (!sendAll(Accepted.fd(), "HTTP/1.1 100 Continue\r\n\r\n", {},
+               now() + Service.Options.Read)) {
+    close();
+  }
+}
+
+void CallerConnection::startRequests() {
+  while (const auto Next = policy::nextToStart(State, Limits)) {
+    if (*Next == 0) {
+      RunsFirst = true;
+    } else if (!startWorker(*std::next(Exchanges.begin(),
+                                       static_cast<std::ptrdiff_t>(*Next)))) {
+      return;
+    }
+    State.Requests[*Next].Stage = policy::RequestStage::Running;
+  }
+}
+
+bool CallerConnection::startWorker(PipelinedExchange &Given) {
+  if (++Service.Fibers > Service.Options.PipelineFibers) {
+    --Service.Fibers;
+    return false;
+  }
+  Given.OnOwnFiber = true;
+  ++Workers;
+  Service.Counts.count(Counter::PipelinedRequests);
+  FiberLoop::current()->spawn([this, &Given] { runWorker(Given); });
+  return true;
+}
+
+void CallerConnection::runWorker(PipelinedExchange &Given) {
+  bool Failed = false;
+  try {
+    if (!Given.isGone()) {
+      run(Given);
+    }
+  } catch (const std::exception &Reason) {
+    log(LogLevel::Error, "request ended by an exception",
+        {{"reason", std::string_view(Reason.what())}});
+    Failed = true;
+  }
+  State.Requests[indexOf(Given)].Stage = policy::RequestStage::Done;
+  if (Failed) {
+    close();
+  }
+  --Workers;
+  --Service.Fibers;
+  WorkerEnded.raise();
+}
+
+void CallerConnection::run(PipelinedExchange &Given) {
+  Given.Response = Service.Handle(std::move(Given.Request), Given);
+  policy::PipelinedRequest &Ended = State.Requests[indexOf(Given)];
+  Ended.Stage = policy::RequestStage::Done;
+  Ended.Closes = Ended.Closes || !Given.Response.KeepAlive;
+  Ended.ResponseBytes = bytesOf(Given.Response);
+  countHeldBytes();
+}
+
+bool CallerConnection::writeFirst() {
+  if (!policy::mayWrite(State)) {
+    return false;
+  }
+  if (!Writing) {
+    beginResponse();
+  }
+  const bool Sent = sendSome(Accepted.fd(), HeadLeft, BodyLeft);
+  if (Sent && !(HeadLeft.empty() && BodyLeft.empty())) {
+    return false;
+  }
+  endResponse();
+  if (!Sent) {
+    close();
+  }
+  return true;
+}
+
+void CallerConnection::beginResponse() {
+  PipelinedExchange &First = Exchanges.front();
+  State.Stopping = Service.Closing;
+  State.Requests.front().Closes = policy::closesWithFirst(State);
+  First.Response.KeepAlive = !State.Requests.front().Closes;
+  Head = responseHead(First.Response, First.Method);
+  HeadLeft = Head;
+  BodyLeft = hasBody(First.Response.Status, First.Method)
+                 ? std::string_view(First.Response.Body)
+                 : std::string_view();
+  const policy::TimePoint Now = now();
+  WriteBy = Now + Service.Options.Read;
+  Writing = true;
+  // After the response, input is the next request of a caller that waited.
+  if (!Readable && Now - EmptyUntil > UnwatchedMaximum) {
+    Readable = hasInput(Accepted.fd());
+    EmptyUntil = Readable ? EmptyUntil : Now;
+  }
+}
+
+void CallerConnection::endResponse() {
+  const PipelinedExchange &First = Exchanges.front();
+  const std::optional<DrainLimits> Drain = First.Drain;
+  if (!Drain) {
+    Service.Counts.time(Timing::Request, now() - First.Arrived);
+  }
+  Writing = false;
+  releaseBuffer(Head);
+  policy::onAnswered(State);
+  Exchanges.pop_front();
+  if (State.Requests.empty() && State.Requests.capacity() > 1) {
+    State.Requests = std::vector<policy::PipelinedRequest>();
+  }
+  cancelRunning();
+  countHeldBytes();
+  if (Drain) {
+    drainInput(Accepted.fd(), *Drain);
+  }
+}
+
+void CallerConnection::wait() {
+  // Input may have become known since it was last read.
+  if (Readable && policy::readsOn(State, Limits)) {
+    return;
+  }
+  const policy::TimePoint Now = now();
+  if (State.Requests.empty()) {
+    waitForInput(Now);
+    return;
+  }
+  const short Events =
+      static_cast<short>(wantedEvents() | (Writing ? POLLOUT : 0));
+  pollfd Entry{
+      .fd = Events == 0 ? -1 : Accepted.fd(), .events = Events, .revents = 0};
+  const bool Ended = waitReady(
+      {&Entry, 1}, Writing ? WriteBy : Now + LongestWait, {}, &WorkerEnded);
+  if (!Ended && Writing) {
+    endResponse();
+    close();
+    return;
+  }
+  onEvents(Entry.revents, now());
+}
+
+void CallerConnection::waitForInput(policy::TimePoint Now) {
+  bool Arrived = false;
+  if (!Reader.hasBytes()) {
+    Current = Service.currentOptions();
+    Arrived = Accepted.waitForRequest(Now + Current.Idle);
+  } else {
+    policy::TimePoint Latest = Now + Current.Read;
+    if (Current.Head > policy::Duration{0} && !Reader.hasHead()) {
+      Latest = std::min(Latest, HeadStart + Current.Head);
+    }
+    Arrived = waitReadable(Accepted.fd(), Latest);
+  }
+  if (!Arrived) {
+    State.InputEnded = true;
+    return;
+  }
+  Readable = true;
+  EmptyUntil = now();
+}
+
+short CallerConnection::wantedEvents() const {
+  if (State.CallerGone || State.Closed) {
+    return 0;
+  }
+  // Input is waited for also at a limit, to know when it arrived.
+  return static_cast<short>(POLLRDHUP |
+                            (State.InputEnded || Readable ? 0 : POLLIN));
+}
+
+void CallerConnection::onEvents(short Seen, policy::TimePoint Now) {
+  if ((Seen & ClosedEvents) != 0) {
+    State.CallerGone = true;
+    cancelRunning();
+  } else if (!Readable) {
+    EmptyUntil = Now;
+    Readable = (Seen & POLLIN) != 0;
+    if (Readable && Limits.Requests > 1 && !State.Stopping &&
+        !policy::readsOn(State, Limits)) {
+      Service.Counts.count(Counter::PipelinePauses);
+    }
+  }
+}
+
+void CallerConnection::serveDuringWait(short Seen, policy::TimePoint Now) {
+  onEvents(Seen, Now);
+  if (Readable) {
+    readInput();
+    startRequests();
+  }
+}
+
+void CallerConnection::close() {
+  State.Closed = true;
+  cancelRunning();
+}
+
+void CallerConnection::cancelRunning() {
+  std::size_t Index = 0;
+  for (PipelinedExchange &Next : Exchanges) {
+    if (policy::isCancelled(State, Index++)) {
+      Next.cancel();
+    }
+  }
+}
+
+void CallerConnection::countHeldBytes() {
+  if (Service.Options.Memory == nullptr ||
+      (State.Requests.size() < 2 && !Held)) {
+    return;
+  }
+  std::size_t Sum = 0;
+  std::size_t Index = 0;
+  for (const PipelinedExchange &Next : Exchanges) {
+    const bool IsHeld = Index > 0 && !Next.Response.Share;
+    Sum += IsHeld ? State.Requests[Index].ResponseBytes : 0;
+    ++Index;
+  }
+  if (Sum == 0) {
+    Held.reset();
+    State.MemoryShort = false;
+    return;
+  }
+  if (!Held) {
+    Held.emplace(*Service.Options.Memory);
+  }
+  State.MemoryShort = !Held->resize(Sum);
+}
+
+std::size_t CallerConnection::indexOf(const PipelinedExchange &Given) const {
+  const auto Found = std::find_if(
+      Exchanges.begin(), Exchanges.end(),
+      [&](const PipelinedExchange &Next) { return &Next == &Given; });
+  return static_cast<std::size_t>(std::distance(Exchanges.begin(), Found));
+}
+
+} // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry/entry_call.h"
 
+#include "daemon/entry/caller_watch.h"
 #include "daemon/net/adaptive_spin.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
@@ -191,15 +192,21 @@
     Until = std::min(Until, Next.Remote ? Next.Remote->nextCheck()
                                         : Next.Local->nextCheck());
   }
-  Fds.push_back({.fd = Call.CallerFd, .events = POLLRDHUP, .revents = 0});
+  CallerWatch *Caller = Call.Caller;
+  Fds.push_back(Caller ? Caller->entry() : pollfd{.fd = -1});
   if (HedgeAt) {
     Until = std::min(Until, *HedgeAt);
   }
   thread_local AdaptiveSpin Spinner;
   const policy::TimePoint Start = now();
-  (void)waitReady(Fds, Until, Spinner.spin(Owner.Options.Spin));
-  Spinner.record(now() - Start);
-  CallerGone = Fds.back().revents != 0;
+  (void)waitReady(Fds, Until, Spinner.spin(Owner.Options.Spin),
+                  Caller ? Caller->signal() : nullptr);
+  const policy::TimePoint End = now();
+  Spinner.record(End - Start);
+  if (Caller) {
+    Caller->afterWait(Fds.back().revents, End);
+    CallerGone = Caller->isGone();
+  }
 }
 
 void EntryCall::step(policy::TimePoint Now) {
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -2,6 +2,7 @@
 #define DAEMON_ENTRY_ENTRY_CALL_H
 
 #include "daemon/entry/entry.h"
+#include "daemon/entry/fwd.h"
 #include "daemon/peer/call.h"
 #include "daemon/peer/peer_exchange.h"
 #include "daemon/sidecar/sidecar_call.h"
@@ -35,8 +36,9 @@
     // True if a hedge may be sent to another server while the first attempt
     // runs.
     bool MayHedge = true;
-    // Connection of the caller. The call is cancelled when it closes.
-    int CallerFd = -1;
+    // Tells when the caller is gone and the call is cancelled; null if nothing
+    // does. It outlives the call.
+    CallerWatch *Caller = nullptr;
   };
 
   EntryCall(Entry &Owner, Parameters Call);
--- a/packages/daemon/src/daemon/entry/fwd.h
+++ b/packages/daemon/src/daemon/entry/fwd.h
@@ -3,12 +3,16 @@
 
 namespace magnolia::daemon {
 
+class CallerConnection;
+class CallerWatch;
 class Entry;
 class EntryCall;
 class HttpService;
 class Prober;
 class ServiceTable;
 struct EntryOptions;
+struct HttpServiceOptions;
+struct HttpServiceState;
 struct ServiceRuntime;
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -221,6 +221,24 @@
   return {};
 }
 
+bool mayOverlap(const Entry &Owner, const HttpRequest &Request) {
+  const auto View = Owner.Use.Views.current();
+  std::string Target = Request.Target;
+  if (!toOriginForm(Target, Request.Method)) {
+    return false;
+  }
+  if (Owner.dialect().RoutesByHost) {
+    const settings::HostRoute *Route =
+        View->Routing
+            ? findRoute(*View->Routing, hostOf(Request), pathOf(Target))
+            : nullptr;
+    return Route && Route->Idempotent;
+  }
+  const auto Found = View->Services.find(std::string(serviceOf(Request)));
+  return !isLocal(Request) && Found != View->Services.end() &&
+         isIdempotent(findRule(*Found->second, pathOf(Target)), Request.Method);
+}
+
 std::optional<EntryCall::Parameters> parseCall(Entry &Owner,
                                                HttpRequest Request,
                                                policy::TimePoint Now,
--- a/packages/daemon/src/daemon/entry/parse_call.h
+++ b/packages/daemon/src/daemon/entry/parse_call.h
@@ -22,6 +22,11 @@
 // the host. Returns an empty string if the request has neither.
 [[nodiscard]] std::string_view serviceOf(const HttpRequest &Request);
 
+// True if the request may run more than once by its route, so that it may run
+// beside other requests of its connection. False for requests to the node
+// itself and for those without a route.
+[[nodiscard]] bool mayOverlap(const Entry &Owner, const HttpRequest &Request);
+
 // Builds the call of a caller's request. Returns nothing and sets LastError if
 // the request cannot be run.
 [[nodiscard]] std::optional<EntryCall::Parameters>
--- a/packages/daemon/src/daemon/metrics/metrics.cpp
+++ b/packages/daemon/src/daemon/metrics/metrics.cpp
@@ -59,6 +59,10 @@
      "Reads of the backend server's load endpoint."},
     {Counter::MalformedRequests, "malformed_requests",
      "Requests that are no valid HTTP."},
+    {Counter::PipelinedRequests, "pipelined_requests",
+     "Requests started before the one in front of them was answered."},
+    {Counter::PipelinePauses, "pipeline_pauses",
+     "Times that input of a connection waited because of its limits."},
 }};
 
 constexpr bool inOrder() {
--- a/packages/daemon/src/daemon/metrics/metrics.h
+++ b/packages/daemon/src/daemon/metrics/metrics.h
@@ -41,13 +41,16 @@
   BackendExtraAnswers,
   LoadPolls,
   MalformedRequests,
+  PipelinedRequests,
+  PipelinePauses,
 };
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::MalformedRequests) + 1;
+    static_cast<std::size_t>(Counter::PipelinePauses) + 1;
 
 enum class Timing : std::uint8_t {
-  // Entry node: from the complete request to the complete response.
+  // Entry node: from the arrival of the complete request to the complete
+  // response, with the time behind others on its connection.
   Request,
   // Sidecar: from the request to the backend server to its complete response.
   Backend,
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/node/node_options.h"
 
+#include "daemon/entry/parse_call.h"
 #include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
@@ -70,18 +71,24 @@
           .Announce =
               [this](const auto &Announcement) { announce(Announcement); }},
       CallerRequests(
-          [this](HttpRequest Request, int Fd) {
-            return serveCaller(EntryNode, Endpoints, std::move(Request), Fd);
+          [this](HttpRequest Request, CallerWatch &From) {
+            return serveCaller(EntryNode, Endpoints, std::move(Request), From);
           },
           Counts, Speaks,
           {.Limits = {.HeadBytes = Settings.HeaderBytes,
                       .BodyBytes = Settings.BodyBytes},
            .Memory = &Bodies,
            .Idle = Settings.CallerIdle,
-           .Read = Settings.CallerRead},
+           .Read = Settings.CallerRead,
+           .Pipeline = {.Requests = Settings.PipelineRequests,
+                        .Bytes = Settings.PipelineBytes},
+           .PipelineFibers = Settings.HeldConnections},
           [this] {
             const auto Table = Views.current()->Routing;
             return Table ? Table->Callers : settings::CallerLimits{};
+          },
+          [this](const HttpRequest &Request) {
+            return mayOverlap(EntryNode, Request);
           }),
       Traffic(Settings.TrafficThreads, {.Spin = Settings.Spin}),
       PeerServer({.Address = Settings.Address,
@@ -135,14 +142,14 @@
 }
 
 bool Node::startAuxiliaryServers(policy::Error &LastError) {
-  const auto Report = [this](const HttpRequest &Request, int) {
+  const auto Report = [this](const HttpRequest &Request, CallerWatch &) {
     return BackendAnnouncer.handleReport(Request);
   };
-  const auto Readiness = [this](const HttpRequest &Request, int) {
+  const auto Readiness = [this](const HttpRequest &Request, CallerWatch &) {
     return readinessResponse(Request);
   };
-  const auto Local = [this](const HttpRequest &Request, int Fd) {
-    return answerLocal(Endpoints, Request, remoteAddress(Fd));
+  const auto Local = [this](const HttpRequest &Request, CallerWatch &From) {
+    return answerLocal(Endpoints, Request, remoteAddress(From.fd()));
   };
   return startAuxiliaryServer(Settings.Announcements, Report, LastError) &&
          startAuxiliaryServer(Settings.Readiness, Readiness, LastError) &&
--- a/packages/daemon/test/daemon/entry/http_service.cpp
+++ b/packages/daemon/test/daemon/entry/http_service.cpp
@@ -62,16 +62,17 @@
   settings::CallerLimits Limits;
   std::mutex Mutex;
   Metrics Counts;
-  HttpService Service{[](const HttpRequest &, int) { return HttpResponse{}; },
-                      Counts,
-                      nativeDialect(),
-                      {.Limits = {.HeadBytes = 16'384, .BodyBytes = 16'384},
-                       .Idle = 10s,
-                       .Read = 10s},
-                      [this] {
-                        const std::lock_guard Lock(Mutex);
-                        return Limits;
-                      }};
+  HttpService Service{
+      [](const HttpRequest &, CallerWatch &) { return HttpResponse{}; },
+      Counts,
+      nativeDialect(),
+      {.Limits = {.HeadBytes = 16'384, .BodyBytes = 16'384},
+       .Idle = 10s,
+       .Read = 10s},
+      [this] {
+        const std::lock_guard Lock(Mutex);
+        return Limits;
+      }};
   ConnectionServer Server{{.Address = "127.0.0.1",
                            .Port = 0,
                            .Maximum = 8,
@@ -146,13 +147,14 @@
   std::vector<HttpRequest> Handled;
   std::vector<policy::TimePoint> EndedAt;
   Metrics Counts;
-  HttpService Service{
-      [this](const HttpRequest &Request, int) { return handle(Request); },
-      Counts,
-      nativeDialect(),
-      {.Limits = {.HeadBytes = 16'384, .BodyBytes = 16'384},
-       .Idle = 10s,
-       .Read = 10s}};
+  HttpService Service{[this](const HttpRequest &Request, CallerWatch &) {
+                        return handle(Request);
+                      },
+                      Counts,
+                      nativeDialect(),
+                      {.Limits = {.HeadBytes = 16'384, .BodyBytes = 16'384},
+                       .Idle = 10s,
+                       .Read = 10s}};
   ConnectionServer Server{{.Address = "127.0.0.1",
                            .Port = 0,
                            .Maximum = 8,
--- a/packages/daemon/test/daemon/support/test_node.h
+++ b/packages/daemon/test/daemon/support/test_node.h
@@ -64,8 +64,9 @@
 
 // Running node, with an announced backend server if its port is given.
 struct TestNode {
-  explicit TestNode(settings::NodeSettings Given, std::uint16_t BackendPort = 0)
-      : Running(std::move(Given), Key) {
+  explicit TestNode(settings::NodeSettings Given, std::uint16_t BackendPort = 0,
+                    const Dialect &Speaks = nativeDialect())
+      : Running(std::move(Given), Key, Speaks) {
     policy::Error LastError;
     Started = Running.start(LastError);
     if (!Started) {
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -85,6 +85,10 @@
   std::size_t ResponseBytes = 0;
   std::size_t HeaderBytes = 0;
   std::uint32_t HeldConnections = 0;
+  // Limits on the requests of one connection of a caller that run at the same
+  // time, and on the bytes of responses that wait for their turn.
+  std::uint32_t PipelineRequests = 16;
+  std::size_t PipelineBytes = std::size_t{1} << 20;
   std::uint32_t PeerConnections = 0;
   std::uint32_t TrafficThreads = 1;
   std::uint32_t IdlePeerConnections = 0;
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -227,6 +227,14 @@
     number<&N::HeldConnections>(
         Limits, "held_connections", "1024", 1, 100'000, "connections",
         "Maximum number of concurrent connections of callers."),
+    number<&N::PipelineRequests>(
+        Limits, "pipeline_requests", "16", 1, 256, "requests",
+        "Requests of one connection that wait or run at the same time; the "
+        "next ones are not read. With 1, requests run one after the other."),
+    number<&N::PipelineBytes>(
+        Limits, "pipeline_bytes", "1048576", 0, 1024 * Mebibyte, "bytes",
+        "Bytes of responses of one connection that wait for their turn, from "
+        "which on no further request of it is read or started."),
     number<&N::PeerConnections>(
         Limits, "peer_connections", "4096", 1, 100'000, "connections",
         "Maximum number of concurrent connections from other nodes."),
