Count the time of a partial head from the response in front of it

Cause: if the start of a head arrived together with the request in front of it, its time limit counted from there, although the connection may be read late because of a limit. The connection could close before the rest was due.

Change: the time counts from the end of the response in front, as before requests of a connection overlapped. The routed form of mayOverlap has a test.

The time limit itself has no new test: it would need to wait for real time.

--- a/packages/daemon/src/daemon/entry/caller_connection.cpp
+++ b/packages/daemon/src/daemon/entry/caller_connection.cpp
@@ -251,8 +251,10 @@
 void CallerConnection::endResponse() {
   const PipelinedExchange &First = Exchanges.front();
   const std::optional<DrainLimits> Drain = First.Drain;
+  // The time for the rest of a request counts once nothing is in front of it.
+  HeadStart = now();
   if (!Drain) {
-    Service.Counts.time(Timing::Request, now() - First.Arrived);
+    Service.Counts.time(Timing::Request, HeadStart - First.Arrived);
   }
   Writing = false;
   releaseBuffer(Head);
--- a/packages/daemon/test/daemon/entry/parse_call.cpp
+++ b/packages/daemon/test/daemon/entry/parse_call.cpp
@@ -21,7 +21,9 @@
   void publish(bool Outdated) {
     policy::Error LastError;
     const auto Change = settings::compareRouting(
-        {}, "{\"version\":7}\n[\"h.example\",\"/known/\",\"r\",\"stock\"]",
+        {},
+        "{\"version\":7}\n[\"h.example\",\"/known/\",\"r\",\"stock\"]\n"
+        "[\"h.example\",\"/read/\",\"r\",\"stock\",true]",
         LastError);
     ASSERT_TRUE(Change) << LastError.Detail;
     ClusterView View;
@@ -76,5 +78,24 @@
   EXPECT_TRUE(policy::errorEntry(ErrorKind::ConfigurationOutdated).Retryable);
 }
 
+// Guards against requests that run beside others of their connection although
+// their route is not idempotent, or wait although it is, whatever the method.
+TEST_F(RoutedCall, OnlyIdempotentRoutesOverlap) {
+  const auto Overlaps = [this](const char *Target) {
+    HttpRequest Request;
+    Request.Method = "POST";
+    Request.Target = Target;
+    Request.Headers = {{"Host", "h.example:80"}};
+    return mayOverlap(Node, Request);
+  };
+  EXPECT_FALSE(Overlaps("/read/1"));
+  publish(false);
+  EXPECT_TRUE(Overlaps("/read/1?a=b"));
+  EXPECT_TRUE(Overlaps("http://h.example/read/1"));
+  EXPECT_FALSE(Overlaps("/known/1"));
+  EXPECT_FALSE(Overlaps("/missing/"));
+  EXPECT_FALSE(Overlaps("no path"));
+}
+
 } // namespace
 } // namespace magnolia::daemon
