--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -2,6 +2,7 @@
 #define DAEMON_ENTRY_ENTRY_CALL_H
 
 #include "daemon/entry/entry.h"
+#include "daemon/entry/fwd.h"
 #include "daemon/peer/call.h"
 #include "daemon/peer/peer_exchange.h"
 #include "daemon/sidecar/sidecar_call.h"
@@ -43,8 +44,9 @@
     // Set if the request was accepted because of this key. It is checked again
     // before each attempt, because it may be withdrawn while the request waits.
     std::optional<KeyDigest> Key;
-    // Connection of the caller. The call is cancelled when it closes.
-    int CallerFd = -1;
+    // Tells when the caller is gone and the call is cancelled; null if nothing
+    // does. It outlives the call.
+    CallerWatch *Caller = nullptr;
   };
 
   EntryCall(Entry &Owner, Parameters Call);
--- a/packages/daemon/src/daemon/entry/fwd.h
+++ b/packages/daemon/src/daemon/entry/fwd.h
@@ -3,6 +3,8 @@
 
 namespace magnolia::daemon {
 
+class CallerConnection;
+class CallerWatch;
 class Entry;
 class EntryCall;
 class HttpService;
@@ -10,6 +12,8 @@
 class RouteGate;
 class ServiceTable;
 struct EntryOptions;
+struct HttpServiceOptions;
+struct HttpServiceState;
 struct ServiceRuntime;
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/metrics/metrics.cpp
+++ b/packages/daemon/src/daemon/metrics/metrics.cpp
@@ -69,6 +69,10 @@
     {Counter::LinkRejections, "link_rejections",
      "Requests with large bodies rejected because the link of the node is "
      "busy."},
+    {Counter::PipelinedRequests, "pipelined_requests",
+     "Requests started before the one in front of them was answered."},
+    {Counter::PipelinePauses, "pipeline_pauses",
+     "Times that input of a connection waited because of its limits."},
 }};
 
 constexpr bool inOrder() {
