Add settings for a limit on hedged requests

Operators need to state how many extra requests a service may get for second copies of slow requests. Section [hedge] has percent (0 to 20, default 0: off), min_delay_ms and quantile, applied to a running node; hedge_percent in a service file replaces the percentage for one service. A value out of range, or a delay over deadline_maximum_ms, is rejected with the key and its range, and the settings in effect stay.

--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -125,6 +125,13 @@
   std::uint32_t RetryBurst = 0;
   std::uint32_t RetryFloor = 0;
 
+  // Hedged requests: extra requests as a percentage of the requests of a
+  // service (0: off), the smallest delay, and the quantile of the response
+  // times of a route, in percent, that sets the delay.
+  std::uint16_t HedgePercent = 0;
+  Milliseconds HedgeMinDelay{20};
+  std::uint16_t HedgeQuantile = 95;
+
   std::string LogLevel;
   std::string LogFile;
 };
--- a/packages/settings/src/settings/node/read_settings.cpp
+++ b/packages/settings/src/settings/node/read_settings.cpp
@@ -48,7 +48,7 @@
   if (Known.empty()) {
     return place(Section, Key) +
            ": no such section; accepted: node, listen, local, backend, store, "
-           "contacts, static, limits, log, interface";
+           "contacts, static, limits, hedge, log, interface";
   }
   return place(Section, Key) + ": no such key; accepted: " + Known;
 }
@@ -127,6 +127,13 @@
                   std::to_string(Result.ShutdownAnnounce.count()) + " ms";
     return false;
   }
+  if (Result.HedgeMinDelay > Result.DeadlineMaximum) {
+    State.Fault = place("hedge", "min_delay_ms") +
+                  ": over the longest timeout of a request; accepted: up to " +
+                  std::to_string(Result.DeadlineMaximum.count()) +
+                  " ms (deadline_maximum_ms)";
+    return false;
+  }
   if (Result.HttpPort == 0 && Result.Callers.Port == 0) {
     State.Fault = place("node", "http_port") +
                   ": missing; accepted: 1 to 65535, or an address in [listen] "
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -339,6 +339,18 @@
     number<&N::RetryFloor>(
         Limits, "retry_floor", "1000", 0, 1'000'000, "retries per 100 s",
         "Retries of one service that a node may send regardless of traffic."),
+    live(number<&N::HedgePercent>(
+        "hedge", "percent", "0", 0, 20, "percent",
+        "Second copies of slow idempotent requests per 100 requests of a "
+        "service; 0: none. hedge_percent in a service file replaces it.")),
+    live(number<&N::HedgeMinDelay>(
+        "hedge", "min_delay_ms", "20", 1, 60'000, "ms",
+        "Shortest time without a response after which a second copy is sent; "
+        "at most deadline_maximum_ms.")),
+    live(number<&N::HedgeQuantile>(
+        "hedge", "quantile", "95",
+        50, 99, "percent",
+        "Quantile of the response times of a route that sets the delay.")),
     live({.Section = "log",
           .Key = "level",
           .Default = "info",
--- a/packages/settings/src/settings/record/check_service.cpp
+++ b/packages/settings/src/settings/record/check_service.cpp
@@ -100,6 +100,9 @@
     return ServiceFault{
         {}, "probe_floor", "expected 0 to 1000 probes per second"};
   }
+  if (Service.HedgePercent && *Service.HedgePercent > MaxHedgePercent) {
+    return ServiceFault{{}, "hedge_percent", "expected 0 to 20 percent"};
+  }
   return faultOfRoutes(Service);
 }
 
--- a/packages/settings/src/settings/record/format_record.cpp
+++ b/packages/settings/src/settings/record/format_record.cpp
@@ -46,13 +46,17 @@
   for (const RouteRecord &Route : Service.Routes) {
     Routes.push_back(toJson(Route));
   }
-  return dump({{"service", Service.Service},
-               {"operation_id", Service.OperationId},
-               {"version", Service.Version},
-               {"routes", Routes},
-               {"retry_ratio", Service.RetryRatio},
-               {"probe_ratio", Service.ProbeRatio},
-               {"probe_floor", Service.ProbeFloor}});
+  Json Object{{"service", Service.Service},
+              {"operation_id", Service.OperationId},
+              {"version", Service.Version},
+              {"routes", Routes},
+              {"retry_ratio", Service.RetryRatio},
+              {"probe_ratio", Service.ProbeRatio},
+              {"probe_floor", Service.ProbeFloor}};
+  if (Service.HedgePercent) {
+    Object["hedge_percent"] = *Service.HedgePercent;
+  }
+  return dump(Object);
 }
 
 std::string formatZone(const ZoneRecord &Zone) {
--- a/packages/settings/src/settings/record/internal/field_reader.cpp
+++ b/packages/settings/src/settings/record/internal/field_reader.cpp
@@ -133,6 +133,13 @@
   return Field->get<std::uint64_t>();
 }
 
+std::optional<std::uint64_t>
+FieldReader::optionalNumber(const char *Name, std::uint64_t Minimum,
+                            std::uint64_t Maximum) {
+  return find(Name) == nullptr ? std::nullopt
+                               : std::optional(number(Name, Minimum, Maximum));
+}
+
 double FieldReader::real(const char *Name, double Maximum, double IfAbsent) {
   const Json *Field = find(Name);
   if (Field == nullptr) {
--- a/packages/settings/src/settings/record/internal/field_reader.h
+++ b/packages/settings/src/settings/record/internal/field_reader.h
@@ -39,6 +39,9 @@
                        std::uint64_t Maximum);
   std::uint64_t number(const char *Name, std::uint64_t Minimum,
                        std::uint64_t Maximum, std::uint64_t IfAbsent);
+  std::optional<std::uint64_t> optionalNumber(const char *Name,
+                                              std::uint64_t Minimum,
+                                              std::uint64_t Maximum);
   double real(const char *Name, double Maximum, double IfAbsent);
   bool flag(const char *Name);
   std::optional<bool> optionalFlag(const char *Name);
--- a/packages/settings/src/settings/record/limits.h
+++ b/packages/settings/src/settings/record/limits.h
@@ -26,6 +26,8 @@
 inline constexpr double MaxProbeRatio = 1.0;
 // Probes per second and entry node.
 inline constexpr double MaxProbeFloor = 1000.0;
+// Hedges as a percentage of the requests of a service.
+inline constexpr std::uint64_t MaxHedgePercent = 20;
 // Milliseconds since the Unix epoch, at the end of the year 9999.
 inline constexpr std::uint64_t MaxTimeMs = 253'402'300'799'999;
 // Limits of the routing table of a deployment. Only its whole size is limited:
--- a/packages/settings/src/settings/record/parse_record.cpp
+++ b/packages/settings/src/settings/record/parse_record.cpp
@@ -83,6 +83,8 @@
       Fields.real("probe_ratio", MaxProbeRatio, Service.ProbeRatio);
   Service.ProbeFloor =
       Fields.real("probe_floor", MaxProbeFloor, Service.ProbeFloor);
+  Service.HedgePercent =
+      Fields.optionalNumber("hedge_percent", 0, MaxHedgePercent);
   if (const Json *Routes = Fields.array("routes", MaxRoutes)) {
     for (const Json &Object : *Routes) {
       FieldReader RouteFields("service record: route " +
--- a/packages/settings/src/settings/record/service_record.h
+++ b/packages/settings/src/settings/record/service_record.h
@@ -3,6 +3,8 @@
 
 #include "settings/record/route_record.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -23,6 +25,9 @@
   // Probes per request, and probes per second on top.
   double ProbeRatio = 0.01;
   double ProbeFloor = 5.0;
+  // Hedges as a percentage of the requests, from 0 to 20; without a value, the
+  // setting of each node applies.
+  std::optional<std::uint64_t> HedgePercent;
 
   bool operator==(const ServiceRecord &) const = default;
 };
--- a/packages/settings/src/settings/service/parse_service_file.cpp
+++ b/packages/settings/src/settings/service/parse_service_file.cpp
@@ -62,6 +62,17 @@
                                              : std::string(Accepted);
 }
 
+std::string readHedgePercent(ServiceRecord &Service, std::string_view Value) {
+  std::uint64_t Percent = 0;
+  const char *End = Value.data() + Value.size();
+  const auto [Rest, Error] = std::from_chars(Value.data(), End, Percent);
+  if (Error != std::errc() || Rest != End || Percent > MaxHedgePercent) {
+    return "expected 0 to 20 percent";
+  }
+  Service.HedgePercent = Percent;
+  return {};
+}
+
 std::string readLimit(ServiceRecord &Service, std::string_view Key,
                       std::string_view Value) {
   if (Key == "retry_ratio") {
@@ -74,7 +85,11 @@
     return readReal(Value, Service.ProbeFloor,
                     "expected 0 to 1000 probes per second");
   }
-  return "unknown key; use retry_ratio, probe_ratio or probe_floor";
+  if (Key == "hedge_percent") {
+    return readHedgePercent(Service, Value);
+  }
+  return "unknown key; use retry_ratio, probe_ratio, probe_floor or "
+         "hedge_percent";
 }
 
 std::string readRoute(RouteRecord &Route, std::string_view Key,
--- a/packages/settings/test/settings/record/records.cpp
+++ b/packages/settings/test/settings/record/records.cpp
@@ -28,7 +28,8 @@
                       .TimeoutMs = 0}},
           .RetryRatio = 0.2,
           .ProbeRatio = 0.03,
-          .ProbeFloor = 7};
+          .ProbeFloor = 7,
+          .HedgePercent = 4};
 }
 
 StoredRollout sampleRollout() {
@@ -129,6 +130,8 @@
         [](Json &D) { D.erase("operation_id"); }},
        {"retries without a bound", "retry_ratio",
         [](Json &D) { D["retry_ratio"] = 1.5; }},
+       {"hedges without a bound", "hedge_percent",
+        [](Json &D) { D["hedge_percent"] = 21; }},
        {"a negative probe budget", "probe_floor",
         [](Json &D) { D["probe_floor"] = -1; }},
        {"a number in a text", "probe_ratio",
--- a/packages/settings/test/settings/service/service_files.cpp
+++ b/packages/settings/test/settings/service/service_files.cpp
@@ -26,6 +26,7 @@
 retry_ratio = 0.2
 probe_ratio = 0.03
 probe_floor = 7
+hedge_percent = 4
 [move]
 from = v1
 to = v2
@@ -41,7 +42,8 @@
                  {"/bulbs", {"GET", "HEAD", "PUT"}, {}, 0}},
       .RetryRatio = 0.2,
       .ProbeRatio = 0.03,
-      .ProbeFloor = 7};
+      .ProbeFloor = 7,
+      .HedgePercent = 4};
   EXPECT_EQ(File->Service, Expected);
   EXPECT_EQ(File->Rollout,
             (RolloutPlan{"v1", "v2", {true, std::chrono::minutes(30)}}));
@@ -78,6 +80,12 @@
       {"a number followed by text",
        Head + "[limits]\nprobe_floor = 5/s\n",
        {"[limits]", "probe_floor", "0 to 1000"}},
+      {"hedges without a bound",
+       Head + "[limits]\nhedge_percent = 21\n",
+       {"[limits]", "hedge_percent", "0 to 20 percent"}},
+      {"a negative number of hedges",
+       Head + "[limits]\nhedge_percent = -1\n",
+       {"[limits]", "hedge_percent", "0 to 20 percent"}},
       {"a ratio that compares false with every bound",
        Head + "[limits]\nprobe_ratio = nan\n",
        {"probe_ratio", "0 to 1"}},
