Hedge idempotent requests within the limit of the operators

With [hedge] percent or hedge_percent set, the entry node sends a second copy of an idempotent request to another server when policy/hedge says so, uses the first response and cancels the other copy. A hedge counts as a retry at the sidecar. A server error of one copy is held while the other is open. Without these settings the hedging of the native dialect and of routed requests is as before.

The load report of a sidecar now shows a cold start that the backend server announces; it showed only the ramp of servers that announce none, so a hedge could have gone to a cold server.

--- a/packages/daemon/src/daemon/dump/dump.cpp
+++ b/packages/daemon/src/daemon/dump/dump.cpp
@@ -89,6 +89,12 @@
                     {"retries", Runtime.Retries.Retries},
                     {"hedges", Runtime.Retries.Hedges},
                     {"refused", Runtime.Retries.Refused}};
+  Value["hedge"] = {{"requests", Runtime.Hedges.Requests},
+                    {"sent", Runtime.Hedges.Sent},
+                    {"refused_by_limit", Runtime.Hedges.RefusedByLimit},
+                    {"refused_other", Runtime.Hedges.RefusedOther},
+                    {"routes", Runtime.Hedges.Routes.size()},
+                    {"routes_refused", Runtime.Hedges.RoutesRefused}};
   Value["probe"] = {{"requests", Runtime.Probes.Requests},
                     {"probes", Runtime.Probes.Probes},
                     {"allowed", policy::probesAllowed(Runtime.Probes, Now)},
--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -10,6 +10,7 @@
 #include "daemon/view/response_recorder.h"
 #include "daemon/view/share_overrides.h"
 #include "daemon/view/view_holder.h"
+#include "policy/hedge/hedge_options.h"
 #include "policy/overload/late_request.h"
 
 #include <atomic>
@@ -32,6 +33,7 @@
   // Service of the local backend server, as named in the settings.
   std::string LocalService;
   ServiceTable::Options Services;
+  policy::HedgeOptions Hedge;
   ExchangeOptions Exchange;
 };
 
@@ -48,7 +50,7 @@
   };
 
   Entry(const EntryOptions &Opts, const Parts &Used)
-      : Options(Opts), Use(Used), Services(Opts.Services) {}
+      : Options(Opts), Use(Used), Services(Opts.Services), Hedge(Opts.Hedge) {}
 
   [[nodiscard]] policy::RequestId nextId() {
     return {.Origin = Options.Node, .Run = Options.Run, .Sequence = ++Sequence};
@@ -68,11 +70,17 @@
     return Stopping ? std::optional(Stop) : std::nullopt;
   }
 
+  // Options of hedged requests, which may change while the node runs.
+  [[nodiscard]] policy::HedgeOptions hedgeOptions() const { return Hedge; }
+  void setHedgeOptions(const policy::HedgeOptions &Next) { Hedge = Next; }
+
   const EntryOptions Options;
   const Parts Use;
   ServiceTable Services;
 
 private:
+  static_assert(std::atomic<policy::HedgeOptions>::is_always_lock_free);
+  std::atomic<policy::HedgeOptions> Hedge;
   std::atomic<std::uint64_t> Sequence = 0;
   // Set once, before Stopping.
   policy::StopWindow Stop;
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -58,6 +58,7 @@
   const policy::TimePoint End = now();
   cancelInFlight(End);
   logEnd(End);
+  logHedge();
   const bool Accepted =
       !Result->Kind || !policy::isCapacityRejection(*Result->Kind);
   const std::lock_guard Lock(Call.Runtime->Mutex);
@@ -90,20 +91,23 @@
   if (!Node) {
     return std::nullopt;
   }
-  const BackendEndpoint &Target = Runtime.Endpoints.at(*Node);
-  Attempt Current;
-  Current.Sent = policy::onDispatch(Runtime.Route, *Node, Now);
+  Attempt Current = makeAttempt(*Node, Now);
   Current.HasChoice = State.Attempts < ChoiceAttempts &&
                       policy::hasChoice(Runtime.Route, Query, *Node);
+  setHedgeTime(Current, Now);
+  return Current;
+}
+
+EntryCall::Attempt EntryCall::makeAttempt(policy::NodeId Node,
+                                          policy::TimePoint Now) {
+  ServiceRuntime &Runtime = *Call.Runtime;
+  const BackendEndpoint &Target = Runtime.Endpoints.at(Node);
+  Attempt Current;
+  Current.Sent = policy::onDispatch(Runtime.Route, Node, Now);
   Current.Peer = {
-      .Node = *Node, .Address = Target.Address, .Port = Target.PeerPort};
+      .Node = Node, .Address = Target.Address, .Port = Target.PeerPort};
   Current.Version = Target.Version;
-  if (!HedgeAt && Call.MayHedge && State.Idempotent &&
-      Runtime.Route.Median.count() > 0) {
-    // The median excludes the network latency to the candidate's zone.
-    HedgeAt =
-        Now + Target.ZoneDistance + policy::hedgeDelay(Runtime.Route.Median);
-  }
+  Current.Distance = Target.ZoneDistance;
   return Current;
 }
 
@@ -120,19 +124,23 @@
     }
     return std::nullopt;
   }
-  Tried.push_back(Current->Peer.Node);
+  return launch(std::move(*Current));
+}
+
+std::optional<policy::Outcome> EntryCall::launch(Attempt Current) {
+  Tried.push_back(Current.Peer.Node);
   policy::onAttempt(State);
-  if (const auto Ended = dispatch(*Current)) {
+  if (const auto Ended = dispatch(Current)) {
     policy::onAttemptEnd(State);
     return Ended;
   }
-  InFlight.push_back(std::move(*Current));
+  InFlight.push_back(std::move(Current));
   return std::nullopt;
 }
 
 std::optional<policy::Outcome> EntryCall::dispatch(Attempt &Current) {
   Call.Request.Version = Current.Version;
-  Call.Request.Repeat = State.Runs > 0;
+  Call.Request.Repeat = State.Runs > 0 || Current.IsHedge;
   Call.Request.HasChoice = Current.HasChoice;
   if (Current.Peer.Node == Owner.Options.Node) {
     Owner.Use.Counts.count(Counter::LocalAttempts);
@@ -218,7 +226,7 @@
   }
   if (!Result && HedgeAt && Now >= *HedgeAt) {
     HedgeAt = policy::TimePoint::max();
-    resolve({.Event = OutcomeEvent::Slow}, nullptr);
+    handleSlow(Now);
   }
 }
 
@@ -242,7 +250,7 @@
     // New requests use new connections. An idempotent request may be hedged to
     // another sidecar while this one can still respond.
     Owner.Use.Peers.discard(It->Peer.Node);
-    resolve({.Event = OutcomeEvent::Slow}, nullptr);
+    handleSlow(Now);
     return;
   case ExchangeStatus::Lost:
     Owner.Use.Counts.count(Counter::SilentConnections);
@@ -265,10 +273,13 @@
                        {.Load = Response.Load, .Faulty = Faulty}, Now);
   }
   record(*It, Faulty, Now);
+  if (!Faulty) {
+    recordHedgeSample(*It, Now);
+  }
   policy::onAttemptEnd(State);
+  const Attempt Ended = std::move(*It);
   InFlight.erase(It);
-  Owner.Use.Counts.count(Counter::Responses);
-  Result = std::move(Response);
+  acceptResponse(Ended, std::move(Response), Faulty);
 }
 
 void EntryCall::handleFailure(std::list<Attempt>::iterator It,
@@ -335,6 +346,11 @@
 void EntryCall::cancelInFlight(policy::TimePoint Now) {
   for (Attempt &Next : InFlight) {
     Owner.Use.Counts.count(Counter::Cancels);
+    if (Next.IsHedge) {
+      endHedge("cancelled");
+    } else if (Hedged) {
+      recordHedgeSample(Next, Now);
+    }
     if (Next.Remote) {
       Next.Remote->cancel(Now);
       Owner.Use.Peers.give(Next.Peer, Next.Remote->release(), true);
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace magnolia::daemon {
@@ -56,10 +57,24 @@
     PeerAddress Peer;
     std::string Version;
     policy::Incarnation SentTo = 0;
+    // Network round-trip time to the zone of the sidecar.
+    policy::Duration Distance{};
+    // True for a second copy under the limit of the operators.
+    bool IsHedge = false;
     std::unique_ptr<PeerExchange> Remote;
     std::unique_ptr<SidecarCall> Local;
   };
 
+  // Second copy that was sent under the limit of the operators.
+  struct HedgeRecord {
+    policy::Duration Delay{};
+    policy::NodeId Target = 0;
+    // Free slots of the target by its last report.
+    std::uint32_t Room = 0;
+    // How it ended: won, cancelled or failed.
+    std::string_view Ending = "failed";
+  };
+
   [[nodiscard]] std::optional<policy::ErrorKind> initialRefusal();
   // Limits the deadline to the end of a planned stop. Returns false if no
   // attempt may start because the stop could cut it.
@@ -67,6 +82,11 @@
   // Starts an attempt. Returns an outcome if the attempt ended immediately.
   [[nodiscard]] std::optional<policy::Outcome> startAttempt();
   [[nodiscard]] std::optional<Attempt> chooseTarget(policy::Error &LastError);
+  // Builds an attempt at the node. The caller must hold the mutex of the
+  // service.
+  [[nodiscard]] Attempt makeAttempt(policy::NodeId Node, policy::TimePoint Now);
+  // Sends the attempt. Returns an outcome if it ended immediately.
+  [[nodiscard]] std::optional<policy::Outcome> launch(Attempt Current);
   [[nodiscard]] std::optional<policy::Outcome> dispatch(Attempt &Current);
   [[nodiscard]] policy::Outcome handleSendFailure(const Attempt &Current,
                                                   std::string Reason);
@@ -81,6 +101,22 @@
   void handleLoss(std::list<Attempt>::iterator It, policy::TimePoint Now);
   void handleDeadline(policy::TimePoint Now);
 
+  // Sets the time at which a second copy may be sent. The caller must hold the
+  // mutex of the service.
+  void setHedgeTime(const Attempt &Current, policy::TimePoint Now);
+  // Sends a second copy if the decisions permit it.
+  void handleSlow(policy::TimePoint Now);
+  [[nodiscard]] std::optional<Attempt> makeHedge(policy::TimePoint Now);
+  // Name under which the response times of the route are kept.
+  [[nodiscard]] std::string_view hedgeRoute() const;
+  // Records the response time of a first copy, or the time that it had taken
+  // when it was cancelled.
+  void recordHedgeSample(const Attempt &First, policy::TimePoint Now);
+  // Passes the response to the caller, or holds it while the other copy is
+  // open.
+  void acceptResponse(const Attempt &From, CallResponse Response, bool Faulty);
+  void endHedge(std::string_view Ending);
+
   // Applies the retry decisions for an outcome until the call waits again or
   // has a result. Lost is the attempt that a fence decision refers to.
   void resolve(const policy::Outcome &First, const Attempt *Lost);
@@ -92,6 +128,7 @@
   void logEnd(policy::TimePoint Now) const;
   void logAttempt(const Attempt &Current, policy::ErrorKind Kind,
                   std::string_view Detail) const;
+  void logHedge() const;
   void cancelInFlight(policy::TimePoint Now);
   void record(const Attempt &Ended, bool Failed, policy::TimePoint Now);
 
@@ -100,7 +137,14 @@
   policy::AttemptState State;
   std::list<Attempt> InFlight;
   std::vector<policy::NodeId> Tried;
+  // Time at which a second copy may be sent; the maximum once it has passed.
   std::optional<policy::TimePoint> HedgeAt;
+  // Limit of the operators for second copies; 0 if they set none.
+  std::uint32_t HedgePercent = 0;
+  policy::Duration HedgeDelay{};
+  std::optional<HedgeRecord> Hedged;
+  // Server error of one copy, held until the other one has ended.
+  std::optional<CallResponse> Held;
   // Error of the attempt that failed last.
   std::optional<CallResponse> LastError;
   std::optional<CallResponse> Result;
--- a/packages/daemon/src/daemon/entry/entry_call_log.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call_log.cpp
@@ -45,6 +45,24 @@
   return Id ? std::string_view(*Id) : std::string_view();
 }
 
+void EntryCall::logHedge() const {
+  if (!Hedged) {
+    return;
+  }
+  const auto InMs = [](policy::Duration Length) {
+    return std::chrono::duration<double, std::milli>(Length).count();
+  };
+  log(LogLevel::Info, "request hedged",
+      {{"request", callerId()},
+       {"service", std::string_view(Call.Request.Service)},
+       {"route", hedgeRoute()},
+       {"delay_ms", InMs(Hedged->Delay)},
+       {"quantile_ms", InMs(HedgeDelay)},
+       {"sidecar", Hedged->Target},
+       {"room", std::uint64_t{Hedged->Room}},
+       {"result", Hedged->Ending}});
+}
+
 void EntryCall::logAttempt(const Attempt &Current, ErrorKind Kind,
                            std::string_view Detail) const {
   log(LogLevel::Info, "attempt ended",
--- a/packages/daemon/src/daemon/entry/entry_call_outcomes.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call_outcomes.cpp
@@ -15,6 +15,11 @@
 using policy::OutcomeEvent;
 
 void EntryCall::resolve(const policy::Outcome &First, const Attempt *Lost) {
+  if (Held && InFlight.empty()) {
+    Owner.Use.Counts.count(Counter::Responses);
+    Result = std::move(*Held);
+    return;
+  }
   std::optional<policy::Outcome> Next = First;
   while (Next) {
     policy::RetryDecision Decision;
--- a/packages/daemon/src/daemon/entry/service_runtime.h
+++ b/packages/daemon/src/daemon/entry/service_runtime.h
@@ -3,6 +3,7 @@
 
 #include "daemon/view/cluster_view.h"
 #include "daemon/view/share_overrides.h"
+#include "policy/hedge/hedge_state.h"
 #include "policy/overload/overload_state.h"
 #include "policy/probe/probe_budget.h"
 #include "policy/retry/retry_budget.h"
@@ -38,6 +39,7 @@
   std::shared_ptr<const ServiceView> View;
   policy::RouteState Route;
   policy::RetryBudget Retries;
+  policy::HedgeState Hedges;
   policy::OverloadState Overload;
   policy::ProbeBudget Probes;
   NameTable Versions;
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -318,6 +318,7 @@
 void Node::reload(const settings::NodeSettings &Next) {
   setLogLevel(logLevelOf(Next.LogLevel));
   LocalSidecar.reload(sidecarOptions(Next, Speaks, Run, Bodies));
+  EntryNode.setHedgeOptions(hedgeOptions(Next));
 }
 
 void Node::beginStop() {
--- a/packages/daemon/src/daemon/node/node_options.cpp
+++ b/packages/daemon/src/daemon/node/node_options.cpp
@@ -73,6 +73,7 @@
           .Speaks = &Speaks,
           .LocalService = Settings.LocalService,
           .Services = serviceOptions(Settings, Speaks),
+          .Hedge = hedgeOptions(Settings),
           .Exchange = {.ResponseBytes = Settings.ResponseBytes,
                        .Memory = &Memory,
                        .PingAfter = Settings.PingAfter,
@@ -81,6 +82,13 @@
                            std::max(Settings.LostAfter, Settings.PingTimeout)}};
 }
 
+policy::HedgeOptions hedgeOptions(const settings::NodeSettings &Settings) {
+  return {.Percent = Settings.HedgePercent,
+          .Quantile = Settings.HedgeQuantile,
+          .MinDelayMs =
+              static_cast<std::uint32_t>(Settings.HedgeMinDelay.count())};
+}
+
 PeerServiceOptions peerOptions(const settings::NodeSettings &Settings,
                                const PeerIdentity &Own, BodyMemory &Memory) {
   PeerServiceOptions Options;
--- a/packages/daemon/src/daemon/node/node_options.h
+++ b/packages/daemon/src/daemon/node/node_options.h
@@ -22,6 +22,8 @@
 [[nodiscard]] EntryOptions
 entryOptions(const settings::NodeSettings &Settings, const Dialect &Speaks,
              policy::NodeId Id, policy::Incarnation Run, BodyMemory &Memory);
+[[nodiscard]] policy::HedgeOptions
+hedgeOptions(const settings::NodeSettings &Settings);
 [[nodiscard]] PeerServiceOptions
 peerOptions(const settings::NodeSettings &Settings, const PeerIdentity &Own,
             BodyMemory &Memory);
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -270,7 +270,9 @@
 
 policy::LoadReport Sidecar::load() const {
   const std::lock_guard Lock(Mutex);
-  return policy::loadReport(Admitted);
+  policy::LoadReport Report = policy::loadReport(Admitted);
+  Report.ColdStart |= policy::isCold(Admitted, now());
+  return Report;
 }
 
 policy::AdmissionState Sidecar::admissionState() const {
--- a/packages/daemon/src/daemon/view/service_view.h
+++ b/packages/daemon/src/daemon/view/service_view.h
@@ -4,6 +4,8 @@
 #include "daemon/view/backend_endpoint.h"
 #include "daemon/view/route_rule.h"
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +22,9 @@
   // Budget of probes per request, plus a number of probes per second.
   double ProbeRatio = 0.01;
   double ProbeFloorPerSecond = 5;
+  // Hedges as a percentage of the requests; without a value, the setting of the
+  // node applies.
+  std::optional<std::uint64_t> HedgePercent;
   // Rollout in progress; RolloutId is empty if there is none.
   std::string RolloutId;
   std::string OldVersion;
--- a/packages/daemon/test/daemon/control/view_builder.cpp
+++ b/packages/daemon/test/daemon/control/view_builder.cpp
@@ -117,6 +117,17 @@
   EXPECT_EQ(View.Services.at("catalogue")->Backends[0].Version, "1");
 }
 
+// Guards against a limit of hedges in a service file that is ignored.
+TEST(ViewBuilder, KeepsTheHedgePercentOfTheService) {
+  FleetRecords Records;
+  Records.Services["catalogue"] = {.Service = "catalogue", .HedgePercent = 3};
+  Records.Services["stock"] = {.Service = "stock"};
+  const ClusterView View =
+      buildView({.Self = member(1, "1"), .Members = {}, .Records = Records});
+  EXPECT_EQ(View.Services.at("catalogue")->HedgePercent, 3U);
+  EXPECT_EQ(View.Services.at("stock")->HedgePercent, std::nullopt);
+}
+
 // Guards against traffic to a zone that is out of service.
 TEST(ViewBuilder, ListsZonesOutOfService) {
   FleetRecords Records;
--- a/packages/daemon/test/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call.cpp
@@ -211,6 +211,21 @@
   EXPECT_EQ(Call.response().Kind, ErrorKind::Cancelled);
 }
 
+// Guards against hedges to a server in its cold start, which its backend server
+// announces.
+TEST_F(SidecarCallTest, LoadReportShowsAnAnnouncedColdStart) {
+  Dialect Cold = nativeDialect();
+  Cold.ReportsColdStart = true;
+  Metrics Counted;
+  LocalBackend Announced;
+  Sidecar Tested(test::withDialect(&Cold), Announced, Counted);
+  EXPECT_FALSE(Tested.load().ColdStart);
+  Tested.onColdLeft(std::chrono::hours(1), now());
+  EXPECT_TRUE(Tested.load().ColdStart);
+  Tested.onColdLeft({}, now());
+  EXPECT_FALSE(Tested.load().ColdStart);
+}
+
 // Guards against a request that keeps its caller waiting after the deadline.
 TEST_F(SidecarCallTest, DeadlineEndsTheCall) {
   startBackend([](const std::string &) { return "hang"; });
