Add magnoliactl where

Operators could not see why a request goes to a server or is rejected without sending it. The node explains it at /-/where, as JSON beside its dump; magnoliactl where prints a table or JSON.

Sidecar::checkBackend holds the checks that do not depend on the admission state, so that admission and the explanation share them.

--- a/packages/ctl/src/ctl/command/internal/commands.h
+++ b/packages/ctl/src/ctl/command/internal/commands.h
@@ -16,6 +16,7 @@
 ExitCode status(Context &Run);
 ExitCode dump(Context &Run);
 ExitCode wait(Context &Run);
+ExitCode where(Context &Run);
 
 } // namespace magnolia::ctl::internal
 
--- a/packages/ctl/src/ctl/command/run_command.cpp
+++ b/packages/ctl/src/ctl/command/run_command.cpp
@@ -29,6 +29,8 @@
     return internal::rollBackRollout(Run);
   case Command::Wait:
     return internal::wait(Run);
+  case Command::Where:
+    return internal::where(Run);
   }
   return ExitCode::Usage;
 }
--- a/packages/ctl/src/ctl/core/context.h
+++ b/packages/ctl/src/ctl/core/context.h
@@ -3,6 +3,7 @@
 
 #include "ctl/core/output.h"
 #include "ctl/node/call_node.h"
+#include "ctl/node/fetch_from_node.h"
 #include "ctl/options/ctl_options.h"
 #include "policy/core/types.h"
 #include "store/core/store_operations.h"
@@ -24,6 +25,7 @@
   // Random, so that no two writes have the same id.
   std::function<std::string()> NewOperationId;
   Output &Out;
+  NodeFetcher Fetch = {};
 };
 
 } // namespace magnolia::ctl
--- a/packages/ctl/src/ctl/options/ctl_options.h
+++ b/packages/ctl/src/ctl/options/ctl_options.h
@@ -23,6 +23,7 @@
   MoveStatus,
   MoveTakeBack,
   Wait,
+  Where,
 };
 
 // Command line of magnoliactl.
@@ -34,6 +35,8 @@
   // Control addresses of nodes.
   std::vector<settings::HostPort> Nodes;
   std::string KeyFile;
+  // Address on which a node serves its dump over HTTP.
+  std::optional<settings::HostPort> Http;
   bool Json = false;
   // Limits each call to the store and, separately, the wait until the change is
   // in effect.
@@ -42,6 +45,10 @@
   std::string To;
   std::string Deadline;
   std::string Reason;
+  // Request of the command where.
+  std::string Host;
+  std::string Method = "GET";
+  std::string Organisation;
   // Name written into records for other operators.
   std::string Operator;
 };
--- a/packages/ctl/src/ctl/options/parse_options.cpp
+++ b/packages/ctl/src/ctl/options/parse_options.cpp
@@ -32,7 +32,7 @@
   bool NeedsNode;
 };
 
-constexpr std::array<CommandRow, 10> Commands = {{
+constexpr std::array<CommandRow, 11> Commands = {{
     {"validate", "", Command::Validate, 1, Unlimited, false, false},
     {"publish", "", Command::Publish, 1, Unlimited, true, false},
     {"status", "", Command::Status, 0, 0, false, true},
@@ -43,6 +43,7 @@
     {"move", "status", Command::MoveStatus, 1, 1, true, false},
     {"move", "take-back", Command::MoveTakeBack, 1, 1, true, false},
     {"wait", "", Command::Wait, 0, Unlimited, true, true},
+    {"where", "", Command::Where, 1, 1, false, false},
 }};
 
 constexpr std::string_view Usage = R"(usage: magnoliactl COMMAND [OPTIONS]
@@ -58,6 +59,8 @@
   status                   show members and configuration as nodes see them
   dump                     print the state of nodes as JSON
   wait [KEY...]            wait until the keys (default: all) are in force
+  where PATH               explain where a node would send a request now, or
+                           why it would reject it; needs --http
 
 Options:
   --store ADDRESS:PORT     key-value store
@@ -65,6 +68,10 @@
                            handed to these nodes, and their members are asked
                            whether the change is in force
   --key-file FILE          cluster key; needed with --node
+  --http ADDRESS:PORT      HTTP address of a node: its http_port, or [listen]
+                           metrics if that is set; for where
+  --host HOST, --method METHOD, --organisation NAME
+                           for where; the method is GET by default
   --from VERSION, --to VERSION, --deadline TIME
                            for move start; TIME is 2026-12-04T18:00:00Z or +30m
   --reason TEXT            for move take-back
@@ -91,9 +98,13 @@
   TimeoutOption,
   JsonOption,
   HelpOption,
+  HttpOption,
+  HostOption,
+  MethodOption,
+  OrganisationOption,
 };
 
-constexpr std::array<option, 12> Known = {{
+constexpr std::array<option, 16> Known = {{
     {"store", required_argument, nullptr, StoreOption},
     {"node", required_argument, nullptr, NodeOption},
     {"key-file", required_argument, nullptr, KeyFileOption},
@@ -105,6 +116,10 @@
     {"timeout", required_argument, nullptr, TimeoutOption},
     {"json", no_argument, nullptr, JsonOption},
     {"help", no_argument, nullptr, HelpOption},
+    {"http", required_argument, nullptr, HttpOption},
+    {"host", required_argument, nullptr, HostOption},
+    {"method", required_argument, nullptr, MethodOption},
+    {"organisation", required_argument, nullptr, OrganisationOption},
     {nullptr, 0, nullptr, 0},
 }};
 
@@ -136,7 +151,9 @@
 
 // Returns an error text, empty on success.
 std::string readAddress(CtlOptions &Options, int Id, const char *Value) {
-  const std::string Name = Id == StoreOption ? "--store" : "--node";
+  const std::string Name = Id == StoreOption  ? "--store"
+                           : Id == HttpOption ? "--http"
+                                              : "--node";
   const auto Address = hostPortOf(Value);
   if (!Address) {
     return Name + " " + Value +
@@ -144,6 +161,8 @@
   }
   if (Id == StoreOption) {
     Options.Store = *Address;
+  } else if (Id == HttpOption) {
+    Options.Http = *Address;
   } else if (Options.Nodes.size() < MaxNodes) {
     Options.Nodes.push_back(*Address);
   } else {
@@ -156,6 +175,7 @@
   switch (Id) {
   case StoreOption:
   case NodeOption:
+  case HttpOption:
     return readAddress(Options, Id, Value);
   case KeyFileOption:
     Options.KeyFile = Value;
@@ -175,6 +195,15 @@
   case OperatorOption:
     Options.Operator = Value;
     return {};
+  case HostOption:
+    Options.Host = Value;
+    return {};
+  case MethodOption:
+    Options.Method = Value;
+    return {};
+  case OrganisationOption:
+    Options.Organisation = Value;
+    return {};
   case JsonOption:
     Options.Json = true;
     return {};
@@ -211,6 +240,26 @@
   return Selected;
 }
 
+// The node accepts paths of at most 4096 bytes and other values of at most 256.
+std::string checkWhere(const CtlOptions &Options) {
+  constexpr std::size_t MaxPath = 4096;
+  constexpr std::size_t MaxValue = 256;
+  const std::string &Path = Options.Arguments[0];
+  if (!Options.Http || Options.Host.empty()) {
+    return "where needs --http and --host";
+  }
+  if (!Path.starts_with('/') || Path.size() > MaxPath) {
+    return "where " + Path +
+           ": expected a path that starts with '/' and has "
+           "at most 4096 bytes";
+  }
+  if (Options.Host.size() > MaxValue || Options.Method.size() > MaxValue ||
+      Options.Organisation.size() > MaxValue) {
+    return "where: host, method and organisation have at most 256 bytes";
+  }
+  return {};
+}
+
 std::string checkNeeds(const CtlOptions &Options, const CommandRow &Row) {
   const std::string Name = std::string(Row.Word)
                                .append(Row.SubWord.empty() ? "" : " ")
@@ -225,6 +274,9 @@
   if (Row.NeedsNode && Options.Nodes.empty()) {
     return Name + " needs --node";
   }
+  if (Row.Selected == Command::Where) {
+    return checkWhere(Options);
+  }
   if (!Options.Nodes.empty() && Options.KeyFile.empty()) {
     return "--node needs --key-file";
   }
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -63,7 +63,8 @@
                          std::this_thread::sleep_for(Time);
                        },
                    .NewOperationId = newOperationId,
-                   .Out = Out};
+                   .Out = Out,
+                   .Fetch = ctl::httpNodeFetcher()};
   if (!Options->Nodes.empty()) {
     const auto Key = wire::readClusterKey(Options->KeyFile, Error);
     if (!Key) {
--- a/packages/ctl/test/ctl/options/parse_options.cpp
+++ b/packages/ctl/test/ctl/options/parse_options.cpp
@@ -31,6 +31,12 @@
   EXPECT_EQ(Options->Timeout, std::chrono::seconds(3));
   EXPECT_TRUE(Options->Json);
   EXPECT_EQ(Options->Operator, "karim");
+  const auto Where = parseOptions(
+      split("where /a --http 127.0.0.1:8080 --host h --method PUT"), Error);
+  ASSERT_TRUE(Where) << Error.Detail;
+  EXPECT_EQ(Where->Selected, Command::Where);
+  EXPECT_EQ(Where->Http, (settings::HostPort{"127.0.0.1", 8080}));
+  EXPECT_EQ(Where->Method, "PUT");
   EXPECT_EQ(parseOptions(split("--help"), Error)->Selected, Command::Help);
   EXPECT_EQ(parseOptions(split("validate a b"), Error)->Arguments.size(), 2U);
 }
@@ -61,6 +67,10 @@
       {"a misspelt option that is ignored", "publish d --sotre a:1", "--sotre"},
       {"an option without its value", "publish d --store", "needs a value"},
       {"a key built from a path", "zone out ../x --store a:1", "../x"},
+      {"a request without a node to ask", "where /a --host h", "--http"},
+      {"a request to no host", "where /a --http a:1", "--host"},
+      {"a path that no route matches", "where a --http a:1 --host h",
+       "starts with '/'"},
       {"a rollout without a deadline",
        "move start s --from a --to b --store a:1", "--deadline"},
   };
--- a/packages/daemon/src/daemon/entry/local_endpoints.cpp
+++ b/packages/daemon/src/daemon/entry/local_endpoints.cpp
@@ -124,6 +124,12 @@
   if (Path == "/-/dump") {
     return text(200, "application/json", Endpoints.Dump());
   }
+  if (Path == "/-/where" && Endpoints.Where) {
+    const auto Query = parseWhere(Request.Target);
+    return Query ? text(200, "application/json", Endpoints.Where(*Query))
+                 : badRequest("expected host, path, method and organisation, "
+                              "each once and percent-encoded");
+  }
   if (Path == "/-/health") {
     return text(200, "application/json", R"({"status":"ok"})");
   }
--- a/packages/daemon/src/daemon/entry/local_endpoints.h
+++ b/packages/daemon/src/daemon/entry/local_endpoints.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_ENTRY_LOCAL_ENDPOINTS_H
 #define DAEMON_ENTRY_LOCAL_ENDPOINTS_H
 
+#include "daemon/dump/where.h"
 #include "daemon/http/message.h"
 #include "daemon/view/local_backend.h"
 
@@ -19,6 +20,8 @@
   std::function<std::string()> Dump;
   // Applies the announced state.
   std::function<void(const LocalBackendState &)> Announce;
+  // Explains where a request would go, as JSON.
+  std::function<std::string(const WhereQuery &)> Where = {};
 };
 
 // Responds to a request from the given address to the node itself.
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -68,7 +68,11 @@
               },
           .Dump = [this] { return State.text(); },
           .Announce =
-              [this](const auto &Announcement) { announce(Announcement); }},
+              [this](const auto &Announcement) { announce(Announcement); },
+          .Where =
+              [this](const WhereQuery &Query) {
+                return explainWhere(EntryNode, Query);
+              }},
       CallerRequests(
           [this](HttpRequest Request, int Fd) {
             return serveCaller(EntryNode, Endpoints, std::move(Request), Fd);
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -39,9 +39,8 @@
   setAdmission(Next);
 }
 
-Sidecar::Admission Sidecar::admit(const CallRequest &Request,
-                                  policy::TimePoint Now) {
-  Counts.count(Counter::SidecarRequests);
+std::optional<policy::Error>
+Sidecar::checkBackend(const CallRequest &Request) const {
   const LocalBackendState Own = Backend.state();
   if (!Own.Present || Own.Service != Request.Service) {
     return policy::Error{
@@ -56,6 +55,15 @@
     return policy::Error{ErrorKind::ZoneOut,
                          "the availability zone is out of service"};
   }
+  return std::nullopt;
+}
+
+Sidecar::Admission Sidecar::admit(const CallRequest &Request,
+                                  policy::TimePoint Now) {
+  Counts.count(Counter::SidecarRequests);
+  if (auto Refusal = checkBackend(Request)) {
+    return *std::move(Refusal);
+  }
   const std::lock_guard Lock(Mutex);
   expireWaits(Now);
   const policy::AdmissionDecision Decision =
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -83,6 +83,11 @@
   [[nodiscard]] Admission admit(const CallRequest &Request,
                                 policy::TimePoint Now);
 
+  // Returns an error if this sidecar cannot run the request at all: its backend
+  // server is missing or another one, or its zone is out of service.
+  [[nodiscard]] std::optional<policy::Error>
+  checkBackend(const CallRequest &Request) const;
+
   enum class WaitStatus : std::uint8_t { Waiting, Granted, Refused };
   // Refuses all requests that have waited too long and returns the status of
   // this one.
