--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -70,7 +70,11 @@
               },
           .Dump = [this] { return State.text(); },
           .Announce =
-              [this](const auto &Announcement) { announce(Announcement); }},
+              [this](const auto &Announcement) { announce(Announcement); },
+          .Where =
+              [this](const WhereQuery &Query) {
+                return explainWhere(EntryNode, Query);
+              }},
       CallerRequests(
           [this](HttpRequest Request, CallerWatch &From) {
             return serveCaller(EntryNode, Endpoints, std::move(Request), From);
@@ -328,6 +332,7 @@
 void Node::reload(const settings::NodeSettings &Next) {
   setLogLevel(logLevelOf(Next.LogLevel));
   LocalSidecar.reload(sidecarOptions(Next, Speaks, Run, Bodies));
+  EntryNode.setHedgeOptions(hedgeOptions(Next));
 }
 
 void Node::beginStop() {
--- a/packages/daemon/src/daemon/node/node_options.cpp
+++ b/packages/daemon/src/daemon/node/node_options.cpp
@@ -74,6 +74,7 @@
           .LocalService = Settings.LocalService,
           .WorkloadAware = policy::workloadSettingOf(Settings.WorkloadAware),
           .Services = serviceOptions(Settings, Speaks),
+          .Hedge = hedgeOptions(Settings),
           .Exchange = {.ResponseBytes = Settings.ResponseBytes,
                        .Memory = &Memory,
                        .PingAfter = Settings.PingAfter,
@@ -82,6 +83,13 @@
                            std::max(Settings.LostAfter, Settings.PingTimeout)}};
 }
 
+policy::HedgeOptions hedgeOptions(const settings::NodeSettings &Settings) {
+  return {.Percent = Settings.HedgePercent,
+          .Quantile = Settings.HedgeQuantile,
+          .MinDelayMs =
+              static_cast<std::uint32_t>(Settings.HedgeMinDelay.count())};
+}
+
 PeerServiceOptions peerOptions(const settings::NodeSettings &Settings,
                                const PeerIdentity &Own, BodyMemory &Memory,
                                LinkPacer &Link) {
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -40,9 +40,8 @@
   setAdmission(Next);
 }
 
-Sidecar::Admission Sidecar::admit(const CallRequest &Request,
-                                  policy::TimePoint Now) {
-  Counts.count(Counter::SidecarRequests);
+std::optional<policy::Error>
+Sidecar::checkBackend(const CallRequest &Request) const {
   const LocalBackendState Own = Backend.state();
   if (!Own.Present || Own.Service != Request.Service) {
     return policy::Error{
@@ -57,6 +56,15 @@
     return policy::Error{ErrorKind::ZoneOut,
                          "the availability zone is out of service"};
   }
+  return std::nullopt;
+}
+
+Sidecar::Admission Sidecar::admit(const CallRequest &Request,
+                                  policy::TimePoint Now) {
+  Counts.count(Counter::SidecarRequests);
+  if (auto Refusal = checkBackend(Request)) {
+    return *std::move(Refusal);
+  }
   const std::lock_guard Lock(Mutex);
   expireWaits(Now);
   const policy::AdmissionDecision Decision = policy::admit(
@@ -300,7 +308,9 @@
 
 policy::LoadReport Sidecar::load() const {
   const std::lock_guard Lock(Mutex);
-  return policy::loadReport(Admitted);
+  policy::LoadReport Report = policy::loadReport(Admitted);
+  Report.ColdStart |= policy::isCold(Admitted, now());
+  return Report;
 }
 
 policy::AdmissionState Sidecar::admissionState() const {
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -133,6 +133,12 @@
 
   // off, auto or on.
   std::string WorkloadAware;
+  // Hedged requests: extra requests as a percentage of the requests of a
+  // service (0: off), the smallest delay, and the quantile of the response
+  // times of a route, in percent, that sets the delay.
+  std::uint16_t HedgePercent = 0;
+  Milliseconds HedgeMinDelay{20};
+  std::uint16_t HedgeQuantile = 95;
 
   std::string LogLevel;
   std::string LogFile;
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -362,6 +362,18 @@
                 "routes of kind upload or download.",
      .Store = store<&N::WorkloadAware>,
      .Type = Type::Choice},
+    live(number<&N::HedgePercent>(
+        "hedge", "percent", "0", 0, 20, "percent",
+        "Second copies of slow idempotent requests per 100 requests of a "
+        "service; 0: none. hedge_percent in a service file replaces it.")),
+    live(number<&N::HedgeMinDelay>(
+        "hedge", "min_delay_ms", "20", 1, 60'000, "ms",
+        "Shortest time without a response after which a second copy is sent; "
+        "at most deadline_maximum_ms.")),
+    live(number<&N::HedgeQuantile>(
+        "hedge", "quantile", "95",
+        50, 99, "percent",
+        "Quantile of the response times of a route that sets the delay.")),
     live({.Section = "log",
           .Key = "level",
           .Default = "info",
