--- /dev/null
+++ b/packages/policy/src/policy/usage/true_time.cpp
@@ -0,0 +1,44 @@
+#include "policy/usage/true_time.h"
+
+#include <algorithm>
+#include <chrono>
+#include <vector>
+
+namespace magnolia::policy {
+
+namespace {
+
+constexpr std::size_t MaxClocks = 65'536;
+// Two samples are lost before one counts as outdated, with a window of 5 s or
+// less.
+constexpr Duration MaxSampleAge = std::chrono::seconds(10);
+
+} // namespace
+
+void addClock(ClockSamples &State, NodeId Node, TimePoint Wall, TimePoint Now) {
+  if (State.Samples.size() >= MaxClocks && !State.Samples.contains(Node)) {
+    return;
+  }
+  State.Samples[Node] = {.Offset = Wall - Now, .TakenAt = Now};
+}
+
+std::optional<TimePoint> trueTime(ClockSamples &State, std::size_t LiveMembers,
+                                  TimePoint Now) {
+  std::erase_if(State.Samples, [Now](const auto &Next) {
+    return Next.second.TakenAt < Now - MaxSampleAge;
+  });
+  if (State.Samples.empty() || 2 * State.Samples.size() < LiveMembers) {
+    return std::nullopt;
+  }
+  std::vector<Duration> Offsets;
+  Offsets.reserve(State.Samples.size());
+  for (const auto &[Node, Sample] : State.Samples) {
+    Offsets.push_back(Sample.Offset);
+  }
+  const auto Middle =
+      Offsets.begin() + static_cast<std::ptrdiff_t>((Offsets.size() - 1) / 2);
+  std::nth_element(Offsets.begin(), Middle, Offsets.end());
+  return Now + *Middle;
+}
+
+} // namespace magnolia::policy
