Send the usage report

Cause: the decisions on the usage report need counts, a store and a receiver.

Change: the sidecar counts a run where the request is sent to the backend server and takes it back if the server states that it did not run it. The request to the receiver and the stated times are the dialect's; without [usage] endpoint no object of the report exists and a message with counts gets no answer.

Not built on arm64, and not measured with real nodes.

--- a/packages/daemon/src/daemon/control/control_options.h
+++ b/packages/daemon/src/daemon/control/control_options.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_CONTROL_CONTROL_OPTIONS_H
 #define DAEMON_CONTROL_CONTROL_OPTIONS_H
 
+#include "daemon/usage/usage_setup.h"
 #include "policy/core/types.h"
 #include "policy/fleet/join_options.h"
 #include "policy/membership/contact.h"
@@ -45,6 +46,8 @@
   // Stores the local backend server's last report again if the store lost it.
   // Returns false on failure. Called on the thread for store jobs.
   std::function<bool()> StoreReportAgain;
+  // Receiver of the usage report. Empty if there is none.
+  std::optional<UsageSetup> Usage;
 };
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/control/control_thread.h
+++ b/packages/daemon/src/daemon/control/control_thread.h
@@ -10,6 +10,7 @@
 
 namespace magnolia::daemon {
 
+class RunCounter;
 class Sidecar;
 
 // Owns the control state of a node: membership, configuration, zones and
@@ -27,6 +28,8 @@
     // The sidecar of this node refuses new requests while its zone is out of
     // service, even if an entry node does not know that yet.
     Sidecar &Own;
+    // Counts for the usage report. Null if there is none.
+    RunCounter *Runs = nullptr;
   };
 
   // Opens the sockets and starts the thread.
--- a/packages/daemon/src/daemon/control/internal/control_calls.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_calls.cpp
@@ -39,6 +39,11 @@
     Rollouts->onVerdict(Request.verdict());
     Response.mutable_verdict_answer();
     return;
+  case wire::ControlBody::kUsage:
+    if (Usage) {
+      Usage->onMessage(Request.usage(), *Response.mutable_usage_answer());
+    }
+    return;
   case wire::ControlBody::kStatus:
     fillStatus(Response);
     return;
--- a/packages/daemon/src/daemon/control/internal/control_core.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_core.cpp
@@ -6,6 +6,7 @@
 #include "daemon/control/view_builder.h"
 #include "daemon/log/guarded.h"
 #include "daemon/sidecar/sidecar.h"
+#include "daemon/usage/boot_clock.h"
 #include "daemon/view/response_recorder.h"
 #include "daemon/view/view_holder.h"
 #include "policy/core/epoch.h"
@@ -91,6 +92,7 @@
                                   .Queue = Queue,
                                   .Store = Store.get(),
                                   .Random = Random});
+  openUsage();
   Membership->addContacts(Options.Contacts);
   Membership->setDifferenceHandler([this](const policy::Member &Other) {
     Config->onDifference(Other, steadyNow());
@@ -134,6 +136,19 @@
                            : std::nullopt);
 }
 
+void ControlCore::openUsage() {
+  if (!Options.Usage || !Options.Usage->Format || !Shared.Runs) {
+    return;
+  }
+  Usage = std::make_unique<UsageRunner>(
+      UsageRunner::Dependencies{.Membership = *Membership,
+                                .Client = Client,
+                                .Queue = Queue,
+                                .Store = Store.get(),
+                                .Runs = *Shared.Runs},
+      *Options.Usage, UsageRunner::Clocks{.Boot = bootNow, .Wall = wallNow});
+}
+
 // The first node of a zone writes its contact at once, so that the nodes that
 // start later find the fleet with their first read.
 void ControlCore::applyStartRecords() {
@@ -230,6 +245,11 @@
   Membership->tick(Now, Config->table().Digest.Whole);
   Config->tick(Now);
   Rollouts->tick(Now, wallNow());
+  if (Usage) {
+    Usage->tick({.Watching = Join.Watching,
+                 .Leaving = Draining,
+                 .Epoch = policy::epochOf(Config->table().HighestRevision)});
+  }
   policy::onMembers(Join, Membership->members().size(), Now);
   if (const std::uint64_t Highest = Config->table().HighestRevision) {
     checkStoreEpoch(policy::epochOf(Highest), Now);
--- a/packages/daemon/src/daemon/control/internal/control_core.h
+++ b/packages/daemon/src/daemon/control/internal/control_core.h
@@ -14,6 +14,7 @@
 #include "daemon/control/store_worker.h"
 #include "daemon/control/task_queue.h"
 #include "daemon/net/fiber_pool.h"
+#include "daemon/usage/usage_runner.h"
 #include "daemon/view/local_backend.h"
 #include "policy/fleet/join_state.h"
 #include "policy/fleet/restore_state.h"
@@ -46,6 +47,7 @@
 
 private:
   void openStore();
+  void openUsage();
   void connectTraffic();
   void run();
   void tick();
@@ -87,6 +89,8 @@
   std::unique_ptr<MembershipRunner> Membership;
   std::unique_ptr<ConfigRunner> Config;
   std::unique_ptr<RolloutRunner> Rollouts;
+  // Null if no receiver of the usage report is set.
+  std::unique_ptr<UsageRunner> Usage;
   std::unique_ptr<ControlServer> Server;
   FleetRecords Records;
   // Origin of the newest routing table if it has not been parsed yet.
--- a/packages/daemon/src/daemon/control/internal/control_dump.cpp
+++ b/packages/daemon/src/daemon/control/internal/control_dump.cpp
@@ -76,7 +76,7 @@
     RolloutList[Service] = rolloutJson(
         Rollout, Breakers.share(Service, wallNow()), Breakers.verdict(Service));
   }
-  const Json Result = {
+  Json Result = {
       {"node", memberJson(Membership->self())},
       {"members", std::move(Members)},
       {"configuration",
@@ -91,6 +91,9 @@
         {"up", Store && Store->isStoreUp()}}},
       {"queue", {{"tasks", Queue.size()}, {"refused", Queue.refused()}}},
   };
+  if (Usage) {
+    Result["usage"] = Json::parse(Usage->dump());
+  }
   return Result.dump();
 }
 
@@ -125,7 +128,7 @@
     }
   }
   Add("store_calls_total", StoreCalls);
-  return Text;
+  return Usage ? Text + Usage->metrics() : Text;
 }
 
 void ControlCore::fillStatus(wire::ControlBody &Response) const {
--- a/packages/daemon/src/daemon/dialect/dialect.h
+++ b/packages/daemon/src/daemon/dialect/dialect.h
@@ -3,11 +3,13 @@
 
 #include "daemon/dialect/backend_health.h"
 #include "daemon/dialect/header_names.h"
+#include "daemon/dialect/usage_call.h"
 #include "daemon/http/message.h"
 #include "policy/announce/backend_report.h"
 #include "policy/core/error.h"
 #include "policy/core/error_kind.h"
 #include "policy/core/types.h"
+#include "policy/usage/usage_options.h"
 #include "store/client/http_store.h"
 #include "store/core/store_operations.h"
 
@@ -69,6 +71,14 @@
   // if they never do.
   std::optional<std::size_t> (*ReadMemoryBytes)(
       const std::map<std::string, std::string> &InterfaceKeys) = nullptr;
+  // Returns the times of the usage report: those that the same keys state, and
+  // the given ones for the others. Null if they never state any.
+  policy::UsageOptions (*ReadUsageTimes)(
+      const std::map<std::string, std::string> &InterfaceKeys,
+      const policy::UsageOptions &Given) = nullptr;
+  // Returns the request by which a report is sent to its receiver. Null if the
+  // dialect has no usage report.
+  HttpRequest (*FormatUsage)(const UsageCall &Call) = nullptr;
   store::StoreOperations (*OpenStore)(const store::HttpStoreOptions &Options) =
       nullptr;
 };
--- a/packages/daemon/src/daemon/dialect/fwd.h
+++ b/packages/daemon/src/daemon/dialect/fwd.h
@@ -6,6 +6,7 @@
 struct BackendHealth;
 struct Dialect;
 struct HeaderNames;
+struct UsageCall;
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -30,8 +30,10 @@
       Run(wallClockIncarnation()), Bodies(Settings.BodyMemory),
       Known(std::move(Records)), Reports(openStore(Settings, Speaks)),
       Peers(poolOptions(Settings, {.Node = Id, .Run = Run, .Key = Key})),
-      LocalSidecar(sidecarOptions(Settings, Speaks, Run, Bodies), Backend,
-                   Counts),
+      Usage(usageSetup(Settings, Speaks)),
+      Runs(Usage ? std::make_unique<RunCounter>(Usage->Times) : nullptr),
+      LocalSidecar(sidecarOptions(Settings, Speaks, Run, Bodies, Runs.get()),
+                   Backend, Counts),
       BackendAnnouncer({.Address = Settings.LocalBackend.Address,
                         .Port = Settings.LocalBackend.Port,
                         .SilentAfter = Settings.SilentAfter,
@@ -258,6 +260,7 @@
       .OnBackendRecord = [this](std::string_view Value) {
         restoreReport(Value);
       }};
+  Options.Usage = Usage;
   Options.StoreReportAgain = [this] { return BackendAnnouncer.storeAgain(); };
   for (const settings::HostPort &Contact : Settings.Contacts) {
     Options.Contacts.push_back(
@@ -268,7 +271,8 @@
                                   .Responses = Responses,
                                   .Backend = Backend,
                                   .Overrides = Overrides,
-                                  .Own = LocalSidecar},
+                                  .Own = LocalSidecar,
+                                  .Runs = Runs.get()},
                                  LastError);
   if (!Control) {
     return false;
--- a/packages/daemon/src/daemon/node/node.h
+++ b/packages/daemon/src/daemon/node/node.h
@@ -18,6 +18,8 @@
 #include "daemon/sidecar/backend_watch.h"
 #include "daemon/sidecar/peer_service.h"
 #include "daemon/sidecar/sidecar.h"
+#include "daemon/usage/run_counter.h"
+#include "daemon/usage/usage_setup.h"
 #include "daemon/view/local_backend.h"
 #include "daemon/view/response_recorder.h"
 #include "daemon/view/share_overrides.h"
@@ -111,6 +113,9 @@
   std::optional<store::WatchResult> Known;
   ReportStore Reports;
   PeerPool Peers;
+  // Empty and null if no receiver of the usage report is set.
+  const std::optional<UsageSetup> Usage;
+  const std::unique_ptr<RunCounter> Runs;
   Sidecar LocalSidecar;
   Announcer BackendAnnouncer;
   // Outlives the traffic threads, which report their responses to it, and is
--- a/packages/daemon/src/daemon/node/node_options.cpp
+++ b/packages/daemon/src/daemon/node/node_options.cpp
@@ -1,5 +1,7 @@
 #include "daemon/node/node_options.h"
 
+#include "daemon/log/log.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -44,12 +46,13 @@
 
 SidecarOptions sidecarOptions(const settings::NodeSettings &Settings,
                               const Dialect &Speaks, policy::Incarnation Run,
-                              BodyMemory &Memory) {
+                              BodyMemory &Memory, RunCounter *Runs) {
   return {.Run = Run,
           .Speaks = &Speaks,
           .ResponseLimits = {.HeadBytes = Settings.HeaderBytes,
                              .BodyBytes = Settings.ResponseBytes},
           .Memory = &Memory,
+          .Runs = Runs,
           .ConnectTimeout = Settings.ConnectTimeout,
           .MaxWaiting = Settings.WaitQueue,
           .UsableShare = Settings.UsablePercent / Percent,
@@ -104,6 +107,27 @@
               std::max<policy::Duration>(30 * Delay, ShortestContactPeriod)};
 }
 
+std::optional<UsageSetup> usageSetup(const settings::NodeSettings &Settings,
+                                     const Dialect &Speaks) {
+  if (Settings.UsageEndpoint.Port == 0) {
+    return std::nullopt;
+  }
+  if (!Speaks.FormatUsage) {
+    log(LogLevel::Warning, "the interface has no usage report");
+    return std::nullopt;
+  }
+  const policy::UsageOptions Given = {.Window = Settings.UsageWindow,
+                                      .Delay = Settings.UsageDelay,
+                                      .Lease = Settings.UsageLease};
+  return UsageSetup{
+      .Address = Settings.UsageEndpoint.Address,
+      .Port = Settings.UsageEndpoint.Port,
+      .Times = Speaks.ReadUsageTimes
+                   ? Speaks.ReadUsageTimes(Settings.InterfaceKeys, Given)
+                   : Given,
+      .Format = Speaks.FormatUsage};
+}
+
 settings::HostPort callerEndpoint(const settings::NodeSettings &Settings) {
   return Settings.Callers.Port != 0
              ? Settings.Callers
--- a/packages/daemon/src/daemon/node/node_options.h
+++ b/packages/daemon/src/daemon/node/node_options.h
@@ -6,11 +6,14 @@
 #include "daemon/peer/peer_pool.h"
 #include "daemon/sidecar/peer_service.h"
 #include "daemon/sidecar/sidecar.h"
+#include "daemon/usage/usage_setup.h"
 #include "daemon/view/local_backend.h"
 #include "policy/fleet/join_options.h"
 #include "settings/node/node_settings.h"
 #include "store/core/store_operations.h"
 
+#include <optional>
+
 namespace magnolia::daemon {
 
 // Return the options of the components of a node from its settings.
@@ -18,7 +21,8 @@
 poolOptions(const settings::NodeSettings &Settings, const PeerIdentity &Own);
 [[nodiscard]] SidecarOptions
 sidecarOptions(const settings::NodeSettings &Settings, const Dialect &Speaks,
-               policy::Incarnation Run, BodyMemory &Memory);
+               policy::Incarnation Run, BodyMemory &Memory,
+               RunCounter *Runs = nullptr);
 [[nodiscard]] EntryOptions
 entryOptions(const settings::NodeSettings &Settings, const Dialect &Speaks,
              policy::NodeId Id, policy::Incarnation Run, BodyMemory &Memory);
@@ -28,6 +32,11 @@
 [[nodiscard]] policy::JoinOptions
 joinOptions(const settings::NodeSettings &Settings);
 
+// Returns the receiver of the usage report; empty if the settings name none or
+// the dialect has no such report.
+[[nodiscard]] std::optional<UsageSetup>
+usageSetup(const settings::NodeSettings &Settings, const Dialect &Speaks);
+
 // Address on which callers are served.
 [[nodiscard]] settings::HostPort
 callerEndpoint(const settings::NodeSettings &Settings);
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -29,6 +29,8 @@
 
 namespace magnolia::daemon {
 
+class RunCounter;
+
 struct SidecarOptions {
   policy::Incarnation Run = 0;
   // Null selects the native dialect.
@@ -36,6 +38,8 @@
   HttpLimits ResponseLimits;
   // Memory for the bodies of responses; null for no limit on their sum.
   BodyMemory *Memory = nullptr;
+  // Counts the runs for the usage report; null for no report.
+  RunCounter *Runs = nullptr;
   policy::Duration ConnectTimeout{};
   std::uint32_t MaxWaiting = 16;
   // See policy::AdmissionOptions.
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -4,6 +4,7 @@
 
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
+#include "daemon/usage/run_counter.h"
 #include "policy/admission/admit.h"
 #include "policy/chain/chain_headers.h"
 
@@ -134,9 +135,22 @@
   }
   Step = Stage::Running;
   Sent = Now;
+  countRun();
   send(Now);
 }
 
+void SidecarCall::countRun() {
+  if (RunCounter *Runs = Owner.options().Runs) {
+    RunWindow = Runs->count(Request.Organisation);
+  }
+}
+
+void SidecarCall::uncountRun() {
+  if (RunCounter *Runs = Owner.options().Runs) {
+    Runs->uncount(Request.Organisation, RunWindow);
+  }
+}
+
 bool SidecarCall::connect(policy::TimePoint Now) {
   bool ClosedEarly = false;
   const policy::Duration LongestIdle =
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -3,6 +3,7 @@
 
 #include "daemon/peer/call.h"
 #include "daemon/sidecar/sidecar.h"
+#include "policy/usage/window_counts.h"
 
 #include <cstdint>
 #include <memory>
@@ -79,6 +80,10 @@
   [[nodiscard]] bool wasSent() const { return Sent != policy::TimePoint{}; }
   void logRefusal(policy::ErrorKind Kind) const;
   [[nodiscard]] HttpRequest backendRequest(policy::TimePoint Now);
+  // Count the run for the usage report, and take the count back if the backend
+  // server did not run the request.
+  void countRun();
+  void uncountRun();
 
   Sidecar &Owner;
   CallRequest Request;
@@ -96,6 +101,8 @@
   int ExtraResponses = 0;
   // True once the request is listed among the running requests.
   bool Registered = false;
+  // Window in which the run is counted.
+  policy::UsageWindow RunWindow = 0;
   policy::TimePoint Arrived{};
   policy::TimePoint Sent{};
   CallResponse Result;
--- a/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
@@ -116,6 +116,7 @@
   Owner.onBackendIncarnation(incarnationOf(Speaks, Response.Headers), Now);
   if (const auto Refusal = refusalIn(Response)) {
     Owner.metrics().count(Counter::BackendSheds);
+    uncountRun();
     Owner.finishRun(Request, false);
     Owner.complete({.Latency = Now - Sent, .Failed = true}, Now);
     finish(callErrorResponse(*Refusal, "refused by the backend server"));
@@ -193,6 +194,7 @@
       Connection->Reused && !ReceivedBytes && Request.Idempotent;
   Connection.reset();
   if (Repeat) {
+    uncountRun();
     Owner.complete({.NotSent = true}, Now);
     Request.Repeat = true;
     askAdmission(Now);
--- a/packages/daemon/test/daemon/control/control_thread.cpp
+++ b/packages/daemon/test/daemon/control/control_thread.cpp
@@ -2,6 +2,7 @@
 
 #include "../support/test_node.h"
 #include "daemon/control/control_options.h"
+#include "daemon/node/node_options.h"
 #include "daemon/sidecar/sidecar.h"
 #include "daemon/view/local_backend.h"
 #include "daemon/view/response_recorder.h"
@@ -101,5 +102,18 @@
   EXPECT_FALSE(Control.Views.current()->Routing);
 }
 
+// Guards against a node without a receiver of the usage report that keeps,
+// sends or records counts for one.
+TEST(ControlThread, WithoutAReceiverThereIsNoUsageReport) {
+  StartedControl Control({table(3, "{\"version\":1}")});
+  ASSERT_TRUE(Control.routing());
+  EXPECT_FALSE(
+      nlohmann::json::parse(Control.Running->dump()).contains("usage"));
+  EXPECT_EQ(Control.Running->metrics().find("magnolia_usage"),
+            std::string::npos);
+  EXPECT_FALSE(usageSetup(settings::NodeSettings(), nativeDialect()));
+  EXPECT_EQ(SidecarOptions().Runs, nullptr);
+}
+
 } // namespace
 } // namespace magnolia::daemon
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -125,6 +125,12 @@
   std::uint32_t RetryBurst = 0;
   std::uint32_t RetryFloor = 0;
 
+  // Receiver of the usage report; port 0 if there is none.
+  HostPort UsageEndpoint;
+  Milliseconds UsageWindow{};
+  Milliseconds UsageDelay{};
+  Milliseconds UsageLease{};
+
   std::string LogLevel;
   std::string LogFile;
 };
--- a/packages/settings/src/settings/node/read_settings.cpp
+++ b/packages/settings/src/settings/node/read_settings.cpp
@@ -260,7 +260,9 @@
          "process, of which a quarter replaces body_memory_bytes, and grace_s, "
          "the seconds from the signal to stop until the process is killed; "
          "they replace shutdown_announce_ms and shutdown_timeout_ms as the "
-         "time in which requests must end. Other keys are ignored. At most "
+         "time in which requests must end. It also reads report_window_s, "
+         "usage_delay_s and lease_s, which replace the times of [usage]. Other "
+         "keys are ignored. At most "
       << InterfaceKeysMaximum << " keys.\n";
   return Page.str();
 }
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -339,6 +339,18 @@
     number<&N::RetryFloor>(
         Limits, "retry_floor", "1000", 0, 1'000'000, "retries per 100 s",
         "Retries of one service that a node may send regardless of traffic."),
+    endpoint<&N::UsageEndpoint>(
+        "usage", "endpoint",
+        "Receiver of the usage report; empty: no counts are kept or sent."),
+    number<&N::UsageWindow>("usage", "window_ms", "5000", 1000, HourMs, "ms",
+                            "Length of a window of the usage report."),
+    number<&N::UsageDelay>(
+        "usage", "delay_ms", "10000", 1000, HourMs, "ms",
+        "Time after the end of a window at which its report is due."),
+    number<&N::UsageLease>(
+        "usage", "lease_ms", "3000", 500, 60'000, "ms",
+        "Time after a write to the store in which its writer may send "
+        "reports. Another node waits for longer than it before it takes over."),
     live({.Section = "log",
           .Key = "level",
           .Default = "info",
--- a/packages/settings/src/settings/record/record_key.h
+++ b/packages/settings/src/settings/record/record_key.h
@@ -15,6 +15,8 @@
 inline constexpr std::string_view RolloutRequestPrefix = "orders/";
 inline constexpr std::string_view RoutingKey = "routing/table";
 inline constexpr std::string_view ClusterKeyKey = "cluster/key";
+// Holder of the usage report, and the reports that it may send.
+inline constexpr std::string_view UsageDutyKey = "usage/duty";
 // Last report of each backend server, by its address.
 inline constexpr std::string_view BackendPrefix = "backends/";
 
