--- a/packages/daemon/test/daemon/entry/call_identity.cpp
+++ b/packages/daemon/test/daemon/entry/call_identity.cpp
@@ -1,4 +1,5 @@
 #include "../support/scripted_backend.h"
+#include "../support/socket_watch.h"
 
 #include "daemon/entry/call_identity.h"
 
@@ -196,8 +197,9 @@
     for (const HttpHeaders &Headers : Rows) {
       HttpRequest Request = request("/a", Headers);
       Request.Arrived = now();
+      test::SocketWatch Caller;
       const HttpResponse Response = serveCaller(
-          Node, LocalEndpoints{.Backend = Backend}, std::move(Request), -1);
+          Node, LocalEndpoints{.Backend = Backend}, std::move(Request), Caller);
       EXPECT_EQ(Response.Status, Outdated ? 503 : 401);
       EXPECT_EQ(findHeader(Response.Headers, "WWW-Authenticate") != nullptr,
                 !Outdated);
@@ -257,8 +259,9 @@
   HttpRequest Request =
       request("/a", {{"Id", "p"}, {"Key", "Secret key-b"}, {"Org", "org-a"}});
   Request.Arrived = now();
+  test::SocketWatch Caller;
   EXPECT_EQ(serveCaller(Node, LocalEndpoints{.Backend = Backend},
-                        std::move(Request), -1)
+                        std::move(Request), Caller)
                 .Status,
             200);
   ASSERT_EQ(Scripted.requests().size(), 1U);
--- a/packages/daemon/test/daemon/entry/entry_call_hedge.cpp
+++ b/packages/daemon/test/daemon/entry/entry_call_hedge.cpp
@@ -1,6 +1,7 @@
 #include "daemon/entry/entry_call.h"
 
 #include "../support/sidecar_fixture.h"
+#include "../support/socket_watch.h"
 #include "../support/test_node.h"
 
 #include "policy/hedge/decide_hedge.h"
@@ -81,11 +82,12 @@
                     policy::Duration Deadline = TestTimeout) {
     CallRequest Request = request(Method);
     Request.Deadline = now() + Deadline;
+    SocketWatch Caller(CallerFd);
     EntryCall Call(*Owner, {.Request = std::move(Request),
                             .Runtime = Runtime,
                             .Route = "/",
                             .RetriesExhausted = false,
-                            .CallerFd = CallerFd});
+                            .Caller = &Caller});
     return Call.run();
   }
 
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -139,6 +139,11 @@
   std::uint16_t HedgePercent = 0;
   Milliseconds HedgeMinDelay{20};
   std::uint16_t HedgeQuantile = 95;
+  // Receiver of the usage report; port 0 if there is none.
+  HostPort UsageEndpoint;
+  Milliseconds UsageWindow{};
+  Milliseconds UsageDelay{};
+  Milliseconds UsageLease{};
 
   std::string LogLevel;
   std::string LogFile;
--- a/packages/settings/src/settings/node/read_settings.cpp
+++ b/packages/settings/src/settings/node/read_settings.cpp
@@ -269,7 +269,9 @@
          "they replace shutdown_announce_ms and shutdown_timeout_ms as the "
          "time in which requests must end. link_mbps, the capacity of the "
          "instance's link in megabits per second, replaces "
-         "link_bytes_per_second. Other keys are ignored. At most "
+         "link_bytes_per_second. It also reads report_window_s, usage_delay_s "
+         "and lease_s, which replace the times of [usage]. Other keys are "
+         "ignored. At most "
       << InterfaceKeysMaximum << " keys.\n";
   return Page.str();
 }
