Test that counts of a route reach the entry node

The counts that sidecars attach to responses were tested at both ends, but not on their way: a response frame carries them, and the entry node takes them from the response of an attempt. ResponseToAnotherRequestIsLost moves to a fixture that both tests of an open exchange share; what it asserts stays.

--- a/packages/daemon/test/daemon/entry/entry_call_losses.cpp
+++ b/packages/daemon/test/daemon/entry/entry_call_losses.cpp
@@ -1,5 +1,7 @@
 #include "daemon/entry/entry_call.h"
 
+#include "../support/scripted_backend.h"
+
 #include "daemon/entry/parse_call.h"
 #include "daemon/net/clock.h"
 #include "settings/record/routing_change.h"
@@ -35,7 +37,8 @@
 // admitted request ends with NoBackendServer.
 struct LossesAtEntry {
   LossesAtEntry(WorkloadSetting Setting, bool HasBulkRoute)
-      : Node({.Deadline = std::chrono::seconds(1),
+      : Node({.Node = OwnNode,
+              .Deadline = std::chrono::seconds(1),
               .DeadlineMaximum = std::chrono::seconds(10),
               .Speaks = &Routed,
               .WorkloadAware = Setting},
@@ -61,6 +64,22 @@
     Views.publish(std::move(View));
   }
 
+  // Adds a backend server beside the entry node.
+  void attach(std::uint16_t Port) {
+    const LocalBackendState State{.Service = "stock",
+                                  .Version = "1",
+                                  .Address = "127.0.0.1",
+                                  .Port = Port,
+                                  .Slots = 4,
+                                  .Present = true};
+    Backend.update(State);
+    Own.apply(State, now());
+    ClusterView View = *Views.current();
+    View.Services["stock"] = std::make_shared<const ServiceView>(ServiceView{
+        .Name = "stock", .Backends = {{.Node = OwnNode, .Version = "1"}}});
+    Views.publish(std::move(View));
+  }
+
   struct Ended {
     std::optional<ErrorKind> Kind;
     std::optional<policy::Duration> RetryAfter;
@@ -93,6 +112,7 @@
     return Node.Gate.state().Routes.at({"r", 1}).Shed;
   }
 
+  static constexpr policy::NodeId OwnNode = 9;
   const Dialect Routed = routedDialect();
   ViewHolder Views;
   ShareOverrides Overrides;
@@ -117,6 +137,24 @@
   }
 }
 
+// Guards against counts that the entry node does not take from responses.
+TEST(EntryCallLosses, CountsOfAResponseReachTheRoute) {
+  LossesAtEntry Entry(WorkloadSetting::On, false);
+  Entry.Own.running().setCounting(true);
+  test::ScriptedBackend Scripted([&Entry](const std::string &) {
+    Entry.Own.running().markLostCall("a");
+    return "HTTP/1.1 500 Internal\r\nContent-Length: 0\r\n\r\n";
+  });
+  Entry.attach(Scripted.port());
+  EXPECT_EQ(Entry.ask("a").Kind, std::nullopt);
+  const auto Routes = Entry.Node.Gate.state().Routes;
+  ASSERT_EQ(Routes.size(), 1U);
+  const auto &Reports = Routes.begin()->second.Reports;
+  ASSERT_EQ(Reports.size(), 1U);
+  EXPECT_EQ(Reports[0].Node, LossesAtEntry::OwnNode);
+  EXPECT_EQ(Reports[0].Counts, (policy::RouteCounts{.Runs = 1, .Losses = 1}));
+}
+
 // Guards against a nested call that is shed, and against a lost one that the
 // node does not count for its parent.
 TEST(EntryCallLosses, LostNestedCallIsRecordedAtItsParent) {
--- a/packages/daemon/test/daemon/peer/peer_frames.cpp
+++ b/packages/daemon/test/daemon/peer/peer_frames.cpp
@@ -135,27 +135,48 @@
   EXPECT_EQ(Assembly.addChunk(Body, "", true), Status::TooLargeDone);
 }
 
+// A request that waits for its response, and the end of the sidecar.
+struct OpenExchange : testing::Test {
+  void SetUp() override {
+    int Ends[2];
+    ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Ends), 0);
+    Sidecar = PeerConnection{UniqueFd(Ends[1])};
+    Exchange = std::make_unique<PeerExchange>(
+        std::make_unique<PeerConnection>(UniqueFd(Ends[0])),
+        ExchangeOptions{.ResponseBytes = 64,
+                        .PingAfter = TestTimeout,
+                        .PingTimeout = TestTimeout});
+    CallRequest Request;
+    Request.Id = {.Origin = 1, .Run = 1, .Sequence = 1};
+    Request.Method = "GET";
+    Request.Target = "/";
+    Request.Deadline = now() + TestTimeout;
+    ASSERT_TRUE(Exchange->start(Request, now(), false));
+  }
+
+  // Sends a response to the request with the number.
+  ExchangeStatus respond(std::uint64_t Number, const CallResponse &Response) {
+    EXPECT_TRUE(queueResponse(
+        Sidecar, {.Origin = 1, .Run = 1, .Sequence = Number}, Response));
+    EXPECT_TRUE(Sidecar.flush(now() + TestTimeout));
+    return Exchange->advance(now());
+  }
+
+  PeerConnection Sidecar;
+  std::unique_ptr<PeerExchange> Exchange;
+};
+
 // Guards against a response that is delivered to another request.
-TEST_F(PeerFrames, ResponseToAnotherRequestIsLost) {
-  int Ends[2];
-  ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Ends), 0);
-  PeerConnection Sidecar{UniqueFd(Ends[1])};
-  PeerExchange Exchange(std::make_unique<PeerConnection>(UniqueFd(Ends[0])),
-                        {.ResponseBytes = 64,
-                         .PingAfter = TestTimeout,
-                         .PingTimeout = TestTimeout});
-  CallRequest Request;
-  Request.Id = {.Origin = 1, .Run = 1, .Sequence = 1};
-  Request.Method = "GET";
-  Request.Target = "/";
-  Request.Deadline = now() + TestTimeout;
-  ASSERT_TRUE(Exchange.start(Request, now(), false));
-  CallResponse Response;
-  Response.Status = 200;
-  ASSERT_TRUE(
-      queueResponse(Sidecar, {.Origin = 1, .Run = 1, .Sequence = 2}, Response));
-  ASSERT_TRUE(Sidecar.flush(now() + TestTimeout));
-  EXPECT_EQ(Exchange.advance(now()), ExchangeStatus::Lost);
+TEST_F(OpenExchange, ResponseToAnotherRequestIsLost) {
+  EXPECT_EQ(respond(2, {.Status = 200}), ExchangeStatus::Lost);
+}
+
+// Guards against counts of a route that are lost between the nodes.
+TEST_F(OpenExchange, ResponseCarriesTheCountsOfItsRoute) {
+  ASSERT_EQ(respond(1, {.Status = 200, .RouteRuns = 300, .RouteLosses = 7}),
+            ExchangeStatus::Done);
+  EXPECT_EQ(Exchange->response().RouteRuns, 300U);
+  EXPECT_EQ(Exchange->response().RouteLosses, 7U);
 }
 
 } // namespace
