Plan returns by the limit of the higher ranks too

Cause: a lower rank that is limited to the share of a higher one kept as many places for returned callers as its own share allows, more than it admits.

Change: the smaller of both shares counts.

--- a/packages/policy/src/policy/chain/plan_return.cpp
+++ b/packages/policy/src/policy/chain/plan_return.cpp
@@ -59,7 +59,9 @@
 // Time between two places for returned callers.
 Duration interval(const AdmittedRoute &Route,
                   const RouteAdmissionOptions &Options) {
-  const double PerSecond = Route.Rate * Route.Share * Options.ReturnShare;
+  const double PerSecond = Route.Rate *
+                           std::min(Route.Share, Route.HigherShare) *
+                           Options.ReturnShare;
   return PerSecond > 0 ? std::min(std::chrono::duration_cast<Duration>(
                                       Seconds(1 / PerSecond)),
                                   MaxDelay)
