Mend what the review of the merged parts found

Cause and change, by reading: calls of retried requests were never marked, so they did not use up the retry budget; an error after an attempt that may have run could still say "not run"; a request of a caller that only stopped sending could get an empty 200 if it had not started; uploads were held to the limit of the outgoing link; frames were not read while a piece of a body waited, so the entry node could take the sidecar for silent; a piece that was too late kept its reservation; a hedge skipped the second check of the key and was decided twice; an episode of losses outlived its losses; a short deadline_maximum_ms made settings without hedges invalid.

The row of read_settings on min_delay_ms now sets a percentage, because the delay matters only then; it is as strict as before.

--- a/packages/daemon/src/daemon/entry/caller_connection.cpp
+++ b/packages/daemon/src/daemon/entry/caller_connection.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry/caller_connection.h"
 
+#include "daemon/entry/parse_call.h"
 #include "daemon/log/log.h"
 #include "daemon/memory/release_buffer.h"
 #include "daemon/net/clock.h"
@@ -186,6 +187,11 @@
   try {
     if (!Given.isGone()) {
       run(Given);
+    } else {
+      // A caller that only stopped sending still reads its responses.
+      Given.Response =
+          errorResponse(Service.Speaks, policy::ErrorKind::Cancelled,
+                        "the caller closed the connection", false);
     }
   } catch (const std::exception &Reason) {
     log(LogLevel::Error, "request ended by an exception",
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -129,11 +129,12 @@
                                        : std::nullopt;
   if (!Current) {
     if (InFlight.empty()) {
-      // After a run only the last error tells whether the request ran.
-      const bool HasRun = State.Runs > 0;
-      Result = LastError && (!Withdrawn || HasRun)
+      Result = LastError && !Withdrawn
                    ? std::move(*LastError)
                    : callErrorResponse(ChooseError.Kind, ChooseError.Detail);
+      if (Result->Kind) {
+        Result->Kind = policy::kindForCaller(State, *Result->Kind);
+      }
     }
     return std::nullopt;
   }
--- a/packages/daemon/src/daemon/entry/entry_call_hedge.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call_hedge.cpp
@@ -71,7 +71,9 @@
     resolve({.Event = policy::OutcomeEvent::Slow}, nullptr);
     return;
   }
-  if (Hedged || InFlight.size() != 1) {
+  // One decision per request.
+  HedgeAt = policy::TimePoint::max();
+  if (Hedged || InFlight.size() != 1 || keyRefusal()) {
     return;
   }
   std::optional<Attempt> Copy = makeHedge(Now);
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -197,6 +197,7 @@
   Call.Request.Nested = Parent.has_value();
   Call.WorkloadAware = policy::isWorkloadAware(Owner.Options.WorkloadAware,
                                                hasBulkRoutes(*View->Routing));
+  Call.Request.OfRepeat = Call.WorkloadAware && Parent && Parent->Repeat;
   const auto CallerTimeout = deadlineOf(Speaks, Request);
   if (CallerTimeout) {
     Call.CallerDeadline = Now + *CallerTimeout;
--- a/packages/daemon/src/daemon/link/link_pacer.cpp
+++ b/packages/daemon/src/daemon/link/link_pacer.cpp
@@ -1,7 +1,5 @@
 #include "daemon/link/link_pacer.h"
 
-#include "daemon/net/clock.h"
-#include "daemon/net/socket.h"
 #include "policy/link/share_link.h"
 
 namespace magnolia::daemon {
@@ -26,19 +24,11 @@
   policy::endTransfer(State, BodyBytes);
 }
 
-bool LinkPacer::awaitPiece(std::size_t Bytes, policy::TimePoint Deadline) {
-  policy::TimePoint Start;
-  {
-    const std::lock_guard Lock(Mutex);
-    Start = policy::reservePiece(State, Bytes, now());
-  }
-  if (Start > Deadline) {
-    return false;
-  }
-  if (Start > now()) {
-    (void)waitReady({}, Start, {});
-  }
-  return true;
+std::optional<policy::TimePoint> LinkPacer::reserve(std::size_t Bytes,
+                                                    policy::TimePoint Now,
+                                                    policy::TimePoint Latest) {
+  const std::lock_guard Lock(Mutex);
+  return policy::reservePiece(State, Bytes, Now, Latest);
 }
 
 policy::LinkState LinkPacer::state() const {
--- a/packages/daemon/src/daemon/link/link_pacer.h
+++ b/packages/daemon/src/daemon/link/link_pacer.h
@@ -6,6 +6,7 @@
 
 #include <cstddef>
 #include <mutex>
+#include <optional>
 
 namespace magnolia::daemon {
 
@@ -21,9 +22,10 @@
   [[nodiscard]] bool begin(const policy::TransferQuery &Query,
                            policy::TimePoint Now);
   void end(std::size_t BodyBytes);
-  // Waits until the next piece of a body may be sent. Returns false if the
-  // deadline passes before.
-  [[nodiscard]] bool awaitPiece(std::size_t Bytes, policy::TimePoint Deadline);
+  // Returns the time at which the next piece of a body may be sent, or nothing
+  // if that is after the latest time.
+  [[nodiscard]] std::optional<policy::TimePoint>
+  reserve(std::size_t Bytes, policy::TimePoint Now, policy::TimePoint Latest);
 
   [[nodiscard]] policy::LinkState state() const;
 
--- a/packages/daemon/src/daemon/sidecar/peer_service.cpp
+++ b/packages/daemon/src/daemon/sidecar/peer_service.cpp
@@ -18,6 +18,12 @@
 
 namespace {
 
+// Returns true if the response is large. A request with large bodies that may
+// run once only is an upload, whose response is small.
+bool hasLargeResponse(const CallRequest &Request) {
+  return Request.Bulk && Request.Idempotent;
+}
+
 // Size of the pieces in which a large body is sent. A short message waits
 // behind at most one piece of each body.
 constexpr std::size_t PieceBytes = 16'384;
@@ -111,7 +117,7 @@
     Refusal.Load = Owner.load();
     return sendResponse(Connection, Id, Refusal);
   }
-  if (Request.Bulk && Options.Link && Options.Link->isLimited()) {
+  if (hasLargeResponse(Request) && Options.Link && Options.Link->isLimited()) {
     return serveBulkRequest(Connection, std::move(Request));
   }
   SidecarCall Call(Owner, std::move(Request));
@@ -147,10 +153,9 @@
 PeerService::Next PeerService::sendInPieces(PeerConnection &Connection,
                                             const CallRequest &Request,
                                             const CallResponse &Response) {
-  // A response that is late for the caller is still sent, because it may be on
-  // its way to the caller already.
+  // A response whose sending has begun is completed also after the deadline.
   const policy::TimePoint Latest = Request.Deadline + Options.ReadTimeout;
-  if (!Options.Link->awaitPiece(PieceBytes, Latest) ||
+  if (!awaitPiece(Connection, Request.Id, PieceBytes, Latest) ||
       !queueResponse(Connection, Request.Id, Response, PieceBytes) ||
       !Connection.flush(now() + Options.ReadTimeout)) {
     return Next::Close;
@@ -159,8 +164,7 @@
   while (!Rest.empty()) {
     const std::string_view Piece = Rest.substr(0, PieceBytes);
     Rest.remove_prefix(Piece.size());
-    if (!Options.Link->awaitPiece(Piece.size(), Latest) ||
-        !takeFramesDuringSend(Connection, Request.Id) ||
+    if (!awaitPiece(Connection, Request.Id, Piece.size(), Latest) ||
         !queueBodyChunk(Connection, Request.Id, Piece, Rest.empty()) ||
         !Connection.flush(now() + Options.ReadTimeout)) {
       return Next::Close;
@@ -169,6 +173,24 @@
   return Next::Continue;
 }
 
+bool PeerService::awaitPiece(PeerConnection &Connection,
+                             const policy::RequestId &Id, std::size_t Bytes,
+                             policy::TimePoint Latest) {
+  const auto Start = Options.Link->reserve(Bytes, now(), Latest);
+  if (!Start) {
+    return false;
+  }
+  for (;;) {
+    if (!takeFramesDuringSend(Connection, Id)) {
+      return false;
+    }
+    if (now() >= *Start) {
+      return true;
+    }
+    (void)waitReadable(Connection.fd(), *Start);
+  }
+}
+
 bool PeerService::takeFramesDuringSend(PeerConnection &Connection,
                                        const policy::RequestId &Id) {
   wire::PeerFrame Frame;
--- a/packages/daemon/src/daemon/sidecar/peer_service.h
+++ b/packages/daemon/src/daemon/sidecar/peer_service.h
@@ -72,6 +72,11 @@
   [[nodiscard]] Next sendInPieces(PeerConnection &Connection,
                                   const CallRequest &Request,
                                   const CallResponse &Response);
+  // Waits until the next piece of a response may be sent, and responds to
+  // frames meanwhile. Returns false if the connection must be closed.
+  [[nodiscard]] bool awaitPiece(PeerConnection &Connection,
+                                const policy::RequestId &Id, std::size_t Bytes,
+                                policy::TimePoint Latest);
   // Responds to the frames that arrived while a response is being sent. Returns
   // false if the connection must be closed.
   [[nodiscard]] bool takeFramesDuringSend(PeerConnection &Connection,
--- a/packages/policy/src/policy/chain/adapt_share.cpp
+++ b/packages/policy/src/policy/chain/adapt_share.cpp
@@ -175,6 +175,8 @@
       (Route.Share - Route.LaggedShare) * (1 - remaining(Passed, Options.Lag));
   if (Passed > ForgottenAfter) {
     Route.Share = Route.LaggedShare = Route.HigherShare = 1;
+    Route.Episode = {};
+    Route.AverageLoss = Route.ToleratedLoss = 0;
     return;
   }
   const RouteEvidence Known = evidenceOf(Route, Options, Now);
@@ -185,6 +187,9 @@
       Known.Trust > 0 ? Known.loss() - targetOf(Options, Route) : 0;
   const bool Lost = Excess > 0 || Now - Route.LastLosses < ForgottenAfter;
   Route.HigherShare = 1;
+  if (!Lost) {
+    Route.Episode = {};
+  }
   if (!Lost && Route.Share >= 1) {
     return;
   }
--- a/packages/policy/src/policy/link/share_link.cpp
+++ b/packages/policy/src/policy/link/share_link.cpp
@@ -60,11 +60,15 @@
           : Bytes;
 }
 
-TimePoint reservePiece(LinkState &State, std::size_t Bytes, TimePoint Now) {
+std::optional<TimePoint> reservePiece(LinkState &State, std::size_t Bytes,
+                                      TimePoint Now, TimePoint Latest) {
+  const TimePoint Start = isLimited(State) ? std::max(Now, State.FreeAt) : Now;
+  if (Start > Latest) {
+    return std::nullopt;
+  }
   if (!isLimited(State)) {
-    return Now;
+    return Start;
   }
-  const TimePoint Start = std::max(Now, State.FreeAt);
   State.FreeAt = Start + sendTime(State, static_cast<double>(Bytes));
   return Start;
 }
--- a/packages/policy/src/policy/link/share_link.h
+++ b/packages/policy/src/policy/link/share_link.h
@@ -5,6 +5,7 @@
 #include "policy/link/transfer_query.h"
 
 #include <cstddef>
+#include <optional>
 
 namespace magnolia::policy {
 
@@ -24,11 +25,15 @@
 
 // Returns the time at which the next piece of a large body may be sent, and
 // reserves the link for it. Pieces of several bodies take turns in the order
-// of the calls.
-[[nodiscard]] TimePoint reservePiece(LinkState &State, std::size_t Bytes,
-                                     TimePoint Now);
-
-// Returns the time until the accepted bodies have been sent.
+// of the calls. Returns nothing and reserves nothing if that time is after the
+// latest one.
+[[nodiscard]] std::optional<TimePoint> reservePiece(LinkState &State,
+                                                    std::size_t Bytes,
+                                                    TimePoint Now,
+                                                    TimePoint Latest);
+
+// Returns an upper estimate of the time until the accepted bodies have been
+// sent: each counts as a whole until it is complete.
 [[nodiscard]] Duration expectedWait(const LinkState &State, TimePoint Now);
 
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/retry/plan_next.cpp
+++ b/packages/policy/src/policy/retry/plan_next.cpp
@@ -4,6 +4,15 @@
 
 namespace magnolia::policy {
 
+ErrorKind kindForCaller(const AttemptState &State, ErrorKind Kind) {
+  if (!State.MayHaveRun || errorEntry(Kind).Run != RunOutcome::No) {
+    return Kind;
+  }
+  return Kind == ErrorKind::DeadlineExceededNotRun
+             ? ErrorKind::DeadlineExceededUnknown
+             : ErrorKind::OutcomeUnknown;
+}
+
 namespace {
 
 // A response later than this many medians is in the slowest percent of an
@@ -81,17 +90,6 @@
   return true;
 }
 
-// Returns the kind for the caller. If an earlier attempt may have run, a proof
-// that the last one did not run does not hold for the request.
-ErrorKind kindForCaller(const AttemptState &State, ErrorKind Kind) {
-  if (!State.MayHaveRun || errorEntry(Kind).Run != RunOutcome::No) {
-    return Kind;
-  }
-  return Kind == ErrorKind::DeadlineExceededNotRun
-             ? ErrorKind::DeadlineExceededUnknown
-             : ErrorKind::OutcomeUnknown;
-}
-
 // Returns true if an idempotent request may succeed on another candidate even
 // if this attempt may have run. Other errors would occur again.
 bool maySucceedElsewhere(const Outcome &Result) {
--- a/packages/policy/src/policy/retry/plan_next.h
+++ b/packages/policy/src/policy/retry/plan_next.h
@@ -33,6 +33,11 @@
 [[nodiscard]] RetryDecision planNext(AttemptState &State, const Outcome &Result,
                                      RetryBudget &Budget, TimePoint Now);
 
+// Returns the kind for the caller: if an earlier attempt may have run, a later
+// error does not prove that the request did not run.
+[[nodiscard]] ErrorKind kindForCaller(const AttemptState &State,
+                                      ErrorKind Kind);
+
 // Returns the time to wait for a response before a hedge is sent, derived from
 // the median latency of the service.
 [[nodiscard]] Duration hedgeDelay(Duration Median);
--- a/packages/settings/src/settings/node/read_settings.cpp
+++ b/packages/settings/src/settings/node/read_settings.cpp
@@ -127,7 +127,8 @@
                   std::to_string(Result.ShutdownAnnounce.count()) + " ms";
     return false;
   }
-  if (Result.HedgeMinDelay > Result.DeadlineMaximum) {
+  if (Result.HedgePercent > 0 &&
+      Result.HedgeMinDelay > Result.DeadlineMaximum) {
     State.Fault = place("hedge", "min_delay_ms") +
                   ": over the longest timeout of a request; accepted: up to " +
                   std::to_string(Result.DeadlineMaximum.count()) +
