Give shedding by losses its own setting, and count no nested calls

The usage report of the shifted site was off by some three quarters, because it counted nested calls.

Change: [admission] shed_by_losses, off by default; the usage report counts what callers asked for.

--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -36,6 +36,8 @@
   std::string LocalService;
   // Whether the entry node admits requests by the losses of nested calls.
   policy::WorkloadSetting WorkloadAware = policy::WorkloadSetting::Off;
+  // True if requests are also rejected for the losses of nested calls.
+  bool ShedByLosses = false;
   ServiceTable::Options Services;
   policy::HedgeOptions Hedge;
   ExchangeOptions Exchange;
--- a/packages/daemon/src/daemon/entry/entry_call_losses.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call_losses.cpp
@@ -22,7 +22,8 @@
 }
 
 bool EntryCall::admitByLosses(policy::TimePoint Now) {
-  if (!Call.WorkloadAware || Call.Request.Nested) {
+  if (!Owner.Options.ShedByLosses || !Call.WorkloadAware ||
+      Call.Request.Nested) {
     return true;
   }
   // The counts of the own backend server need no response.
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -168,13 +168,15 @@
 }
 
 void SidecarCall::countRun() {
-  if (RunCounter *Runs = Owner.options().Runs) {
+  RunCounter *const Runs = Owner.options().Runs;
+  if (Runs && !Request.Nested) {
     RunWindow = Runs->count(Request.Organisation);
   }
 }
 
 void SidecarCall::uncountRun() {
-  if (RunCounter *Runs = Owner.options().Runs) {
+  RunCounter *const Runs = Owner.options().Runs;
+  if (Runs && !Request.Nested) {
     Runs->uncount(Request.Organisation, RunWindow);
   }
 }
--- a/packages/daemon/test/daemon/sidecar/sidecar_call_usage.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call_usage.cpp
@@ -19,6 +19,7 @@
     Counting.apply(Backend.state(), now());
     CallRequest Request = request();
     Request.Organisation = "org";
+    Request.Nested = Nested;
     SidecarCall Call(Counting, std::move(Request));
     Call.start(now());
     finish(Call);
@@ -35,6 +36,7 @@
     return Sum;
   }
 
+  bool Nested = false;
   RunCounter Runs{policy::UsageOptions{.Window = std::chrono::hours(1)}};
 };
 
@@ -49,5 +51,13 @@
   EXPECT_EQ(counted(), 0U);
 }
 
+// Guards against an organisation that is charged for the calls that services
+// make on its behalf.
+TEST_F(CountedRuns, DoesNotCountANestedCall) {
+  Nested = true;
+  runOne(plainResponse("x"));
+  EXPECT_EQ(counted(), 0U);
+}
+
 } // namespace
 } // namespace magnolia::daemon::test
--- a/packages/settings/src/settings/node/node_settings.h
+++ b/packages/settings/src/settings/node/node_settings.h
@@ -133,6 +133,8 @@
 
   // off, auto or on.
   std::string WorkloadAware;
+  // off or on.
+  std::string ShedByLosses;
   // Hedged requests: extra requests as a percentage of the requests of a
   // service (0: off), the smallest delay, and the quantile of the response
   // times of a route, in percent, that sets the delay.
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -362,6 +362,17 @@
                 "routes of kind upload or download.",
      .Store = store<&N::WorkloadAware>,
      .Type = Type::Choice},
+    {.Section = "admission",
+     .Key = "shed_by_losses",
+     .Default = "off",
+     .Unit = {},
+     .Choices = "off|on",
+     .Meaning = "Whether the entry node rejects requests of routes whose runs "
+                "lose nested calls, if workload_aware is in effect. It helps "
+                "where a called service is overloaded, not where it fails at "
+                "random.",
+     .Store = store<&N::ShedByLosses>,
+     .Type = Type::Choice},
     live(number<&N::HedgePercent>(
         "hedge", "percent", "0", 0, 20, "percent",
         "Second copies of slow idempotent requests per 100 requests of a "
