Compare a new version with recent responses of the old one

The step check allowed the new version twice the failure rate of the old one over the whole rollout, so until the end of the rollout about 30 percent of its responses could fail.

Change: the new version is compared with the responses of the old one in the same step, or in the latest earlier step that had 30 of them.

Result: PlanRollout.FailuresOfAnEndedFaultDoNotExcuseTheNewVersion fails without the change and passes with it.

--- a/packages/policy/src/policy/rollout/advance.cpp
+++ b/packages/policy/src/policy/rollout/advance.cpp
@@ -48,7 +48,7 @@
 }
 
 // Returns true if the new version's failure rate in this step stays within the
-// margin above that of the old version over the whole rollout.
+// margin above that of the old version.
 bool isHealthy(const RolloutStats &Stats, const RolloutOptions &Options) {
   if (Options.FailureMargin <= 0) {
     return true;
@@ -59,7 +59,7 @@
     New.Failures += Route.New.Failures;
   }
   return failureRate(New) <=
-         2 * failureRate(Stats.OldTotal) + Options.FailureMargin;
+         2 * failureRate(oldBaseline(Stats)) + Options.FailureMargin;
 }
 
 RolloutRecord atStep(RolloutRecord Record, std::uint32_t Step, TimePoint Now,
--- a/packages/policy/src/policy/rollout/rollout_stats.cpp
+++ b/packages/policy/src/policy/rollout/rollout_stats.cpp
@@ -10,12 +10,32 @@
 
 namespace {
 
+// Returns the responses of the old version in the current step.
+VersionCounts oldInStep(const RolloutStats &Stats) {
+  VersionCounts Sum;
+  for (const RouteStats &Route : Stats.Routes) {
+    addCounts(Sum, Route.Old);
+  }
+  return Sum;
+}
+
+// Keeps the responses of a step that ends as the baseline of later ones.
+void keepBaseline(RolloutStats &Stats) {
+  const VersionCounts Step = oldInStep(Stats);
+  if (Step.Requests >= RolloutStats::MinOldResponses) {
+    Stats.OldBefore = Step;
+  } else if (Stats.OldBefore.Requests < RolloutStats::MinOldResponses) {
+    addCounts(Stats.OldBefore, Step);
+  }
+}
+
 void beginStep(RolloutStats &Stats, const RolloutRecord &Record) {
   if (Stats.RolloutId != Record.Id) {
     Stats = RolloutStats{};
     Stats.RolloutId = Record.Id;
   }
   if (Stats.Step != Record.Step) {
+    keepBaseline(Stats);
     Stats.Step = Record.Step;
     for (RouteStats &Route : Stats.Routes) {
       Route.New = {};
@@ -74,7 +94,6 @@
     addCounts(Window->New, Added.New);
     addCounts(Window->Old, Added.Old);
   }
-  addCounts(Stats.OldTotal, Added.Old);
   // Responses of an earlier step tell nothing about the load of this one.
   if (IsCurrentStep) {
     addCounts(Stats.Routes[Index].New, Added.New);
@@ -121,6 +140,14 @@
   return BecameBad;
 }
 
+VersionCounts oldBaseline(const RolloutStats &Stats) {
+  VersionCounts Baseline = oldInStep(Stats);
+  if (Baseline.Requests < RolloutStats::MinOldResponses) {
+    addCounts(Baseline, Stats.OldBefore);
+  }
+  return Baseline;
+}
+
 bool addVerdict(RolloutStats &Stats, const RolloutRecord &Record,
                 std::string_view RolloutId, const Verdict &Sent) {
   if (RolloutId != Record.Id) {
--- a/packages/policy/src/policy/rollout/rollout_stats.h
+++ b/packages/policy/src/policy/rollout/rollout_stats.h
@@ -24,6 +24,8 @@
 struct RolloutStats {
   static constexpr std::size_t MaxRoutes = 64;
   static constexpr std::size_t MaxReporters = 32'768;
+  // Minimum number of responses of the old version for a failure rate.
+  static constexpr std::uint64_t MinOldResponses = 30;
 
   std::string RolloutId;
   std::uint32_t Step = 0;
@@ -32,10 +34,10 @@
   // Responses of the last seconds on the same routes. The sums of a long step
   // would hide a fault that starts late in the step.
   std::vector<ResponseRing> Rings;
-  // Responses of the old version on all routes since this driver started. The
-  // new version is compared with them once the old one no longer receives
-  // requests.
-  VersionCounts OldTotal;
+  // Responses of the old version on all routes during the latest earlier step
+  // that had enough of them, or during all steps if none had. The new version
+  // is compared with them once the old one receives few requests.
+  VersionCounts OldBefore;
   Verdict Current;
   // Incarnation and sequence number of the last report of each entry node.
   std::unordered_map<NodeId, std::pair<Incarnation, std::uint64_t>> Reporters;
@@ -49,6 +51,12 @@
 bool addReport(RolloutStats &Stats, const RolloutRecord &Record,
                const StatsReport &Report, TimePoint Now);
 
+// Returns the responses of the old version with which those of the new one in
+// the current step are compared: those of the same step if there are enough.
+// Older ones may contain failures of a fault that is over, which would hide
+// that the new version fails.
+[[nodiscard]] VersionCounts oldBaseline(const RolloutStats &Stats);
+
 // Merges a verdict that a node has sent. Returns true if the verdict became
 // bad.
 bool addVerdict(RolloutStats &Stats, const RolloutRecord &Record,
--- a/packages/policy/test/policy/rollout/rollout_request.cpp
+++ b/packages/policy/test/policy/rollout/rollout_request.cpp
@@ -130,7 +130,7 @@
     RolloutStats Stats;
     Stats.RolloutId = Record->Id;
     Stats.Step = Next.Step;
-    Stats.OldTotal = {.Requests = 400, .Failures = 8};
+    Stats.OldBefore = {.Requests = 400, .Failures = 8};
     Stats.Routes.assign(1, {});
     Stats.Routes[0].New = {.Requests = Responses, .Failures = Next.Failures};
     const auto After =
@@ -141,6 +141,42 @@
   }
 }
 
+// Guards against a bad version that is completed because the old one failed
+// often in a fault that ended before the last steps.
+TEST(PlanRollout, FailuresOfAnEndedFaultDoNotExcuseTheNewVersion) {
+  const std::vector<Member> Fleet = {member(1, "v1"), member(3, "v2")};
+  auto Record = planRequest(order(), nullptr, Fleet, Start);
+  ASSERT_TRUE(Record);
+  const RolloutOptions Options = optionsFor(*Record);
+  Record->Phase = RolloutPhase::Shifting;
+  const VersionCounts OldPerStep[] = {{.Requests = 150, .Failures = 72},
+                                      {.Requests = 150, .Failures = 30},
+                                      {.Requests = 200, .Failures = 2},
+                                      {.Requests = 50, .Failures = 1},
+                                      {.Requests = 20, .Failures = 0}};
+  RolloutStats Stats;
+  std::uint64_t Window = 0;
+  for (const VersionCounts &Old : OldPerStep) {
+    Record->Share = Options.Steps[Record->Step].Share;
+    StatsReport Report{.Node = 7,
+                       .Run = 1,
+                       .RolloutId = Record->Id,
+                       .Window = ++Window,
+                       .Step = Record->Step};
+    Report.Routes.assign(1, {.Route = "/a", .New = {}, .Old = Old});
+    Report.Routes[0].New = {.Requests = 30, .Failures = 0};
+    (void)addReport(Stats, *Record, Report, Start);
+    ++Record->Step;
+  }
+  --Record->Step;
+  Record->StepSince = Start + std::chrono::seconds(6);
+  Stats.Routes[0].New.Failures = 5;
+  const auto After =
+      advance(*Record, Stats, Record->StepSince + Options.MinSoak, Options);
+  ASSERT_TRUE(After);
+  EXPECT_EQ(After->Phase, RolloutPhase::RolledBack);
+}
+
 // Guards against a second rollout for one request, and against a rollout from a
 // version that no member serves.
 TEST(PlanRollout, OneRolloutPerRequest) {
