Roll back early when a new version fails at a large share

A step of a short rollout checks the failure rate only at its end, so a version that fails under load keeps all traffic for a whole second.

Change: from a share of 25 percent on, three failures above the permitted rate end the rollout at once.

Result: PlanRollout.FailuresAtALargeShareEndTheStepEarly fails without the change (no rollback before the end of the step).

--- a/packages/policy/src/policy/rollout/advance.cpp
+++ b/packages/policy/src/policy/rollout/advance.cpp
@@ -47,19 +47,32 @@
                                     static_cast<double>(Counts.Requests);
 }
 
+// Returns the responses of the new version in the current step.
+VersionCounts newInStep(const RolloutStats &Stats) {
+  VersionCounts Sum;
+  for (const RouteStats &Route : Stats.Routes) {
+    addCounts(Sum, Route.New);
+  }
+  return Sum;
+}
+
 // Returns true if the new version's failure rate in this step stays within the
 // margin above that of the old version.
 bool isHealthy(const RolloutStats &Stats, const RolloutOptions &Options) {
-  if (Options.FailureMargin <= 0) {
-    return true;
-  }
-  VersionCounts New;
-  for (const RouteStats &Route : Stats.Routes) {
-    New.Requests += Route.New.Requests;
-    New.Failures += Route.New.Failures;
-  }
-  return failureRate(New) <=
-         2 * failureRate(oldBaseline(Stats)) + Options.FailureMargin;
+  return Options.FailureMargin <= 0 ||
+         failureRate(newInStep(Stats)) <=
+             2 * failureRate(oldBaseline(Stats)) + Options.FailureMargin;
+}
+
+// Returns true if the new version has a large share and fails too often even
+// before the end of the step. Waiting for it would expose callers for longer.
+bool failsEarly(const RolloutRecord &Record, const RolloutStats &Stats,
+                const RolloutOptions &Options) {
+  return Record.Phase == RolloutPhase::Shifting &&
+         Record.Share >= Options.LargeShare && Stats.RolloutId == Record.Id &&
+         Stats.Step == Record.Step &&
+         newInStep(Stats).Failures >= Options.MinEarlyFailures &&
+         !isHealthy(Stats, Options);
 }
 
 RolloutRecord atStep(RolloutRecord Record, std::uint32_t Step, TimePoint Now,
@@ -136,6 +149,9 @@
   if (earliestEnd(Record, Now, Options) > latestDoneTime(Record, Options)) {
     return rollBack(Record, "not complete in time before the deadline", Now);
   }
+  if (failsEarly(Record, Stats, Options)) {
+    return rollBack(Record, "the new version fails more often", Now);
+  }
   if (Record.Phase == RolloutPhase::Planned) {
     return start(Record, Now, Options);
   }
--- a/packages/policy/src/policy/rollout/rollout_options.h
+++ b/packages/policy/src/policy/rollout/rollout_options.h
@@ -59,6 +59,9 @@
   // From this share on, a rollout whose new version exceeds that failure rate
   // is rolled back; below it, the rollout waits for more responses.
   double LargeShare = 0.25;
+  // Number of failures of the new version in a step from which such a rollout
+  // is rolled back before the end of the step. A single failure may be chance.
+  std::uint64_t MinEarlyFailures = 3;
   // Time without progress after which the watcher of the next rank takes over.
   Duration TakeoverDelay = std::chrono::seconds{3};
 };
--- a/packages/policy/test/policy/rollout/rollout_request.cpp
+++ b/packages/policy/test/policy/rollout/rollout_request.cpp
@@ -177,6 +177,37 @@
   EXPECT_EQ(After->Phase, RolloutPhase::RolledBack);
 }
 
+// Guards against a version that fails under load and keeps all of the traffic
+// until the end of the step, and against a rollback after a single failure.
+TEST(PlanRollout, FailuresAtALargeShareEndTheStepEarly) {
+  struct Row {
+    std::uint32_t Step;
+    std::uint64_t Failures;
+    bool RollsBack;
+  };
+  const Row Rows[] = {{5, 3, true}, {5, 2, false}, {2, 5, false}};
+  const std::vector<Member> Fleet = {member(1, "v1"), member(3, "v2")};
+  for (const Row &Next : Rows) {
+    auto Record = planRequest(order(), nullptr, Fleet, Start);
+    ASSERT_TRUE(Record);
+    const RolloutOptions Options = optionsFor(*Record);
+    Record->Phase = RolloutPhase::Shifting;
+    Record->Step = Next.Step;
+    Record->Share = Options.Steps[Next.Step].Share;
+    Record->StepSince = Start + std::chrono::seconds(5);
+    RolloutStats Stats;
+    Stats.RolloutId = Record->Id;
+    Stats.Step = Next.Step;
+    Stats.OldBefore = {.Requests = 200, .Failures = 2};
+    Stats.Routes.assign(1, {});
+    Stats.Routes[0].New = {.Requests = 20, .Failures = Next.Failures};
+    const auto After = advance(
+        *Record, Stats, Record->StepSince + Options.MinSoak / 2, Options);
+    EXPECT_EQ(After.has_value(), Next.RollsBack);
+    EXPECT_TRUE(!After || After->Phase == RolloutPhase::RolledBack);
+  }
+}
+
 // Guards against a second rollout for one request, and against a rollout from a
 // version that no member serves.
 TEST(PlanRollout, OneRolloutPerRequest) {
