Let requests wait at a starting node

While admission is aware of the workload, a request of a service without any known backend server now waits during the first 2 s of its node: at most 0.3 of the time until its latency objective and at most 500 ms, 64 requests at a time. It ends with the caller, with a stop of the node and at its deadline. The decisions are in policy/overload/await_backends, the wait is in EntryCall::awaitBackends. Counters: start_waits, start_waits_served.

The entry node of the tests for lost nested calls moves to a support header, because the new tests use it too; its route gets a latency objective of 10 s. The checks of these tests are unchanged.

--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -4,6 +4,7 @@
 #include "daemon/dialect/dialect.h"
 #include "daemon/entry/route_gate.h"
 #include "daemon/entry/service_runtime.h"
+#include "daemon/entry/start_waits.h"
 #include "daemon/metrics/metrics.h"
 #include "daemon/peer/peer_exchange.h"
 #include "daemon/peer/peer_pool.h"
@@ -25,6 +26,8 @@
 struct EntryOptions {
   policy::NodeId Node = 0;
   policy::Incarnation Run = 0;
+  // Time at which the node started; by default, long ago.
+  policy::TimePoint Start{};
   policy::Duration Spin{};
   policy::Duration Deadline{};
   policy::Duration DeadlineMaximum{};
@@ -56,7 +59,8 @@
   };
 
   Entry(const EntryOptions &Opts, const Parts &Used)
-      : Options(Opts), Use(Used), Services(Opts.Services), Hedge(Opts.Hedge) {}
+      : Options(Opts), Use(Used), Services(Opts.Services), Starting(Opts.Start),
+        Hedge(Opts.Hedge) {}
 
   [[nodiscard]] policy::RequestId nextId() {
     return {.Origin = Options.Node, .Run = Options.Run, .Sequence = ++Sequence};
@@ -84,6 +88,7 @@
   const Parts Use;
   ServiceTable Services;
   RouteGate Gate;
+  StartWaits Starting;
 
 private:
   static_assert(std::atomic<policy::HedgeOptions>::is_always_lock_free);
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -53,8 +53,11 @@
     logEnd(now());
     return std::move(*Result);
   }
-  if (const auto Ended = startAttempt()) {
-    resolve(*Ended, nullptr);
+  awaitBackends();
+  if (!Result) {
+    if (const auto Ended = startAttempt()) {
+      resolve(*Ended, nullptr);
+    }
   }
   while (!Result) {
     wait();
@@ -65,6 +68,7 @@
   applyResult(End);
   logEnd(End);
   logHedge();
+  recordStartWait();
   const bool Accepted =
       !Result->Kind || !policy::isCapacityRejection(*Result->Kind);
   const std::lock_guard Lock(Call.Runtime->Mutex);
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -7,11 +7,13 @@
 #include "daemon/peer/peer_exchange.h"
 #include "daemon/sidecar/sidecar_call.h"
 #include "daemon/view/organisation_index.h"
+#include "policy/overload/fwd.h"
 #include "policy/retry/attempt_state.h"
 #include "policy/retry/outcome.h"
 #include "policy/retry/retry_decision.h"
 #include "policy/route/feedback.h"
 
+#include <cstddef>
 #include <list>
 #include <memory>
 #include <optional>
@@ -105,6 +107,17 @@
   // Limits the deadline to the end of a planned stop. Returns false if no
   // attempt may start because the stop could cut it.
   [[nodiscard]] bool limitToStop(policy::TimePoint Now);
+  // Lets the call wait if the node has just started and knows no backend server
+  // of the service yet. Sets the result if the call ended meanwhile.
+  void awaitBackends();
+  [[nodiscard]] policy::WaitStep waitForBackends(policy::TimePoint Until);
+  // Waits until the time has passed or the caller leaves.
+  void sleepUnlessGone(policy::TimePoint Until);
+  // Returns the number of backend servers of the service that the node knows
+  // now.
+  [[nodiscard]] std::size_t knownBackends(policy::TimePoint Now);
+  // Counts and logs the result of a call that waited.
+  void recordStartWait() const;
   // Returns the kind of the refusal if the key was withdrawn.
   [[nodiscard]] std::optional<policy::ErrorKind> keyRefusal() const;
   // Starts an attempt. Returns an outcome if the attempt ended immediately.
@@ -180,6 +193,8 @@
   // Decision that rejected the request for lost nested calls.
   std::optional<policy::RouteDecision> Shed;
   std::optional<policy::Duration> ReturnAfter;
+  // Time that the call waited for a backend server to become known.
+  std::optional<policy::Duration> StartWait;
   // True once the caller has closed its connection.
   bool CallerGone = false;
 };
--- a/packages/daemon/src/daemon/entry/fwd.h
+++ b/packages/daemon/src/daemon/entry/fwd.h
@@ -11,6 +11,7 @@
 class Prober;
 class RouteGate;
 class ServiceTable;
+class StartWaits;
 struct EntryOptions;
 struct HttpServiceOptions;
 struct HttpServiceState;
--- a/packages/daemon/src/daemon/metrics/metrics.cpp
+++ b/packages/daemon/src/daemon/metrics/metrics.cpp
@@ -47,6 +47,11 @@
      "Requests admitted first because their callers returned as asked."},
     {Counter::NestedCallsLost, "nested_calls_lost",
      "Calls of running requests that were rejected."},
+    {Counter::StartWaits, "start_waits",
+     "Requests that waited because the node had just started and knew no "
+     "backend server of the service."},
+    {Counter::StartWaitsServed, "start_waits_served",
+     "Requests among start_waits that a backend server answered."},
     {Counter::SilentConnections, "silent_connections",
      "Busy peer connections that broke or went silent."},
     {Counter::PeerConnectFailures, "peer_connect_failures",
--- a/packages/daemon/src/daemon/metrics/metrics.h
+++ b/packages/daemon/src/daemon/metrics/metrics.h
@@ -33,6 +33,8 @@
   RequestsShed,
   ReturnsKept,
   NestedCallsLost,
+  StartWaits,
+  StartWaitsServed,
   SilentConnections,
   PeerConnectFailures,
   HandshakesRefused,
--- a/packages/daemon/src/daemon/node/node_options.cpp
+++ b/packages/daemon/src/daemon/node/node_options.cpp
@@ -1,6 +1,7 @@
 #include "daemon/node/node_options.h"
 
 #include "daemon/log/log.h"
+#include "daemon/net/clock.h"
 
 #include <algorithm>
 #include <chrono>
@@ -68,6 +69,7 @@
                           policy::Incarnation Run, BodyMemory &Memory) {
   return {.Node = Id,
           .Run = Run,
+          .Start = now(),
           .Spin = Settings.Spin,
           .Deadline = Settings.Deadline,
           .DeadlineMaximum = Settings.DeadlineMaximum,
--- a/packages/daemon/test/daemon/entry/entry_call_losses.cpp
+++ b/packages/daemon/test/daemon/entry/entry_call_losses.cpp
@@ -1,103 +1,18 @@
 #include "daemon/entry/entry_call.h"
 
+#include "../support/routed_entry.h"
 #include "../support/scripted_backend.h"
 
-#include "daemon/entry/parse_call.h"
-#include "daemon/net/clock.h"
-#include "settings/record/routing_change.h"
-#include "settings/record/routing_lines.h"
-
 #include <gtest/gtest.h>
 
-#include <memory>
-#include <string>
-
 namespace magnolia::daemon {
 namespace {
 
 using policy::ErrorKind;
 using policy::WorkloadSetting;
 
-std::string_view parentOf(std::string_view Id) {
-  const std::size_t Dot = Id.rfind('.');
-  return Dot == std::string_view::npos ? std::string_view() : Id.substr(0, Dot);
-}
-
-Dialect routedDialect() {
-  Dialect Made = nativeDialect();
-  Made.RoutesByHost = true;
-  Made.KeepsRequestId = true;
-  Made.Headers.RequestId = "Request-Id";
-  Made.Headers.Deadline = "Deadline-Ms";
-  Made.ParentOf = parentOf;
-  return Made;
-}
-
-// An entry node with routes to a service that has no backend server, so that an
-// admitted request ends with NoBackendServer.
-struct LossesAtEntry {
-  LossesAtEntry(WorkloadSetting Setting, bool HasBulkRoute)
-      : Node({.Node = OwnNode,
-              .Deadline = std::chrono::seconds(1),
-              .DeadlineMaximum = std::chrono::seconds(10),
-              .Speaks = &Routed,
-              .WorkloadAware = Setting,
-              .ShedByLosses = true},
-             {.Views = Views,
-              .Overrides = Overrides,
-              .Responses = Responses,
-              .Peers = Peers,
-              .Own = Own,
-              .Counts = Counts}) {
-    policy::Error LastError;
-    const std::string Bulk =
-        HasBulkRoute ? "\n[\"h\",\"/d/\",\"downloads\",\"stock\",true,0,0,1,0,"
-                       "true]"
-                     : "";
-    const auto Change = settings::compareRouting(
-        {}, "{\"version\":1}" + Bulk + "\n[\"h\",\"/r/\",\"r\",\"stock\"]",
-        LastError);
-    ClusterView View;
-    View.Routing = std::make_shared<const RoutingTable>(
-        *withChange({}, Change.value(), LastError));
-    View.Services["stock"] =
-        std::make_shared<const ServiceView>(ServiceView{.Name = "stock"});
-    Views.publish(std::move(View));
-  }
-
-  // Adds a backend server beside the entry node.
-  void attach(std::uint16_t Port) {
-    const LocalBackendState State{.Service = "stock",
-                                  .Version = "1",
-                                  .Address = "127.0.0.1",
-                                  .Port = Port,
-                                  .Slots = 4,
-                                  .Present = true};
-    Backend.update(State);
-    Own.apply(State, now());
-    ClusterView View = *Views.current();
-    View.Services["stock"] = std::make_shared<const ServiceView>(ServiceView{
-        .Name = "stock", .Backends = {{.Node = OwnNode, .Version = "1"}}});
-    Views.publish(std::move(View));
-  }
-
-  struct Ended {
-    std::optional<ErrorKind> Kind;
-    std::optional<policy::Duration> RetryAfter;
-  };
-
-  Ended ask(const std::string &Id) {
-    HttpRequest Request;
-    Request.Method = "GET";
-    Request.Target = "/r/";
-    Request.Headers = {
-        {"Host", "h"}, {"Request-Id", Id}, {"Deadline-Ms", "2500"}};
-    policy::Error LastError;
-    EntryCall Call(
-        Node, parseCall(Node, std::move(Request), now(), LastError).value());
-    const CallResponse Response = Call.run();
-    return {.Kind = Response.Kind, .RetryAfter = Call.retryAfter()};
-  }
+struct LossesAtEntry : test::RoutedEntry {
+  using RoutedEntry::RoutedEntry;
 
   // Lets the node learn that all runs of the route lose a nested call.
   void reportLosses() {
@@ -112,17 +27,6 @@
   [[nodiscard]] std::uint64_t shedSoFar() const {
     return Node.Gate.state().Routes.at({"r", 1}).Shed;
   }
-
-  static constexpr policy::NodeId OwnNode = 9;
-  const Dialect Routed = routedDialect();
-  ViewHolder Views;
-  ShareOverrides Overrides;
-  ResponseRecorder Responses;
-  PeerPool Peers{{}};
-  LocalBackend Backend;
-  Metrics Counts;
-  Sidecar Own{{.Speaks = &Routed}, Backend, Counts};
-  Entry Node;
 };
 
 // Guards against an entry node that ignores the losses which it is told of, and
