Accept nested calls only from the host of the backend server

A request whose id named a running request ran without a key. A caller of a public route could use the id of its own request to reach private routes.

With organisations configured, a request is now a nested call only if its connection comes from a loopback address, an address of the node or that of the backend server. From elsewhere its id is an ordinary one, and a warning is logged. The address is read once per connection and kept with each request. /-/backend uses the same check of the address. Without organisations nothing changes.

RunningRequests::begin returns a handle, so the end of a request removes its own entry and not that of another one with the same id.

startLog starts the rate limits of the log anew.

--- a/packages/daemon/src/daemon/entry/caller_connection.cpp
+++ b/packages/daemon/src/daemon/entry/caller_connection.cpp
@@ -39,7 +39,8 @@
 } // namespace
 
 CallerConnection::CallerConnection(HttpServiceState &Service, Session &Accepted)
-    : Service(Service), Accepted(Accepted), Limits(Service.Options.Pipeline),
+    : Service(Service), Accepted(Accepted),
+      Remote(remoteAddress(Accepted.fd())), Limits(Service.Options.Pipeline),
       Current(Service.currentOptions()),
       Reader(HttpReader::Kind::Request, Current.Limits, Service.Options.Memory),
       EmptyUntil(now()) {
@@ -128,6 +129,7 @@
   Added.Request = Reader.takeRequest();
   Reader.begin();
   Added.Request.Arrived = Added.Arrived = ReadAt;
+  Added.Request.RemoteAddress = Remote;
   Added.Method = Added.Request.Method;
   const bool Closes = !Added.Request.KeepAlive;
   State.Requests.push_back(
--- a/packages/daemon/src/daemon/entry/caller_connection.h
+++ b/packages/daemon/src/daemon/entry/caller_connection.h
@@ -71,6 +71,8 @@
 
   HttpServiceState &Service;
   Session &Accepted;
+  // Address of the caller.
+  const std::string Remote;
   policy::PipelineLimits Limits;
   HttpServiceOptions Current;
   HttpReader Reader;
--- a/packages/daemon/src/daemon/entry/caller_watch.h
+++ b/packages/daemon/src/daemon/entry/caller_watch.h
@@ -18,8 +18,6 @@
   CallerWatch &operator=(const CallerWatch &) = delete;
   virtual ~CallerWatch() = default;
 
-  // Descriptor of the caller's connection.
-  [[nodiscard]] virtual int fd() const = 0;
   // Descriptor, which may be negative, and events to include in a wait.
   [[nodiscard]] virtual pollfd entry() const = 0;
   // Signal that ends a wait on a fiber.
--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -32,6 +32,9 @@
   std::uint32_t Hops = 17;
   // Null selects the native dialect.
   const Dialect *Speaks = nullptr;
+  // Addresses of this node for peers and for callers.
+  std::string Address;
+  std::string CallerAddress;
   // Service of the local backend server, as named in the settings.
   std::string LocalService;
   // Whether the entry node admits requests by the losses of nested calls.
--- a/packages/daemon/src/daemon/entry/http_service.cpp
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -53,7 +53,7 @@
                          HttpRequest Request, CallerWatch &From) {
   const Dialect &Speaks = Owner.dialect();
   if (!Speaks.RoutesByHost && isLocal(Request)) {
-    return answerLocal(Local, Request, remoteAddress(From.fd()));
+    return answerLocal(Local, Request);
   }
   Metrics &Counts = Owner.Use.Counts;
   Counts.count(Counter::Requests);
--- a/packages/daemon/src/daemon/entry/local_endpoints.cpp
+++ b/packages/daemon/src/daemon/entry/local_endpoints.cpp
@@ -1,5 +1,6 @@
 #include "daemon/entry/local_endpoints.h"
 
+#include "daemon/entry/own_host.h"
 #include "daemon/entry/parse_call.h"
 #include "policy/core/parse_json.h"
 
@@ -82,8 +83,8 @@
 }
 
 HttpResponse announce(const LocalEndpoints &Endpoints,
-                      const HttpRequest &Request, const std::string &Remote) {
-  if (Remote != Endpoints.OwnAddress && !Remote.starts_with("127.")) {
+                      const HttpRequest &Request) {
+  if (!isOwnHost(Request.RemoteAddress, {Endpoints.OwnAddress})) {
     return badRequest("only the local backend server may announce itself");
   }
   LocalBackendState Known = Endpoints.Backend.state();
@@ -93,7 +94,7 @@
     return text(200, "application/json", "{}");
   }
   if (Known.Address.empty()) {
-    Known.Address = Remote;
+    Known.Address = Request.RemoteAddress;
   }
   const auto State = readAnnouncement(Request.Body, std::move(Known));
   if (!State) {
@@ -108,12 +109,11 @@
 } // namespace
 
 HttpResponse answerLocal(const LocalEndpoints &Endpoints,
-                         const HttpRequest &Request,
-                         const std::string &RemoteAddress) {
+                         const HttpRequest &Request) {
   const std::string Path = Request.Target.substr(0, Request.Target.find('?'));
   if (Path == "/-/backend" &&
       (Request.Method == "POST" || Request.Method == "DELETE")) {
-    return announce(Endpoints, Request, RemoteAddress);
+    return announce(Endpoints, Request);
   }
   if (Request.Method != "GET") {
     return badRequest("the node has no such endpoint");
--- a/packages/daemon/src/daemon/entry/local_endpoints.h
+++ b/packages/daemon/src/daemon/entry/local_endpoints.h
@@ -24,10 +24,9 @@
   std::function<std::string(const WhereQuery &)> Where = {};
 };
 
-// Responds to a request from the given address to the node itself.
+// Responds to a request to the node itself.
 [[nodiscard]] HttpResponse answerLocal(const LocalEndpoints &Endpoints,
-                                       const HttpRequest &Request,
-                                       const std::string &RemoteAddress);
+                                       const HttpRequest &Request);
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -1,6 +1,7 @@
 #include "daemon/entry/parse_call.h"
 
 #include "daemon/entry/call_identity.h"
+#include "daemon/entry/own_host.h"
 #include "daemon/log/log.h"
 #include "policy/chain/chain_headers.h"
 #include "policy/overload/return_delay.h"
@@ -128,14 +129,39 @@
   Call.Request.Share = std::move(Request.Share);
 }
 
+// Returns whether a request from the address may be a nested call. Callers
+// choose request ids, so an id must not replace a key unless the connection
+// comes from the host of the local backend server.
+bool mayBeNested(const Entry &Owner, const RoutingTable &Routing,
+                 std::string_view RemoteAddress) {
+  if (Routing.Organisations->Organisations.empty()) {
+    return true;
+  }
+  const EntryOptions &Options = Owner.Options;
+  return isOwnHost(RemoteAddress, {Options.Address, Options.CallerAddress,
+                                   Owner.Use.Own.backendAddress()});
+}
+
 // Returns the request that the local backend server is running and on whose
 // behalf it makes the call, or nothing.
-std::optional<RunningRequest> parentOf(Entry &Owner, const Dialect &Speaks,
+std::optional<RunningRequest> parentOf(Entry &Owner,
+                                       const RoutingTable &Routing,
                                        const HttpRequest &Request) {
+  const Dialect &Speaks = Owner.dialect();
   const std::string *Id = findHeader(Request.Headers, Speaks.Headers.RequestId);
-  const std::string_view Parent =
+  const std::string_view ParentId =
       Id && Speaks.ParentOf ? Speaks.ParentOf(*Id) : std::string_view();
-  return Parent.empty() ? std::nullopt : Owner.Use.Own.running().find(Parent);
+  if (ParentId.empty()) {
+    return std::nullopt;
+  }
+  auto Parent = Owner.Use.Own.running().find(ParentId);
+  if (Parent && !mayBeNested(Owner, Routing, Request.RemoteAddress)) {
+    log(LogLevel::Warning, "nested call from another host",
+        {{"request", std::string_view(*Id)},
+         {"address", std::string_view(Request.RemoteAddress)}});
+    return std::nullopt;
+  }
+  return Parent;
 }
 
 // The version tells a node whose table is outdated from a route that no table
@@ -173,7 +199,7 @@
                  "no route matches the host and path"};
     return std::nullopt;
   }
-  const auto Parent = parentOf(Owner, Speaks, Request);
+  const auto Parent = parentOf(Owner, *View->Routing, Request);
   auto Identity = identify(Speaks, *View, *Route, Request, Parent, LastError);
   if (!Identity) {
     return std::nullopt;
--- a/packages/daemon/src/daemon/entry/pipelined_exchange.cpp
+++ b/packages/daemon/src/daemon/entry/pipelined_exchange.cpp
@@ -4,12 +4,12 @@
 
 namespace magnolia::daemon {
 
-int PipelinedExchange::fd() const { return Owner.Accepted.fd(); }
-
 pollfd PipelinedExchange::entry() const {
   const short Events =
       OnOwnFiber || Cancelled ? short{0} : Owner.wantedEvents();
-  return {.fd = Events == 0 ? -1 : fd(), .events = Events, .revents = 0};
+  return {.fd = Events == 0 ? -1 : Owner.Accepted.fd(),
+          .events = Events,
+          .revents = 0};
 }
 
 void PipelinedExchange::afterWait(short Seen, policy::TimePoint Now) {
--- a/packages/daemon/src/daemon/entry/pipelined_exchange.h
+++ b/packages/daemon/src/daemon/entry/pipelined_exchange.h
@@ -17,7 +17,6 @@
 public:
   explicit PipelinedExchange(CallerConnection &Owner) : Owner(Owner) {}
 
-  [[nodiscard]] int fd() const override;
   [[nodiscard]] pollfd entry() const override;
   [[nodiscard]] FiberSignal *signal() override { return &Cancel; }
   void afterWait(short Seen, policy::TimePoint Now) override;
--- a/packages/daemon/src/daemon/http/message.h
+++ b/packages/daemon/src/daemon/http/message.h
@@ -37,6 +37,9 @@
   bool KeepAlive = true;
   // Time from which the time budget of the request counts.
   policy::TimePoint Arrived{};
+  // Numeric address of the other side of the connection; empty if it is not
+  // known.
+  std::string RemoteAddress;
 };
 
 struct HttpResponse {
--- a/packages/daemon/src/daemon/log/log.cpp
+++ b/packages/daemon/src/daemon/log/log.cpp
@@ -121,6 +121,10 @@
     Created->set_formatter(Format);
     NewSink = Created;
   }
+  {
+    const std::lock_guard Lock(rateLimitMutex());
+    rateLimit() = {};
+  }
   blog::core::get()->remove_all_sinks();
   blog::core::get()->add_sink(NewSink);
   return true;
--- a/packages/daemon/src/daemon/log/log.h
+++ b/packages/daemon/src/daemon/log/log.h
@@ -23,6 +23,7 @@
 // Writes lines of the level and above to a file, or to the standard output if
 // the path is empty. Returns false if the file cannot be opened. Writing to the
 // standard output never blocks: lines are dropped if the reader is too slow.
+// The rate limits start anew.
 [[nodiscard]] bool startLog(LogLevel Lowest, const std::string &File);
 
 void setLogLevel(LogLevel Lowest);
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -5,7 +5,6 @@
 #include "daemon/entry/parse_call.h"
 #include "daemon/log/log.h"
 #include "daemon/net/clock.h"
-#include "daemon/net/socket.h"
 #include "policy/overload/late_request.h"
 #include "settings/record/backend_record.h"
 #include "settings/record/record_key.h"
@@ -156,8 +155,8 @@
   const auto Readiness = [this](const HttpRequest &Request, CallerWatch &) {
     return readinessResponse(Request);
   };
-  const auto Local = [this](const HttpRequest &Request, CallerWatch &From) {
-    return answerLocal(Endpoints, Request, remoteAddress(From.fd()));
+  const auto Local = [this](const HttpRequest &Request, CallerWatch &) {
+    return answerLocal(Endpoints, Request);
   };
   return startAuxiliaryServer(Settings.Announcements, Report, LastError) &&
          startAuxiliaryServer(Settings.Readiness, Readiness, LastError) &&
--- a/packages/daemon/src/daemon/sidecar/running_requests.cpp
+++ b/packages/daemon/src/daemon/sidecar/running_requests.cpp
@@ -7,23 +7,20 @@
 
 namespace magnolia::daemon {
 
-void RunningRequests::begin(const std::string &Id, RunningRequest Started) {
+RunningRequests::Handle RunningRequests::begin(const std::string &Id,
+                                               RunningRequest Started) {
   const std::lock_guard Lock(Mutex);
-  Requests.emplace(Id, std::move(Started));
+  return Handle(Requests.emplace(Id, std::move(Started)));
 }
 
-void RunningRequests::end(std::string_view Id, std::optional<bool> Failed,
+void RunningRequests::end(Handle Ended, std::optional<bool> Failed,
                           policy::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
-  const auto Found = Requests.find(Id);
-  if (Found == Requests.end()) {
-    return;
-  }
-  const RunningRequest &Ended = Found->second;
+  const RunningRequest &Request = Ended.Place->second;
   if (Failed && Counting) {
-    policy::countRun(Losses, Ended.Route, *Failed && Ended.LostCall, Now);
+    policy::countRun(Losses, Request.Route, *Failed && Request.LostCall, Now);
   }
-  Requests.erase(Found);
+  Requests.erase(Ended.Place);
 }
 
 bool RunningRequests::markLostCall(std::string_view Id) {
--- a/packages/daemon/src/daemon/sidecar/running_requests.h
+++ b/packages/daemon/src/daemon/sidecar/running_requests.h
@@ -18,12 +18,21 @@
 // Requests that the local backend server is running, by the request ids that
 // callers set. Callers may send one id more than once.
 class RunningRequests {
+  using Entries = std::multimap<std::string, RunningRequest, std::less<>>;
+
 public:
-  void begin(const std::string &Id, RunningRequest Started);
-  // Ends one request with the id. Failed is true if it did not succeed, nothing
-  // if it has not run; a run is counted for its route.
-  void end(std::string_view Id, std::optional<bool> Failed,
-           policy::TimePoint Now);
+  // One running request, also among others with the same id. It is valid until
+  // the request ends.
+  class Handle {
+    friend class RunningRequests;
+    explicit Handle(Entries::iterator Place) : Place(Place) {}
+    Entries::iterator Place;
+  };
+
+  [[nodiscard]] Handle begin(const std::string &Id, RunningRequest Started);
+  // Ends the request. Failed is true if it did not succeed, nothing if it has
+  // not run; a run is counted for its route.
+  void end(Handle Ended, std::optional<bool> Failed, policy::TimePoint Now);
 
   // Records that a nested call of the requests with the id was rejected.
   // Returns false if none runs.
@@ -42,7 +51,7 @@
 
 private:
   mutable std::mutex Mutex;
-  std::multimap<std::string, RunningRequest, std::less<>> Requests;
+  Entries Requests;
   policy::RouteLossWindow Losses;
   std::atomic<bool> Counting = false;
 };
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -168,6 +168,10 @@
   [[nodiscard]] std::string instance() const {
     return Backend.state().Instance;
   }
+  // Returns the address of the backend server, or an empty string.
+  [[nodiscard]] std::string backendAddress() const {
+    return Backend.state().Address;
+  }
   // Handles a different backend server at the address. It receives no requests
   // until it has announced itself.
   void onOtherInstance();
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -220,13 +220,12 @@
   Head = requestHead(backendRequest(Now), Request.Service, Request.Body.size());
   HeadLeft = Head;
   BodyLeft = Request.Body;
-  if (!Registered) {
-    Registered = true;
-    Owner.running().begin(SentId,
-                          {.Organisation = Request.Organisation,
-                           .Priority = Request.Priority,
-                           .Route = Request.Route,
-                           .Repeat = Request.Repeat || Request.OfRepeat});
+  if (!Listed) {
+    Listed = Owner.running().begin(
+        SentId, {.Organisation = Request.Organisation,
+                 .Priority = Request.Priority,
+                 .Route = Request.Route,
+                 .Repeat = Request.Repeat || Request.OfRepeat});
   }
   sendMore();
 }
@@ -314,8 +313,9 @@
 void SidecarCall::finish(CallResponse Ended) {
   Step = Stage::Done;
   const policy::TimePoint Now = now();
-  if (Registered) {
-    Owner.running().end(SentId, failedRun(Ended), Now);
+  if (Listed) {
+    Owner.running().end(*Listed, failedRun(Ended), Now);
+    Listed.reset();
   }
   Result = std::move(Ended);
   const policy::RouteCounts Runs = Owner.running().counts(Request.Route, Now);
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -105,8 +106,8 @@
   bool ReceivedBytes = false;
   // Responses to other requests that were skipped.
   int ExtraResponses = 0;
-  // True once the request is listed among the running requests.
-  bool Registered = false;
+  // Set while the request is listed among the running requests.
+  std::optional<RunningRequests::Handle> Listed;
   // Window in which the run is counted.
   policy::UsageWindow RunWindow = 0;
   policy::TimePoint Arrived{};
--- a/packages/daemon/test/daemon/entry/call_identity.cpp
+++ b/packages/daemon/test/daemon/entry/call_identity.cpp
@@ -71,8 +71,10 @@
     Views.publish(std::move(View));
   }
 
-  static HttpRequest request(const std::string &Path, HttpHeaders Headers) {
+  static HttpRequest request(const std::string &Path, HttpHeaders Headers,
+                             const std::string &From = "127.0.0.1") {
     HttpRequest Request;
+    Request.RemoteAddress = From;
     Request.Method = "GET";
     Request.Target = Path;
     Request.Headers = std::move(Headers);
@@ -80,9 +82,11 @@
     return Request;
   }
 
-  std::optional<EntryCall::Parameters> parse(const std::string &Path,
-                                             HttpHeaders Headers) {
-    return parseCall(Node, request(Path, std::move(Headers)), now(), LastError);
+  std::optional<EntryCall::Parameters>
+  parse(const std::string &Path, HttpHeaders Headers,
+        const std::string &From = "127.0.0.1") {
+    return parseCall(Node, request(Path, std::move(Headers), From), now(),
+                     LastError);
   }
 
   Dialect Routed = nativeDialect();
@@ -97,7 +101,9 @@
   Entry Node{{.Node = 1,
               .Deadline = std::chrono::seconds(1),
               .DeadlineMaximum = std::chrono::seconds(1),
-              .Speaks = &Routed},
+              .Speaks = &Routed,
+              .Address = "10.0.0.5",
+              .CallerAddress = "10.0.0.6"},
              {.Views = Views,
               .Overrides = Overrides,
               .Responses = Responses,
@@ -137,15 +143,17 @@
 }
 
 // Guards against a deployment without organisations in which a header is
-// removed, or a nested call loses its place in front of all others.
+// removed, or a nested call loses its place in front of all others, also if it
+// comes from another host.
 TEST_F(KeyedCall, WithoutOrganisationsRequestsStayAsTheyAre) {
   publish(Routes);
-  Own.running().begin("p", {.Priority = 3});
+  (void)Own.running().begin("p", {.Priority = 3});
   for (const char *Path : {"/a", "/public/a"}) {
     for (const char *Id : {"q", "p.1"}) {
       const bool Nested = std::string_view(Id) == "p.1";
       const auto Call =
-          parse(Path, {{"Id", Id}, {"Key", "Secret wrong"}, {"Org", "x"}});
+          parse(Path, {{"Id", Id}, {"Key", "Secret wrong"}, {"Org", "x"}},
+                "10.0.0.8");
       ASSERT_TRUE(Call) << LastError.Detail;
       EXPECT_EQ(Call->Request.Organisation, "");
       EXPECT_EQ(headerOf(*Call, "Org"), "x");
@@ -162,7 +170,8 @@
 // against a caller that gets in by the id of a request that does not run here.
 TEST_F(KeyedCall, NestedCallInheritsFromWhatRunsHere) {
   publish(std::string(Routes) + Organisations);
-  Own.running().begin("p", {.Organisation = "org-b", .Priority = 1});
+  const auto Parent =
+      Own.running().begin("p", {.Organisation = "org-b", .Priority = 1});
   const auto Nested =
       parse("/a", {{"Id", "p.1"}, {"Org", "org-a"}, {"Key", "Secret key-a"}});
   ASSERT_TRUE(Nested) << LastError.Detail;
@@ -173,10 +182,37 @@
   EXPECT_EQ(headerOf(*Nested, "Key"), "-");
   EXPECT_FALSE(parse("/a", {{"Id", "other.1"}}));
   EXPECT_EQ(LastError.Kind, ErrorKind::Unauthorized);
-  Own.running().end("p", std::nullopt, {});
+  Own.running().end(Parent, std::nullopt, {});
   EXPECT_FALSE(parse("/a", {{"Id", "p.1"}}));
 }
 
+// Guards against a caller that reaches private routes without a key by the id
+// of its own request to a public route, and against a backend server whose
+// nested calls are rejected because of the address that it calls from.
+TEST_F(KeyedCall, OnlyTheHostOfTheBackendServerMakesNestedCalls) {
+  Backend.update({.Service = "stock", .Address = "10.0.0.7"});
+  publish(std::string(Routes) + Organisations);
+  (void)Own.running().begin("p", {.Priority = 2});
+  for (const char *From :
+       {"127.0.0.1", "127.9.9.9", "10.0.0.5", "10.0.0.6", "10.0.0.7"}) {
+    const auto Call = parse("/a", {{"Id", "p.1"}}, From);
+    ASSERT_TRUE(Call) << From << ": " << LastError.Detail;
+    EXPECT_TRUE(Call->Request.Nested) << From;
+  }
+  for (const char *From : {"10.0.0.8", "10.0.0.55", "12.7.0.1", ""}) {
+    EXPECT_FALSE(parse("/a", {{"Id", "p.1"}}, From)) << From;
+    EXPECT_EQ(LastError.Kind, ErrorKind::Unauthorized) << From;
+    const auto Keyed =
+        parse("/a", {{"Id", "p.1"}, {"Key", "Secret key-a"}}, From);
+    ASSERT_TRUE(Keyed) << From << ": " << LastError.Detail;
+    EXPECT_EQ(Keyed->Request.Organisation, "org-a") << From;
+    const auto Open = parse("/public/a", {{"Id", "p.1"}}, From);
+    ASSERT_TRUE(Open) << From << ": " << LastError.Detail;
+    EXPECT_EQ(Open->Request.Priority, 2U) << From;
+    EXPECT_FALSE(Keyed->Request.Nested || Open->Request.Nested) << From;
+  }
+}
+
 // Guards against a request that is served without a valid key, a final 401 from
 // a node that does not know the newest keys, and a key in the log or a
 // response.
@@ -210,8 +246,6 @@
   std::ifstream Written(File);
   std::stringstream Text;
   Text << Written.rdbuf();
-  // The rate limit of the log admits these lines once per run of the program,
-  // not with --gtest_repeat.
   EXPECT_NE(Text.str().find("request without a valid key"), std::string::npos);
   EXPECT_EQ(Text.str().find("hidden-key"), std::string::npos);
   EXPECT_EQ(Text.str().find("key-a"), std::string::npos);
--- a/packages/daemon/test/daemon/entry/entry_call_losses.cpp
+++ b/packages/daemon/test/daemon/entry/entry_call_losses.cpp
@@ -161,7 +161,7 @@
 TEST(EntryCallLosses, LostNestedCallIsRecordedAtItsParent) {
   LossesAtEntry Entry(WorkloadSetting::On, false);
   Entry.reportLosses();
-  Entry.Own.running().begin("p", {.Route = "r"});
+  (void)Entry.Own.running().begin("p", {.Route = "r"});
   for (int I = 0; I < 20; ++I) {
     const auto Result = Entry.ask("p.1");
     EXPECT_EQ(Result.Kind, ErrorKind::NoBackendServer);
@@ -177,7 +177,7 @@
   LossesAtEntry Off(WorkloadSetting::Off, true);
   LossesAtEntry WithoutBulk(WorkloadSetting::Auto, false);
   for (LossesAtEntry *const Entry : {&Off, &WithoutBulk}) {
-    Entry->Own.running().begin("p", {.Route = "r"});
+    (void)Entry->Own.running().begin("p", {.Route = "r"});
     Entry->reportLosses();
     const std::uint64_t Shed = Entry->shedSoFar();
     for (int I = 0; I < 50; ++I) {
--- a/packages/daemon/test/daemon/entry/http_service.cpp
+++ b/packages/daemon/test/daemon/entry/http_service.cpp
@@ -283,5 +283,17 @@
   EXPECT_GE(Test.Handled[1].Arrived, Sent);
 }
 
+// Guards against a request whose origin is unknown, so that a nested call of
+// the local backend server is rejected.
+TEST(HttpService, EachRequestOfAConnectionHasItsAddress) {
+  RecordingServer Test;
+  (void)Test.exchange(get("/a") + get("/last"));
+  const std::lock_guard Lock(Test.Mutex);
+  ASSERT_EQ(Test.Handled.size(), 2U);
+  for (const HttpRequest &Request : Test.Handled) {
+    EXPECT_EQ(Request.RemoteAddress, "127.0.0.1") << Request.Target;
+  }
+}
+
 } // namespace
 } // namespace magnolia::daemon
--- a/packages/daemon/test/daemon/sidecar/running_requests.cpp
+++ b/packages/daemon/test/daemon/sidecar/running_requests.cpp
@@ -66,5 +66,21 @@
   EXPECT_EQ(countsIn(runOne(true, "500 Internal")), RouteCounts{});
 }
 
+// Guards against nested calls that inherit from a request which has ended,
+// because another request with the same id was removed in its place.
+TEST(RunningRequests, EndRemovesOnlyItsOwnEntry) {
+  for (const bool NewerEnds : {true, false}) {
+    RunningRequests Running;
+    const auto Older = Running.begin("p", {.Organisation = "org-a"});
+    const auto Newer = Running.begin("p", {.Organisation = "org-b"});
+    Running.end(NewerEnds ? Newer : Older, std::nullopt, {});
+    const auto Left = Running.find("p");
+    ASSERT_TRUE(Left);
+    EXPECT_EQ(Left->Organisation, NewerEnds ? "org-a" : "org-b");
+    Running.end(NewerEnds ? Older : Newer, std::nullopt, {});
+    EXPECT_FALSE(Running.has("p"));
+  }
+}
+
 } // namespace
 } // namespace magnolia::daemon
--- a/packages/daemon/test/daemon/support/socket_watch.h
+++ b/packages/daemon/test/daemon/support/socket_watch.h
@@ -11,7 +11,6 @@
 public:
   explicit SocketWatch(int Socket = -1) : Socket(Socket) {}
 
-  [[nodiscard]] int fd() const override { return Socket; }
   [[nodiscard]] pollfd entry() const override {
     return {.fd = Socket, .events = POLLRDHUP, .revents = 0};
   }
