Support long windows in the usage report

The holder wrote its record, and thereby renewed its right to send, only at the end of a window. With windows of a minute, a report that the receiver did not accept within 2 s waited for the next window. The holder now writes its record again two leases after the last write while a report is pending. A claim of another node takes less time than that, so the holder can still be replaced.

Clock samples were outdated after 10 s. With an interval of a fifth of a window between messages, most samples were missing with windows of 100 s, so the true time was never known. Samples now last four intervals if that is longer.

countRun returned window 0 for a run from before the first true time, and uncountRun ignored it, so a run that the backend server refused was reported. The window is now optional, and such a run is taken back.

--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -108,8 +108,8 @@
   int ExtraResponses = 0;
   // Set while the request is listed among the running requests.
   std::optional<RunningRequests::Handle> Listed;
-  // Window in which the run is counted.
-  policy::UsageWindow RunWindow = 0;
+  // Window in which the run is counted; empty if none was known.
+  std::optional<policy::UsageWindow> RunWindow;
   policy::TimePoint Arrived{};
   policy::TimePoint Sent{};
   CallResponse Result;
--- a/packages/daemon/src/daemon/usage/run_counter.cpp
+++ b/packages/daemon/src/daemon/usage/run_counter.cpp
@@ -5,9 +5,10 @@
 
 namespace magnolia::daemon {
 
-policy::UsageWindow RunCounter::count(std::string_view Organisation) {
+std::optional<policy::UsageWindow>
+RunCounter::count(std::string_view Organisation) {
   if (Organisation.empty()) {
-    return 0;
+    return std::nullopt;
   }
   const policy::TimePoint Now = bootNow();
   const std::lock_guard Lock(Mutex);
@@ -15,7 +16,7 @@
 }
 
 void RunCounter::uncount(std::string_view Organisation,
-                         policy::UsageWindow Window) {
+                         std::optional<policy::UsageWindow> Window) {
   const std::lock_guard Lock(Mutex);
   policy::uncountRun(State, Organisation, Window);
 }
--- a/packages/daemon/src/daemon/usage/run_counter.h
+++ b/packages/daemon/src/daemon/usage/run_counter.h
@@ -6,6 +6,7 @@
 #include "policy/usage/usage_options.h"
 
 #include <mutex>
+#include <optional>
 #include <string_view>
 
 namespace magnolia::daemon {
@@ -17,8 +18,9 @@
   explicit RunCounter(const policy::UsageOptions &Times) : Times(Times) {}
 
   // Returns the window in which the run counts; see policy::countRun.
-  policy::UsageWindow count(std::string_view Organisation);
-  void uncount(std::string_view Organisation, policy::UsageWindow Window);
+  std::optional<policy::UsageWindow> count(std::string_view Organisation);
+  void uncount(std::string_view Organisation,
+               std::optional<policy::UsageWindow> Window);
 
   void onNewIncarnation();
   void setTrueTime(policy::TimePoint True, policy::TimePoint Now);
--- a/packages/daemon/src/daemon/usage/usage_runner.cpp
+++ b/packages/daemon/src/daemon/usage/usage_runner.cpp
@@ -118,7 +118,8 @@
       sendTo(Collector, Now);
       continue;
     }
-    if (const auto True = policy::trueTime(Samples, liveMembers(), Now)) {
+    if (const auto True =
+            policy::trueTime(Samples, liveMembers(), Now, Setup.Times)) {
       Deps.Runs.setTrueTime(*True, Now);
     }
     policy::UsageMessage Message = Deps.Runs.messageFor(Self, Now);
@@ -177,7 +178,8 @@
                       Request.duty().holds(), Now);
   Answer.set_incarnation(Deps.Membership.self().Run);
   Answer.set_closed(Message.Closed);
-  if (const auto True = policy::trueTime(Samples, liveMembers(), Now)) {
+  if (const auto True =
+          policy::trueTime(Samples, liveMembers(), Now, Setup.Times)) {
     Answer.set_true_us(std::chrono::duration_cast<std::chrono::microseconds>(
                            True->time_since_epoch())
                            .count());
@@ -208,7 +210,7 @@
   }
   const policy::DutyInput Input{
       .Now = Now,
-      .True = policy::trueTime(Samples, liveMembers(), Now),
+      .True = policy::trueTime(Samples, liveMembers(), Now, Setup.Times),
       .Self = Self,
       .Run = Deps.Membership.self().Run,
       .Name = Name,
--- a/packages/daemon/src/daemon/usage/usage_runner_actions.cpp
+++ b/packages/daemon/src/daemon/usage/usage_runner_actions.cpp
@@ -183,7 +183,8 @@
 }
 
 std::uint64_t UsageRunner::ageMs(policy::UsageWindow Window) {
-  const auto True = policy::trueTime(Samples, liveMembers(), Time.Boot());
+  const auto True =
+      policy::trueTime(Samples, liveMembers(), Time.Boot(), Setup.Times);
   const policy::Duration Age =
       True.value_or(Time.Wall()) - policy::endOf(Window, Setup.Times.Window);
   return static_cast<std::uint64_t>(std::max<std::int64_t>(
--- a/packages/policy/src/policy/usage/count_runs.cpp
+++ b/packages/policy/src/policy/usage/count_runs.cpp
@@ -25,6 +25,13 @@
                   State.Closed + 1);
 }
 
+void decrement(OrganisationCounts &Counts, std::string_view Organisation) {
+  const auto Found = Counts.find(Organisation);
+  if (Found != Counts.end() && Found->second > 0) {
+    --Found->second;
+  }
+}
+
 void dropOldWindows(RunCounts &State) {
   while (State.Windows.size() > MaxKeptWindows) {
     State.Dropped += sumOf(State.Windows.begin()->second);
@@ -49,18 +56,20 @@
 
 } // namespace
 
-UsageWindow countRun(RunCounts &State, std::string_view Organisation,
-                     TimePoint Now, const UsageOptions &Options) {
+std::optional<UsageWindow> countRun(RunCounts &State,
+                                    std::string_view Organisation,
+                                    TimePoint Now,
+                                    const UsageOptions &Options) {
   if (Organisation.empty()) {
-    return 0;
+    return std::nullopt;
   }
   if (!State.Offset && State.Unplaced.empty()) {
     State.UnplacedSince = Now;
   }
-  const UsageWindow Window =
-      State.Offset ? currentWindow(State, Now, Options) : 0;
-  OrganisationCounts &Counts =
-      State.Offset ? State.Windows[Window] : State.Unplaced;
+  const auto Window = State.Offset
+                          ? std::optional(currentWindow(State, Now, Options))
+                          : std::nullopt;
+  OrganisationCounts &Counts = Window ? State.Windows[*Window] : State.Unplaced;
   const auto Found = Counts.find(Organisation);
   if (Found != Counts.end()) {
     ++Found->second;
@@ -74,14 +83,14 @@
 }
 
 void uncountRun(RunCounts &State, std::string_view Organisation,
-                UsageWindow Window) {
-  const auto Counts = State.Windows.find(Window);
-  if (Window <= State.Closed || Counts == State.Windows.end()) {
+                std::optional<UsageWindow> Window) {
+  if (!Window) {
+    decrement(State.Unplaced, Organisation);
     return;
   }
-  const auto Found = Counts->second.find(Organisation);
-  if (Found != Counts->second.end() && Found->second > 0) {
-    --Found->second;
+  const auto Counts = State.Windows.find(*Window);
+  if (*Window > State.Closed && Counts != State.Windows.end()) {
+    decrement(Counts->second, Organisation);
   }
 }
 
--- a/packages/policy/src/policy/usage/count_runs.h
+++ b/packages/policy/src/policy/usage/count_runs.h
@@ -5,21 +5,25 @@
 #include "policy/usage/usage_message.h"
 #include "policy/usage/usage_options.h"
 
+#include <optional>
 #include <string_view>
 
 namespace magnolia::policy {
 
 // The functions take the time of the node's own clock.
 
-// Counts a run that begins, and returns its window; 0 if it is not known yet. A
-// run without an organisation is not counted.
-UsageWindow countRun(RunCounts &State, std::string_view Organisation,
-                     TimePoint Now, const UsageOptions &Options);
+// Counts a run that begins, and returns its window. Returns nothing while the
+// true time is not known, and for a run without an organisation, which is not
+// counted.
+std::optional<UsageWindow> countRun(RunCounts &State,
+                                    std::string_view Organisation,
+                                    TimePoint Now, const UsageOptions &Options);
 
-// Removes a run that the backend server refused. A window that is closed keeps
-// it.
+// Removes a run that the backend server refused. Window is what countRun
+// returned. A window that is closed keeps the run, as does the window to which
+// the runs from before the first true time have moved.
 void uncountRun(RunCounts &State, std::string_view Organisation,
-                UsageWindow Window);
+                std::optional<UsageWindow> Window);
 
 // Applies the true time that a collector told.
 void setTrueTime(RunCounts &State, TimePoint True, TimePoint Now,
--- a/packages/policy/src/policy/usage/hold_duty.cpp
+++ b/packages/policy/src/policy/usage/hold_duty.cpp
@@ -32,6 +32,13 @@
   return Options.Lease + Options.Lease / 10;
 }
 
+// Time between the starts of two writes after which a pending report makes the
+// holder renew its right to send. It is longer than the wait of a claim, so
+// that a holder that cannot reach the receiver may still be replaced.
+Duration renewInterval(const UsageOptions &Options) {
+  return 2 * Options.Lease;
+}
+
 std::string operationId(DutyState &State, const DutyInput &Input) {
   return std::to_string(Input.Self) + "-" + std::to_string(Input.Run) + "-" +
          std::to_string(++State.Writes);
@@ -162,6 +169,17 @@
   return startWrite(State, std::move(Next), State.HeldRevision, Input);
 }
 
+// Writes the record again if a report is pending and the next window is far
+// away.
+std::optional<DutyAction> nextRenewal(DutyState &State, const DutyInput &Input,
+                                      const UsageOptions &Options) {
+  if (Input.Leaving || !Input.True || State.Held.Pending.empty() ||
+      Input.Now < State.LeaseStart + renewInterval(Options)) {
+    return std::nullopt;
+  }
+  return startWrite(State, State.Held, State.HeldRevision, Input);
+}
+
 // Returns whether this node has to replace the holder now.
 bool mustReplace(DutyState &State, const DutyInput &Input,
                  const UsageOptions &Options) {
@@ -287,8 +305,11 @@
   if (State.Write) {
     return resolveWrite(State, Input.Now);
   }
-  return State.Holding ? nextRecord(State, Input, Options)
-                       : nextClaim(State, Input, Options);
+  if (!State.Holding) {
+    return nextClaim(State, Input, Options);
+  }
+  auto Record = nextRecord(State, Input, Options);
+  return Record ? Record : nextRenewal(State, Input, Options);
 }
 
 void onDutyWritten(DutyState &State, WriteOutcome Outcome,
--- a/packages/policy/src/policy/usage/hold_duty.h
+++ b/packages/policy/src/policy/usage/hold_duty.h
@@ -17,7 +17,8 @@
 // Safety depends on the compare-and-swap and on the rates of the clocks only: a
 // holder sends within the lease after the start of its last write, and another
 // node replaces a record only after it has stayed the same for longer than a
-// lease.
+// lease. While a report is pending, the holder writes its record again two
+// leases after the last write.
 [[nodiscard]] std::optional<DutyAction>
 nextDutyAction(DutyState &State, const DutyInput &Input,
                const UsageOptions &Options);
--- a/packages/policy/src/policy/usage/true_time.cpp
+++ b/packages/policy/src/policy/usage/true_time.cpp
@@ -9,9 +9,14 @@
 namespace {
 
 constexpr std::size_t MaxClocks = 65'536;
-// Two samples are lost before one counts as outdated, with a window of 5 s or
-// less.
-constexpr Duration MaxSampleAge = std::chrono::seconds(10);
+constexpr Duration MinSampleAge = std::chrono::seconds(10);
+
+// Returns the age at which a sample counts as outdated. Two messages may be
+// lost before, and the next one may be late by an interval.
+Duration maxSampleAge(const UsageOptions &Options) {
+  constexpr int Intervals = 4;
+  return std::max(MinSampleAge, Intervals * sendInterval(Options));
+}
 
 } // namespace
 
@@ -23,9 +28,10 @@
 }
 
 std::optional<TimePoint> trueTime(ClockSamples &State, std::size_t LiveMembers,
-                                  TimePoint Now) {
-  std::erase_if(State.Samples, [Now](const auto &Next) {
-    return Next.second.TakenAt < Now - MaxSampleAge;
+                                  TimePoint Now, const UsageOptions &Options) {
+  const TimePoint Oldest = Now - maxSampleAge(Options);
+  std::erase_if(State.Samples, [Oldest](const auto &Next) {
+    return Next.second.TakenAt < Oldest;
   });
   if (State.Samples.empty() || 2 * State.Samples.size() < LiveMembers) {
     return std::nullopt;
--- a/packages/policy/src/policy/usage/true_time.h
+++ b/packages/policy/src/policy/usage/true_time.h
@@ -2,6 +2,7 @@
 #define POLICY_USAGE_TRUE_TIME_H
 
 #include "policy/usage/clock_samples.h"
+#include "policy/usage/usage_options.h"
 
 #include <cstddef>
 #include <optional>
@@ -12,11 +13,13 @@
 // kept.
 void addClock(ClockSamples &State, NodeId Node, TimePoint Wall, TimePoint Now);
 
-// Returns the true time: the median of the wall clocks of the last seconds, so
+// Returns the true time: the median of the wall clocks of the last messages, so
 // that a minority of wrong clocks does not shift it. Returns nothing while
 // fewer than half of the live members are known.
-[[nodiscard]] std::optional<TimePoint>
-trueTime(ClockSamples &State, std::size_t LiveMembers, TimePoint Now);
+[[nodiscard]] std::optional<TimePoint> trueTime(ClockSamples &State,
+                                                std::size_t LiveMembers,
+                                                TimePoint Now,
+                                                const UsageOptions &Options);
 
 } // namespace magnolia::policy
 
--- a/packages/policy/test/policy/usage/count_and_merge.cpp
+++ b/packages/policy/test/policy/usage/count_and_merge.cpp
@@ -73,6 +73,21 @@
   EXPECT_EQ(countsOf(Totals, 100), (OrganisationCounts{{"a", 2}}));
 }
 
+// Guards against a run that is reported although the backend server refused it
+// before the node knew the true time.
+TEST(Uncounting, RefusedRunBeforeTheTrueTimeIsNotReported) {
+  RunCounts Runs;
+  countRun(Runs, "a", Boot, Times);
+  const auto Refused = countRun(Runs, "a", Boot, Times);
+  EXPECT_FALSE(Refused);
+  uncountRun(Runs, "a", Refused);
+  setTrueTime(Runs, WindowStart, Boot, Times);
+  EXPECT_EQ(Runs.Windows.at(100), (OrganisationCounts{{"a", 1}}));
+  // The run has moved to a window, which keeps it.
+  uncountRun(Runs, "a", Refused);
+  EXPECT_EQ(Runs.Windows.at(100), (OrganisationCounts{{"a", 1}}));
+}
+
 // Guards against the loss of what a node counted before it was killed, and
 // against a new incarnation that replaces it.
 TEST_F(Counting, ARestartedNodeAddsToItsFormerCounts) {
@@ -122,14 +137,14 @@
 // clock.
 TEST_F(Counting, RunsBeforeTheFirstTrueTimeAreHeld) {
   Runs = {};
-  EXPECT_EQ(countRun(Runs, "a", Boot, Times), 0U);
+  EXPECT_EQ(countRun(Runs, "a", Boot, Times), std::nullopt);
   setTrueTime(Runs, WindowStart + seconds(1), Boot + seconds(1), Times);
   deliver(seconds(1));
   EXPECT_EQ(countsOf(Totals, 100), (OrganisationCounts{{"a", 1}}));
 }
 
 TEST_F(Counting, ARefusedRunDoesNotCount) {
-  const UsageWindow Window = countRun(Runs, "a", Boot, Times);
+  const auto Window = countRun(Runs, "a", Boot, Times);
   countRun(Runs, "", Boot, Times);
   uncountRun(Runs, "a", Window);
   deliver(seconds(6));
@@ -167,10 +182,22 @@
   for (std::size_t Node = 0; Node < Errors.size(); ++Node) {
     addClock(Clocks, Node + 1, WindowStart + Errors[Node], Boot);
   }
-  EXPECT_EQ(trueTime(Clocks, Errors.size(), Boot + seconds(1)),
+  EXPECT_EQ(trueTime(Clocks, Errors.size(), Boot + seconds(1), Times),
             WindowStart + seconds(1) + milliseconds(1));
-  EXPECT_FALSE(trueTime(Clocks, 2 * Errors.size() + 1, Boot));
-  EXPECT_FALSE(trueTime(Clocks, 1, Boot + seconds(60)));
+  EXPECT_FALSE(trueTime(Clocks, 2 * Errors.size() + 1, Boot, Times));
+  EXPECT_FALSE(trueTime(Clocks, 1, Boot + seconds(60), Times));
+}
+
+// Guards against a fleet with long windows that never knows the true time,
+// because the samples of most members are outdated before the next ones arrive.
+TEST(TrueTime, SamplesOutlastTwoLostMessages) {
+  const UsageOptions Long{.Window = seconds(300)};
+  const Duration Third = 3 * sendInterval(Long);
+  ClockSamples Clocks;
+  addClock(Clocks, 1, WindowStart, Boot);
+  EXPECT_EQ(trueTime(Clocks, 2, Boot + Third + seconds(1), Long),
+            WindowStart + Third + seconds(1));
+  EXPECT_FALSE(trueTime(Clocks, 2, Boot + 2 * Third, Long));
 }
 
 } // namespace
--- a/packages/policy/test/policy/usage/duty_model.cpp
+++ b/packages/policy/test/policy/usage/duty_model.cpp
@@ -146,9 +146,9 @@
 
 void DutyModel::tick(Node &Of, std::size_t Index) {
   const TimePoint True = Now + Of.ClockError;
-  const UsageWindow Window = windowOf(True, Times.Window);
+  const UsageWindow Window = windowOf(True, Options.Times.Window);
   const UsageWindow First =
-      std::max(windowOf(Start, Times.Window), Window - MaxKeptWindows);
+      std::max(windowOf(Start, Options.Times.Window), Window - MaxKeptWindows);
   for (UsageWindow Next = First; Next <= Window; ++Next) {
     // Each node knows other counts.
     Of.Totals.Sums.try_emplace(Next,
@@ -170,7 +170,7 @@
                         .Epoch = Of.NewestEpoch,
                         .Totals = Of.Totals,
                         .Reporting = {}};
-  while (const auto Action = nextDutyAction(Of.State, Input, Times)) {
+  while (const auto Action = nextDutyAction(Of.State, Input, Options.Times)) {
     act(Index, *Action);
   }
 }
@@ -311,7 +311,7 @@
     }
     const auto Before = LastOf.find(Next.Holder);
     if (Last && Last->Holder != Next.Holder && Before != LastOf.end() &&
-        Next.At - Before->second < Times.Lease) {
+        Next.At - Before->second < Options.Times.Lease) {
       return "holders changed back within a lease" + Where;
     }
     LastOf[Next.Holder] = Next.At;
--- a/packages/policy/test/policy/usage/duty_model.h
+++ b/packages/policy/test/policy/usage/duty_model.h
@@ -19,6 +19,7 @@
   Duration Length = std::chrono::seconds(150);
   // Time without faults at the end.
   Duration Calm = std::chrono::seconds(60);
+  UsageOptions Times = {};
 };
 
 // Report as it arrives at the receiver.
@@ -46,8 +47,6 @@
   [[nodiscard]] std::uint64_t holders() const { return Gained; }
   [[nodiscard]] std::uint64_t writes() const { return Writes; }
 
-  static constexpr UsageOptions Times{};
-
 private:
   struct Node {
     NodeId Id = 0;
--- a/packages/policy/test/policy/usage/hold_duty.cpp
+++ b/packages/policy/test/policy/usage/hold_duty.cpp
@@ -8,6 +8,7 @@
 #include <cstdlib>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace magnolia::policy {
 namespace {
@@ -72,9 +73,26 @@
   EXPECT_GT(Holders, static_cast<std::uint64_t>(2 * Seeds));
 }
 
+// Walks the same faults with windows of a minute, in which the holder renews
+// its right to send. Guards against a renewal that breaks one of the rules.
+TEST(HoldDuty, KeepsTheRulesWithRenewals) {
+  constexpr int Seeds = 20;
+  std::uint64_t Holders = 0;
+  for (int Seed = 1; Seed <= Seeds; ++Seed) {
+    test::DutyModel Model({.Seed = static_cast<std::uint64_t>(Seed),
+                           .Length = seconds(600),
+                           .Calm = seconds(150),
+                           .Times = {.Window = seconds(60)}});
+    Model.run();
+    ASSERT_EQ(Model.broken(), "") << "seed " << Seed;
+    Holders += Model.holders();
+  }
+  EXPECT_GT(Holders, static_cast<std::uint64_t>(2 * Seeds));
+}
+
 // A node that became the holder with a report of window 100 in the record.
 struct Holder {
-  Holder() {
+  explicit Holder(const UsageOptions &Given = Times) : Options(Given) {
     Totals.Sums[100] = {{"a", 1}};
     State.HolderHeardAt = Now - seconds(60);
     EXPECT_EQ(next()->Kind, DutyActionKind::Read);
@@ -87,16 +105,17 @@
 
   std::optional<DutyAction> next() {
     const DutyInput Input{.Now = Now,
-                          .True = endOf(100, Times.Window) + milliseconds(10),
+                          .True = endOf(100, Options.Window) + milliseconds(10),
                           .Self = 1,
                           .Run = 1,
                           .Name = "one",
                           .Rank = 0,
                           .HolderLive = true,
                           .Totals = Totals};
-    return nextDutyAction(State, Input, Times);
+    return nextDutyAction(State, Input, Options);
   }
 
+  const UsageOptions Options;
   TimePoint Now{std::chrono::hours(1)};
   UsageTotals Totals;
   DutyState State;
@@ -120,6 +139,47 @@
   EXPECT_FALSE(Node.next());
 }
 
+// Guards against a report that waits for the end of the next window, which may
+// be minutes away, after the receiver was down for a few seconds; and against
+// a holder that nobody can replace, because its record never stays the same for
+// longer than a lease.
+TEST(HoldDuty, RenewsItsRightToSendWhileAReportIsPending) {
+  Holder Node({.Window = seconds(60)});
+  std::vector<TimePoint> Sends;
+  std::vector<TimePoint> Writes;
+  const auto Pass = [&](SendOutcome Answer) {
+    for (int Step = 0; Step < 300; ++Step, Node.Now += milliseconds(100)) {
+      while (const auto Action = Node.next()) {
+        if (Action->Kind == DutyActionKind::Send) {
+          EXPECT_EQ(Action->Report.Window, 100U);
+          EXPECT_EQ(Action->Token, 7U);
+          Sends.push_back(Node.Now);
+          onDutySent(Node.State, 100, Answer, false, Node.Now);
+        } else {
+          ASSERT_EQ(Action->Kind, DutyActionKind::Write);
+          Writes.push_back(Node.Now);
+          onDutyWritten(Node.State, WriteOutcome::Written, 100 + Writes.size(),
+                        Node.Now);
+        }
+      }
+    }
+  };
+  Pass(SendOutcome::Retry);
+  ASSERT_GE(Sends.size(), 2U);
+  EXPECT_GE(Sends.back(), Node.Now - 2 * Times.Lease);
+  for (std::size_t I = 1; I < Sends.size(); ++I) {
+    EXPECT_LE(Sends[I] - Sends[I - 1], 2 * Times.Lease);
+  }
+  ASSERT_GE(Writes.size(), 2U);
+  for (std::size_t I = 1; I < Writes.size(); ++I) {
+    EXPECT_GE(Writes[I] - Writes[I - 1], 2 * Times.Lease);
+  }
+  const std::size_t Before = Writes.size();
+  Pass(SendOutcome::Accepted);
+  EXPECT_EQ(Node.State.Counts.Sent, 1U);
+  EXPECT_LE(Writes.size(), Before + 1);
+}
+
 // Guards against a report that is sent although its record is not known to be
 // in the store, and against a write that is taken for lost although it took
 // effect.
