--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -105,10 +106,10 @@
   bool ReceivedBytes = false;
   // Responses to other requests that were skipped.
   int ExtraResponses = 0;
-  // True once the request is listed among the running requests.
-  bool Registered = false;
-  // Window in which the run is counted.
-  policy::UsageWindow RunWindow = 0;
+  // Set while the request is listed among the running requests.
+  std::optional<RunningRequests::Handle> Listed;
+  // Window in which the run is counted; empty if none was known.
+  std::optional<policy::UsageWindow> RunWindow;
   policy::TimePoint Arrived{};
   policy::TimePoint Sent{};
   CallResponse Result;
