Choose servers for uploads by the use of their links

Cause: uploads of 60 KB stay in their zone while a server in it has a free slot, so the link of a zone's only server (10 Mbit/s) carries up to its capacity. Connections to its node then end after the connect timeout of 250 ms, and the entry nodes try it again and again.

Change: ReceivedBytes counts the bytes of request bodies of the last second, and LoadReport carries them in percent of the link's capacity. For requests with a large body, choose() treats a candidate as full with a probability that rises from 0 at 50 % to 1 at 90 % use; a report older than 1 s counts as 0 %. A candidate also counts as full for 500 ms after a refused or timed-out connection attempt. If only such candidates are left, the choice is as before.

--- a/packages/policy/src/policy/link/fwd.h
+++ b/packages/policy/src/policy/link/fwd.h
@@ -5,6 +5,7 @@
 
 struct LinkOptions;
 struct LinkState;
+struct ReceivedBytes;
 struct TransferQuery;
 
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/load/load_report.h
+++ b/packages/policy/src/policy/load/load_report.h
@@ -18,6 +18,9 @@
   // the usual time; 0 means unknown. If it is known, Latency is normalised to
   // the usual time.
   std::uint32_t WorkTimePercent = 0;
+  // Bytes of request bodies that the node received in the last second, in
+  // percent of the capacity of its link; 0 if the capacity is unknown.
+  std::uint32_t LinkUsePercent = 0;
   // Incarnation of the backend server, so that an entry node detects its
   // restart.
   Incarnation Run = 0;
--- a/packages/policy/src/policy/route/candidate.h
+++ b/packages/policy/src/policy/route/candidate.h
@@ -32,6 +32,9 @@
   // last rejected a request for lack of capacity. It caps a reported limit that
   // is too high and grows with each response. 0 if there is none.
   float ObservedLimit = 0;
+  // Time at which a connection attempt to it was last refused or timed out;
+  // zero if none was.
+  TimePoint ConnectFailedAt{};
   // Start of the ramp of the traffic share; zero if there is no ramp.
   TimePoint RampFrom{};
   HealthState Health;
--- a/packages/policy/src/policy/route/choose.cpp
+++ b/packages/policy/src/policy/route/choose.cpp
@@ -10,10 +10,26 @@
 
 namespace {
 
+// Whether a candidate can take the request, best first.
+enum class Room : std::uint8_t { Free, LinkBusy, Full, ConnectFailed };
+
+// Rules by which a candidate with a free slot counts as full.
+struct Rules {
+  bool LinkUse = false;
+  bool ConnectFailures = false;
+  // Random bits for the rule on the use of the link. They are drawn once, since
+  // a candidate may be looked at several times for one request.
+  std::uint64_t Draw = 0;
+};
+
 struct Pick {
   Candidate *Best = nullptr;
-  internal::Score Score;
+  double Cost = 0;
+  Room Left = Room::Free;
   bool Trial = false;
+  // True if a candidate counted as full by the rule.
+  bool SawLinkBusy = false;
+  bool SawConnectFailed = false;
 };
 
 std::uint64_t mixBits(std::uint64_t Value) {
@@ -49,8 +65,30 @@
           Now >= Server.Health.NextTrialAt + Server.Health.BackOff);
 }
 
+bool isLinkBusy(const RouteState &State, const Candidate &Server,
+                std::uint64_t Draw, TimePoint Now) {
+  const double Share = internal::linkBusyShare(State, Server, Now);
+  return Share > 0 &&
+         toUnitInterval(mixBits(Draw ^ mixBits(Server.Spec.Node))) < Share;
+}
+
+Room roomOf(const RouteState &State, const Candidate &Server, bool Full,
+            const Rules &InEffect, TimePoint Now) {
+  if (InEffect.ConnectFailures &&
+      internal::hasConnectFailed(State, Server, Now)) {
+    return Room::ConnectFailed;
+  }
+  if (Full) {
+    return Room::Full;
+  }
+  return InEffect.LinkUse && isLinkBusy(State, Server, InEffect.Draw, Now)
+             ? Room::LinkBusy
+             : Room::Free;
+}
+
 void evaluate(RouteState &State, std::uint32_t Position,
-              const RouteQuery &Query, TimePoint Now, Pick &Current) {
+              const RouteQuery &Query, const Rules &InEffect, TimePoint Now,
+              Pick &Current) {
   Candidate &Server = State.Candidates[State.Active[Position]];
   if (Current.Trial || Server.Report.Draining ||
       isExcluded(Query, Server.Spec.Node)) {
@@ -59,27 +97,31 @@
   internal::ejectIfOutlier(State, Server, Now);
   if (Server.Health.Phase != HealthPhase::Healthy) {
     if (isTrialAllowed(Server, Query, Now)) {
-      Current = {.Best = &Server, .Score = {}, .Trial = true};
+      Current = {.Best = &Server, .Trial = true};
     }
     return;
   }
   const internal::Score Score = internal::score(State, Server, Now);
+  const Room Left = roomOf(State, Server, Score.Full, InEffect, Now);
+  Current.SawLinkBusy |= Left == Room::LinkBusy;
+  Current.SawConnectFailed |= Left == Room::ConnectFailed;
   const bool Better =
       Current.Best == nullptr ||
-      (Score.Full == Current.Score.Full ? Score.Cost < Current.Score.Cost
-                                        : Current.Score.Full);
+      (Left == Current.Left ? Score.Cost < Current.Cost : Left < Current.Left);
   if (Better) {
-    Current = {.Best = &Server, .Score = Score, .Trial = false};
+    Current.Best = &Server;
+    Current.Cost = Score.Cost;
+    Current.Left = Left;
   }
 }
 
 // Scores Count candidates of Active, beginning at First.
 void evaluateAll(RouteState &State, std::uint32_t First, std::uint32_t Count,
-                 const RouteQuery &Query, TimePoint Now, RandomEngine &Random,
-                 Pick &Current) {
+                 const RouteQuery &Query, const Rules &InEffect, TimePoint Now,
+                 RandomEngine &Random, Pick &Current) {
   const std::uint32_t Start = randomBelow(Count, Random);
   for (std::uint32_t I = 0; I < Count; ++I) {
-    evaluate(State, First + (Start + I) % Count, Query, Now, Current);
+    evaluate(State, First + (Start + I) % Count, Query, InEffect, Now, Current);
   }
 }
 
@@ -87,39 +129,67 @@
 // free slot was found, or until MaxDraws is reached.
 void evaluateSamples(RouteState &State, std::uint32_t First,
                      std::uint32_t Count, const RouteQuery &Query,
-                     TimePoint Now, RandomEngine &Random, Pick &Current) {
+                     const Rules &InEffect, TimePoint Now, RandomEngine &Random,
+                     Pick &Current) {
   for (std::uint32_t Draw = 0; Draw < State.Options.MaxDraws; ++Draw) {
     const bool Enough = Draw >= State.Options.Samples &&
-                        Current.Best != nullptr && !Current.Score.Full;
+                        Current.Best != nullptr && Current.Left == Room::Free;
     if (Enough || Current.Trial) {
       return;
     }
-    evaluate(State, First + randomBelow(Count, Random), Query, Now, Current);
+    evaluate(State, First + randomBelow(Count, Random), Query, InEffect, Now,
+             Current);
   }
 }
 
 // Scores all candidates of a small group and random samples of a large one. The
 // local zone comes first, since a few draws from all zones often miss all of
 // its servers.
-Pick pickLowestCost(RouteState &State, const VersionGroup &Group,
-                    const RouteQuery &Query, TimePoint Now,
-                    RandomEngine &Random) {
+Pick pickByRules(RouteState &State, const VersionGroup &Group,
+                 const RouteQuery &Query, const Rules &InEffect, TimePoint Now,
+                 RandomEngine &Random) {
   Pick Current;
   if (Group.Count <= State.Options.MaxFullScan) {
-    evaluateAll(State, Group.First, Group.Count, Query, Now, Random, Current);
+    evaluateAll(State, Group.First, Group.Count, Query, InEffect, Now, Random,
+                Current);
     return Current;
   }
   if (Group.LocalCount > State.Options.MaxFullScan) {
-    evaluateSamples(State, Group.First, Group.LocalCount, Query, Now, Random,
-                    Current);
+    evaluateSamples(State, Group.First, Group.LocalCount, Query, InEffect, Now,
+                    Random, Current);
   } else if (Group.LocalCount > 0) {
-    evaluateAll(State, Group.First, Group.LocalCount, Query, Now, Random,
-                Current);
+    evaluateAll(State, Group.First, Group.LocalCount, Query, InEffect, Now,
+                Random, Current);
   }
-  evaluateSamples(State, Group.First, Group.Count, Query, Now, Random, Current);
+  evaluateSamples(State, Group.First, Group.Count, Query, InEffect, Now, Random,
+                  Current);
   return Current;
 }
 
+// Chooses without a rule if all candidates count as full and those with a free
+// slot do so by that rule.
+Pick pickLowestCost(RouteState &State, const VersionGroup &Group,
+                    const RouteQuery &Query, TimePoint Now,
+                    RandomEngine &Random) {
+  Rules InEffect{.LinkUse = Query.WorkloadAware && Query.LargeBody,
+                 .ConnectFailures = Query.WorkloadAware};
+  if (InEffect.LinkUse) {
+    InEffect.Draw = Random();
+  }
+  Pick Found = pickByRules(State, Group, Query, InEffect, Now, Random);
+  if (Found.Left == Room::ConnectFailed) {
+    InEffect.ConnectFailures = false;
+    Found = pickByRules(State, Group, Query, InEffect, Now, Random);
+  }
+  if (Found.Left == Room::LinkBusy) {
+    InEffect.LinkUse = false;
+    Found = pickByRules(State, Group, Query, InEffect, Now, Random);
+  }
+  State.Counters.LinkBusy += Found.SawLinkBusy ? 1 : 0;
+  State.Counters.ConnectFailed += Found.SawConnectFailed ? 1 : 0;
+  return Found;
+}
+
 Pick pickKeyed(RouteState &State, const VersionGroup &Group,
                const RouteQuery &Query) {
   Pick Current;
--- a/packages/policy/src/policy/route/feedback.cpp
+++ b/packages/policy/src/policy/route/feedback.cpp
@@ -157,6 +157,9 @@
     applyReport(*Server, *Load, Now);
   }
   const bool ConnectRefused = Kind == ErrorKind::BackendConnectFailed;
+  if (ConnectRefused) {
+    Server->ConnectFailedAt = Now;
+  }
   if (Server->Health.Phase == HealthPhase::Trial) {
     if (ConnectRefused) {
       internal::finishTrial(State, *Server, false, Now);
@@ -206,6 +209,12 @@
   internal::ejectIfOutlier(State, *Server, Now);
 }
 
+void onConnectFailure(RouteState &State, const Dispatch &Sent, TimePoint Now) {
+  if (Candidate *Server = findDispatched(State, Sent)) {
+    Server->ConnectFailedAt = Now;
+  }
+}
+
 void onProbe(RouteState &State, NodeId Node, TimePoint Now) {
   const auto Found = State.Index.find(Node);
   if (Found == State.Index.end()) {
--- a/packages/policy/src/policy/route/feedback.h
+++ b/packages/policy/src/policy/route/feedback.h
@@ -42,6 +42,10 @@
 void onFailure(RouteState &State, const Dispatch &Sent, ErrorKind Kind,
                TimePoint Now);
 
+// Records that a connection attempt to the candidate was refused or timed out,
+// before onFailure for the same request.
+void onConnectFailure(RouteState &State, const Dispatch &Sent, TimePoint Now);
+
 // Records that a probe was sent to the candidate. Without this call, only
 // requests detect a node that does not respond.
 void onProbe(RouteState &State, NodeId Node, TimePoint Now);
--- a/packages/policy/src/policy/route/internal/score.cpp
+++ b/packages/policy/src/policy/route/internal/score.cpp
@@ -80,6 +80,24 @@
   return std::max(1.0, Limit * rampShare(State, Server, Now));
 }
 
+double linkBusyShare(const RouteState &State, const Candidate &Server,
+                     TimePoint Now) {
+  const RouteOptions &Options = State.Options;
+  if (Server.ReportAt == TimePoint{} ||
+      Now - Server.ReportAt > Options.LinkUseMaxAge) {
+    return 0;
+  }
+  return std::clamp((Server.Report.LinkUsePercent - Options.BusyLinkFrom) /
+                        (Options.BusyLinkFull - Options.BusyLinkFrom),
+                    0.0, 1.0);
+}
+
+bool hasConnectFailed(const RouteState &State, const Candidate &Server,
+                      TimePoint Now) {
+  return Server.ConnectFailedAt != TimePoint{} &&
+         Now - Server.ConnectFailedAt < State.Options.ConnectFailureHold;
+}
+
 Score score(const RouteState &State, const Candidate &Server, TimePoint Now) {
   const double InFlight = expectedInFlight(State, Server, Now);
   const double Limit = expectedLimit(State, Server, Now);
--- a/packages/policy/src/policy/route/internal/score.h
+++ b/packages/policy/src/policy/route/internal/score.h
@@ -16,6 +16,16 @@
 [[nodiscard]] Score score(const RouteState &State, const Candidate &Server,
                           TimePoint Now);
 
+// Returns the probability, from 0 to 1, with which the candidate counts as full
+// for a request with a large body because of the use of its link.
+[[nodiscard]] double linkBusyShare(const RouteState &State,
+                                   const Candidate &Server, TimePoint Now);
+
+// Returns true if a connection attempt to the candidate failed a short time
+// ago.
+[[nodiscard]] bool hasConnectFailed(const RouteState &State,
+                                    const Candidate &Server, TimePoint Now);
+
 // Estimates the requests in flight on the candidate from all entry nodes.
 [[nodiscard]] double expectedInFlight(const RouteState &State,
                                       const Candidate &Server, TimePoint Now);
--- a/packages/policy/src/policy/route/route_options.h
+++ b/packages/policy/src/policy/route/route_options.h
@@ -30,6 +30,17 @@
   double FarFactor = 1.0;
   // Time over which the traffic share of a new or returned candidate grows.
   Duration Ramp = std::chrono::seconds(2);
+  // Use of the link of a candidate, in percent, from which it counts as full
+  // for some of the requests with a large body, and from which it does for all
+  // of them. The probability rises linearly in between, so that the entry nodes
+  // do not all switch to another candidate at the same moment.
+  double BusyLinkFrom = 50;
+  double BusyLinkFull = 90;
+  // Age above which the use of the link in a load report counts as 0.
+  Duration LinkUseMaxAge = std::chrono::seconds(1);
+  // Time for which a candidate counts as full after a connection attempt to it
+  // was refused or timed out.
+  Duration ConnectFailureHold = std::chrono::milliseconds(500);
   OutlierOptions Outlier;
 };
 
--- a/packages/policy/src/policy/route/route_query.h
+++ b/packages/policy/src/policy/route/route_query.h
@@ -17,6 +17,12 @@
 // Constraints of choose for one attempt of one request.
 struct RouteQuery {
   bool Idempotent = false;
+  // True if the body of the request is large, so that it takes a part of the
+  // link of the candidate.
+  bool LargeBody = false;
+  // True if a candidate counts as full after a failed connection attempt and,
+  // for a request with a large body, by the use of its link.
+  bool WorkloadAware = false;
   // Candidates that earlier attempts have used.
   std::span<const NodeId> Excluded{};
   // Shares of the versions; empty if any version may serve. A version that is
--- a/packages/policy/src/policy/route/route_state.h
+++ b/packages/policy/src/policy/route/route_state.h
@@ -19,6 +19,10 @@
   // eligible.
   std::uint64_t EjectionsRefused = 0;
   std::uint64_t NoneEligible = 0;
+  // Choices for which a candidate counted as full because of the use of its
+  // link or a failed connection attempt.
+  std::uint64_t LinkBusy = 0;
+  std::uint64_t ConnectFailed = 0;
   // Candidates beyond RouteOptions::MaxCandidates.
   std::uint64_t CandidatesRefused = 0;
 };
--- a/packages/wire/src/wire/convert/convert.cpp
+++ b/packages/wire/src/wire/convert/convert.cpp
@@ -1,5 +1,6 @@
 #include "wire/convert/convert.h"
 
+#include "policy/link/received_bytes.h"
 #include "wire/types.pb.h"
 
 #include <algorithm>
@@ -24,6 +25,8 @@
               std::min<std::uint64_t>(Message.latency_us(), LatencyMaximumUs)),
           .WorkTimePercent =
               std::min(Message.work_time_percent(), WorkTimeMaximum),
+          .LinkUsePercent =
+              std::min(Message.link_use_percent(), policy::MaxLinkUsePercent),
           .Run = Message.incarnation(),
           .Draining = Message.draining(),
           .ColdStart = Message.cold_start()};
@@ -37,6 +40,7 @@
       std::chrono::duration_cast<std::chrono::microseconds>(Report.Latency)
           .count()));
   Message.set_work_time_percent(Report.WorkTimePercent);
+  Message.set_link_use_percent(Report.LinkUsePercent);
   Message.set_incarnation(Report.Run);
   Message.set_draining(Report.Draining);
   Message.set_cold_start(Report.ColdStart);
--- a/packages/wire/test/wire/convert/convert.cpp
+++ b/packages/wire/test/wire/convert/convert.cpp
@@ -1,5 +1,6 @@
 #include "wire/convert/convert.h"
 
+#include "policy/link/received_bytes.h"
 #include "wire/types.pb.h"
 
 #include <gtest/gtest.h>
@@ -13,6 +14,7 @@
                                   .Limit = 2,
                                   .Waiting = 3,
                                   .Latency = std::chrono::microseconds(4),
+                                  .LinkUsePercent = 9,
                                   .Run = 5,
                                   .Draining = true,
                                   .ColdStart = false};
@@ -33,5 +35,14 @@
   EXPECT_EQ(fromWire(Message).Latency, std::chrono::hours(1));
 }
 
+// Guards against a report of an older node that is taken for a busy link, and
+// against an implausible use of the link.
+TEST(Convert, LinkUseIsZeroWithoutTheFieldAndLimited) {
+  LoadReport Message;
+  EXPECT_EQ(fromWire(Message).LinkUsePercent, 0U);
+  Message.set_link_use_percent(~0U);
+  EXPECT_EQ(fromWire(Message).LinkUsePercent, policy::MaxLinkUsePercent);
+}
+
 } // namespace
 } // namespace magnolia::wire
