Measure received bodies and report the use of the link

Cause: entry nodes do not know how busy the link of a server's node is, and a failed connection to a sidecar counts only through the ejection of outliers, after three failures.

Change: the peer service counts each chunk of a request body as it arrives, and the sidecar's load reports state the use of the link. The entry node tells choose() which requests are uploads and whether admission is aware of the workload, and records connection attempts that failed before the deadline of their request. `magnoliactl where` passes the same flags.

--- a/packages/daemon/src/daemon/dump/dump.cpp
+++ b/packages/daemon/src/daemon/dump/dump.cpp
@@ -63,6 +63,7 @@
                      {"latency_ms", inMs(From.Report.Latency)},
                      {"draining", From.Report.Draining},
                      {"cold_start", From.Report.ColdStart},
+                     {"link_use_percent", From.Report.LinkUsePercent},
                      {"age_ms", From.ReportAt == policy::TimePoint{}
                                     ? -1.0
                                     : inMs(Now - From.ReportAt)}};
@@ -85,6 +86,8 @@
                     {"ejections", Counters.Ejections},
                     {"ejections_refused", Counters.EjectionsRefused},
                     {"none_eligible", Counters.NoneEligible},
+                    {"link_busy", Counters.LinkBusy},
+                    {"connect_failed", Counters.ConnectFailed},
                     {"candidates_refused", Counters.CandidatesRefused}};
   Value["retry"] = {{"requests", Runtime.Retries.Requests},
                     {"retries", Runtime.Retries.Retries},
@@ -240,7 +243,8 @@
                      {"transfers", Link.Transfers},
                      {"mean_body_bytes", Link.MeanBodyBytes},
                      {"accepted", Link.Accepted},
-                     {"rejected", Link.Rejected}});
+                     {"rejected", Link.Rejected},
+                     {"use_percent", From.usePercent(now())}});
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/dump/where.cpp
+++ b/packages/daemon/src/daemon/dump/where.cpp
@@ -182,6 +182,9 @@
   const policy::LoadReport Own = Owner.Use.Own.load();
   policy::onReport(Service.Route, Owner.Options.Node, Own, Now);
   policy::RouteQuery Query{.Idempotent = Call.Request.Idempotent,
+                           .LargeBody =
+                               Call.Request.Bulk && !Call.Request.Idempotent,
+                           .WorkloadAware = Call.WorkloadAware,
                            .Excluded = {},
                            .Versions = Service.Shares,
                            .Key = {}};
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -76,6 +76,9 @@
 EntryCall::chooseTarget(policy::Error &ChooseError) {
   ServiceRuntime &Runtime = *Call.Runtime;
   policy::RouteQuery Query{.Idempotent = State.Idempotent,
+                           .LargeBody =
+                               Call.Request.Bulk && !Call.Request.Idempotent,
+                           .WorkloadAware = Call.WorkloadAware,
                            .Excluded = Tried,
                            .Versions = {},
                            .Key = {}};
@@ -168,6 +171,7 @@
       Owner.Use.Peers.take(Current.Peer, State.Deadline);
   if (!Pooled.Connection) {
     Owner.Use.Counts.count(Counter::PeerConnectFailures);
+    recordConnectFailure(Current, now());
     return handleSendFailure(Current,
                              "the sidecar does not accept connections");
   }
@@ -182,6 +186,15 @@
   return std::nullopt;
 }
 
+void EntryCall::recordConnectFailure(const Attempt &Current,
+                                     policy::TimePoint Now) {
+  // A deadline that ends the attempt early says nothing about the sidecar.
+  if (Now < State.Deadline) {
+    const std::lock_guard Lock(Call.Runtime->Mutex);
+    policy::onConnectFailure(Call.Runtime->Route, Current.Sent, Now);
+  }
+}
+
 policy::Outcome EntryCall::handleSendFailure(const Attempt &Current,
                                              std::string Reason) {
   logAttempt(Current, ErrorKind::BackendConnectFailed, Reason);
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -116,6 +116,8 @@
   // Sends the attempt. Returns an outcome if it ended immediately.
   [[nodiscard]] std::optional<policy::Outcome> launch(Attempt Current);
   [[nodiscard]] std::optional<policy::Outcome> dispatch(Attempt &Current);
+  // Records that the sidecar did not accept a connection.
+  void recordConnectFailure(const Attempt &Current, policy::TimePoint Now);
   [[nodiscard]] policy::Outcome handleSendFailure(const Attempt &Current,
                                                   std::string Reason);
 
--- a/packages/daemon/src/daemon/link/link_pacer.cpp
+++ b/packages/daemon/src/daemon/link/link_pacer.cpp
@@ -31,6 +31,16 @@
   return policy::reservePiece(State, Bytes, Now, Latest);
 }
 
+void LinkPacer::countReceived(std::size_t Bytes, policy::TimePoint Now) {
+  const std::lock_guard Lock(Mutex);
+  policy::recordReceived(Received, Bytes, Now);
+}
+
+std::uint32_t LinkPacer::usePercent(policy::TimePoint Now) const {
+  const std::lock_guard Lock(Mutex);
+  return policy::linkUsePercent(Received, State.Options.BytesPerSecond, Now);
+}
+
 policy::LinkState LinkPacer::state() const {
   const std::lock_guard Lock(Mutex);
   return State;
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -34,8 +34,9 @@
       Peers(poolOptions(Settings, {.Node = Id, .Run = Run, .Key = Key})),
       Usage(usageSetup(Settings, Speaks)),
       Runs(Usage ? std::make_unique<RunCounter>(Usage->Times) : nullptr),
-      LocalSidecar(sidecarOptions(Settings, Speaks, Run, Bodies, Runs.get()),
-                   Backend, Counts),
+      LocalSidecar(
+          sidecarOptions(Settings, Speaks, Run, Bodies, Link, Runs.get()),
+          Backend, Counts),
       BackendAnnouncer({.Address = Settings.LocalBackend.Address,
                         .Port = Settings.LocalBackend.Port,
                         .SilentAfter = Settings.SilentAfter,
@@ -335,7 +336,7 @@
 
 void Node::reload(const settings::NodeSettings &Next) {
   setLogLevel(logLevelOf(Next.LogLevel));
-  LocalSidecar.reload(sidecarOptions(Next, Speaks, Run, Bodies));
+  LocalSidecar.reload(sidecarOptions(Next, Speaks, Run, Bodies, Link));
   EntryNode.setHedgeOptions(hedgeOptions(Next));
 }
 
--- a/packages/daemon/src/daemon/node/node_options.cpp
+++ b/packages/daemon/src/daemon/node/node_options.cpp
@@ -46,12 +46,14 @@
 
 SidecarOptions sidecarOptions(const settings::NodeSettings &Settings,
                               const Dialect &Speaks, policy::Incarnation Run,
-                              BodyMemory &Memory, RunCounter *Runs) {
+                              BodyMemory &Memory, const LinkPacer &Link,
+                              RunCounter *Runs) {
   return {.Run = Run,
           .Speaks = &Speaks,
           .ResponseLimits = {.HeadBytes = Settings.HeaderBytes,
                              .BodyBytes = Settings.ResponseBytes},
           .Memory = &Memory,
+          .Link = &Link,
           .Runs = Runs,
           .ConnectTimeout = Settings.ConnectTimeout,
           .MaxWaiting = Settings.WaitQueue,
--- a/packages/daemon/src/daemon/node/node_options.h
+++ b/packages/daemon/src/daemon/node/node_options.h
@@ -22,7 +22,7 @@
 [[nodiscard]] SidecarOptions
 sidecarOptions(const settings::NodeSettings &Settings, const Dialect &Speaks,
                policy::Incarnation Run, BodyMemory &Memory,
-               RunCounter *Runs = nullptr);
+               const LinkPacer &Link, RunCounter *Runs = nullptr);
 [[nodiscard]] EntryOptions
 entryOptions(const settings::NodeSettings &Settings, const Dialect &Speaks,
              policy::NodeId Id, policy::Incarnation Run, BodyMemory &Memory);
--- a/packages/daemon/src/daemon/sidecar/peer_service.cpp
+++ b/packages/daemon/src/daemon/sidecar/peer_service.cpp
@@ -231,6 +231,7 @@
                                                     CallRequest &Request,
                                                     wire::PeerFrame &Frame,
                                                     bool &LacksMemory) {
+  countReceived(Frame.request().body().size());
   BodyAssembly Assembly(Options.BodyBytes, Request.Id, Options.Memory);
   AssemblyStatus Status = Assembly.addChunk(
       Request.Body, Frame.request().body(), !Frame.request().body_continues());
@@ -250,6 +251,7 @@
       Owner.metrics().count(Counter::BrokenFrames);
       return std::nullopt;
     }
+    countReceived(Frame.body().data().size());
     Status = Assembly.add(Request.Body, *Frame.mutable_body());
   }
   Request.Share = Assembly.share();
@@ -258,6 +260,12 @@
                                           : std::optional(Status);
 }
 
+void PeerService::countReceived(std::size_t Bytes) {
+  if (Options.Link && Bytes > 0) {
+    Options.Link->countReceived(Bytes, now());
+  }
+}
+
 bool PeerService::waitForCall(PeerConnection &Connection, SidecarCall &Call) {
   // Handles frames that arrived together with the request.
   if (Connection.hasBytes() && !Call.done() &&
--- a/packages/daemon/src/daemon/sidecar/peer_service.h
+++ b/packages/daemon/src/daemon/sidecar/peer_service.h
@@ -20,7 +20,8 @@
   std::size_t BodyBytes = 0;
   // Memory for the bodies of requests; null for no limit on their sum.
   BodyMemory *Memory = nullptr;
-  // Shares the link of the node among large bodies; null for no limit.
+  // Shares the link of the node among large bodies and measures its use; null
+  // for neither.
   LinkPacer *Link = nullptr;
   policy::Duration HandshakeTimeout = std::chrono::seconds(2);
   // Maximum pause within a message.
@@ -53,6 +54,8 @@
   [[nodiscard]] std::optional<AssemblyStatus>
   readBody(PeerConnection &Connection, CallRequest &Request,
            wire::PeerFrame &Frame, bool &LacksMemory);
+  // Counts bytes of a request body that arrived over the link.
+  void countReceived(std::size_t Bytes);
   [[nodiscard]] CallResponse bodyRefusal(bool Readable, bool LacksMemory) const;
   // Returns false if the entry node disconnected or sent an invalid frame.
   [[nodiscard]] bool waitForCall(PeerConnection &Connection, SidecarCall &Call);
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -1,5 +1,6 @@
 #include "daemon/sidecar/sidecar.h"
 
+#include "daemon/link/link_pacer.h"
 #include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "policy/admission/admit.h"
@@ -309,7 +310,9 @@
 policy::LoadReport Sidecar::load() const {
   const std::lock_guard Lock(Mutex);
   policy::LoadReport Report = policy::loadReport(Admitted);
-  Report.ColdStart |= policy::isCold(Admitted, now());
+  const policy::TimePoint Now = now();
+  Report.ColdStart |= policy::isCold(Admitted, Now);
+  Report.LinkUsePercent = Options.Link ? Options.Link->usePercent(Now) : 0;
   return Report;
 }
 
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -31,6 +31,7 @@
 
 namespace magnolia::daemon {
 
+class LinkPacer;
 class RunCounter;
 
 struct SidecarOptions {
@@ -40,6 +41,8 @@
   HttpLimits ResponseLimits;
   // Memory for the bodies of responses; null for no limit on their sum.
   BodyMemory *Memory = nullptr;
+  // Measures the use of the link of the node; null for no measurement.
+  const LinkPacer *Link = nullptr;
   // Counts the runs for the usage report; null for no report.
   RunCounter *Runs = nullptr;
   policy::Duration ConnectTimeout{};
--- a/packages/daemon/test/daemon/link/link_pacer.cpp
+++ b/packages/daemon/test/daemon/link/link_pacer.cpp
@@ -9,6 +9,8 @@
 #include <gtest/gtest.h>
 
 #include <memory>
+#include <string>
+#include <thread>
 
 namespace magnolia::daemon {
 namespace {
@@ -132,5 +134,39 @@
   EXPECT_EQ(Status, ReceiveStatus::Broken);
 }
 
+// Guards against received bodies that do not appear in the load report with all
+// of their chunks.
+TEST_F(BulkResponses, ReceivedBodyIsReportedAsUseOfTheLink) {
+  constexpr std::size_t Large = 20 * BodyBytes;
+  const TestNode Node(linkSettings(5 * Large), Backend.port());
+  PeerExchange Exchange(connect(Node), {.ResponseBytes = 2 * BodyBytes,
+                                        .PingAfter = TestTimeout,
+                                        .PingTimeout = TestTimeout,
+                                        .LostAfter = TestTimeout});
+  CallRequest Upload = bulkRequest(1, std::chrono::seconds(5));
+  Upload.Idempotent = false;
+  Upload.Body.assign(Large, 'a');
+  ASSERT_TRUE(Exchange.start(Upload, now(), false));
+  EXPECT_EQ(finish(Exchange).Load.LinkUsePercent, 20U);
+}
+
+// Guards against bytes that are not counted because their body breaks off.
+TEST_F(BulkResponses, BrokenBodyCountsAsFarAsItArrived) {
+  const TestNode Node(linkSettings(5 * BodyBytes), Backend.port());
+  const std::unique_ptr<PeerConnection> Connection = connect(Node);
+  wire::PeerFrame Frame;
+  wire::PeerRequest &Begun = *Frame.mutable_request();
+  Begun.set_body(std::string(BodyBytes / 2, 'a'));
+  Begun.set_body_continues(true);
+  ASSERT_TRUE(Connection->send(Frame, now() + TestTimeout));
+  const policy::TimePoint Latest = now() + TestTimeout;
+  std::uint32_t Use = 0;
+  while (Use == 0 && now() < Latest) {
+    std::this_thread::yield();
+    Use = Node.Running.Link.usePercent(now());
+  }
+  EXPECT_EQ(Use, 10U);
+}
+
 } // namespace
 } // namespace magnolia::daemon
--- a/packages/settings/src/settings/node/setting_table.cpp
+++ b/packages/settings/src/settings/node/setting_table.cpp
@@ -228,7 +228,9 @@
         Limits, "link_bytes_per_second", "0", 0, 1'000'000'000'000, "bytes/s",
         "Capacity of the instance's network link. Responses of bulk routes are "
         "then sent in pieces at a share of it, and requests that would wait "
-        "too long for the link are rejected; 0: unknown, no limit."),
+        "too long for the link are rejected. Load reports state the share that "
+        "received request bodies use, by which uploads avoid a busy link; 0: "
+        "unknown, no limit, and the reported use is 0."),
     number<&N::HeldConnections>(
         Limits, "held_connections", "1024", 1, 100'000, "connections",
         "Maximum number of concurrent connections of callers."),
