Explain requests of organisations in magnoliactl where

`/-/where` answers 401 for every private route, because the explained request has no key, and the organisation it is given changes nothing. The selection of the route is now separate from the identity of the caller, and a caller may be stated by name. The decision of the own sidecar uses the query that traffic uses, with organisation, rank and nesting; the rejection by losses of nested calls, the stop of the node and the planned Retry-After are explained as well. The explanation works on copies: it takes no request id, draws no numbers and creates no service runtime.

--- a/packages/ctl/src/ctl/command/where.cpp
+++ b/packages/ctl/src/ctl/command/where.cpp
@@ -93,7 +93,8 @@
     printObject(Out, Answer, Part);
   }
   printCandidates(Out, Answer);
-  for (const char *Part : {"sidecar", "hedge", "rejection"}) {
+  for (const char *Part :
+       {"losses", "admission", "sidecar", "hedge", "rejection"}) {
     printObject(Out, Answer, Part);
   }
 }
@@ -103,12 +104,16 @@
 ExitCode where(Context &Run) {
   const CtlOptions &Options = Run.Options;
   policy::Error Error;
-  const auto Body = Run.Fetch(*Options.Http, "/-/where",
-                              {{"host", Options.Host},
-                               {"path", Options.Arguments[0]},
-                               {"method", Options.Method},
-                               {"organisation", Options.Organisation}},
-                              Options.Timeout, Error);
+  QueryValues Query = {{"host", Options.Host},
+                       {"path", Options.Arguments[0]},
+                       {"method", Options.Method},
+                       {"organisation", Options.Organisation}};
+  // Older nodes reject names that they do not know.
+  if (Options.Nested) {
+    Query.emplace("nested", "true");
+  }
+  const auto Body =
+      Run.Fetch(*Options.Http, "/-/where", Query, Options.Timeout, Error);
   const Json Answer =
       Body ? Json::parse(*Body, nullptr, false) : Json::object();
   if (!Body || !Answer.is_object()) {
@@ -119,8 +124,15 @@
     Run.Out.Document["error"] = Reason;
     return ExitCode::Failed;
   }
-  print(Run.Out, Answer);
   Run.Out.Document["where"] = Answer;
+  if (const auto Fault = Answer.find("error"); Fault != Answer.end()) {
+    const std::string Reason =
+        "node " + toString(*Options.Http) + ": " + textOf(*Fault);
+    Run.Out.line("error: " + Reason);
+    Run.Out.Document["error"] = Reason;
+    return ExitCode::Failed;
+  }
+  print(Run.Out, Answer);
   return ExitCode::Done;
 }
 
--- a/packages/ctl/src/ctl/options/ctl_options.h
+++ b/packages/ctl/src/ctl/options/ctl_options.h
@@ -49,6 +49,7 @@
   std::string Host;
   std::string Method = "GET";
   std::string Organisation;
+  bool Nested = false;
   // Name written into records for other operators.
   std::string Operator;
 };
--- a/packages/ctl/src/ctl/options/parse_options.cpp
+++ b/packages/ctl/src/ctl/options/parse_options.cpp
@@ -71,7 +71,10 @@
   --http ADDRESS:PORT      HTTP address of a node: its http_port, or [listen]
                            metrics if that is set; for where
   --host HOST, --method METHOD, --organisation NAME
-                           for where; the method is GET by default
+                           for where; the method is GET by default, and
+                           without an organisation the caller has no key
+  --nested                 for where: a call that the local backend server makes
+                           while it runs a request of the organisation
   --from VERSION, --to VERSION, --deadline TIME
                            for move start; TIME is 2026-12-04T18:00:00Z or +30m
   --reason TEXT            for move take-back
@@ -102,9 +105,10 @@
   HostOption,
   MethodOption,
   OrganisationOption,
+  NestedOption,
 };
 
-constexpr std::array<option, 16> Known = {{
+constexpr std::array<option, 17> Known = {{
     {"store", required_argument, nullptr, StoreOption},
     {"node", required_argument, nullptr, NodeOption},
     {"key-file", required_argument, nullptr, KeyFileOption},
@@ -120,6 +124,7 @@
     {"host", required_argument, nullptr, HostOption},
     {"method", required_argument, nullptr, MethodOption},
     {"organisation", required_argument, nullptr, OrganisationOption},
+    {"nested", no_argument, nullptr, NestedOption},
     {nullptr, 0, nullptr, 0},
 }};
 
@@ -204,6 +209,9 @@
   case OrganisationOption:
     Options.Organisation = Value;
     return {};
+  case NestedOption:
+    Options.Nested = true;
+    return {};
   case JsonOption:
     Options.Json = true;
     return {};
--- a/packages/daemon/src/daemon/dump/where.cpp
+++ b/packages/daemon/src/daemon/dump/where.cpp
@@ -2,9 +2,13 @@
 
 #include "daemon/entry/entry_call.h"
 #include "daemon/entry/parse_call.h"
+#include "daemon/entry/stated_caller.h"
 #include "daemon/net/clock.h"
 #include "policy/admission/admit.h"
+#include "policy/chain/admit_route.h"
+#include "policy/chain/plan_return.h"
 #include "policy/hedge/decide_hedge.h"
+#include "policy/organisation/fair_share.h"
 #include "policy/overload/admit_service.h"
 #include "policy/overload/return_delay.h"
 #include "policy/route/choose.h"
@@ -58,40 +62,41 @@
   return Result;
 }
 
-// Copy of the state of a service by which its requests are decided.
-struct ServiceCopy {
-  policy::RouteState Route;
-  policy::OverloadState Overload;
-  policy::HedgeState Hedges;
-  std::unordered_map<policy::NodeId, BackendEndpoint> Endpoints;
-  std::vector<policy::VersionShare> Shares;
-  std::shared_ptr<const ServiceView> View;
+// Request that is explained, and the copies of the state that decide about it.
+struct Explained {
+  Entry &Owner;
+  EntryCall::Parameters &Call;
+  // Copy that belongs to this request alone.
+  ServiceState &Service;
+  const std::vector<policy::VersionShare> Shares;
+  policy::RouteAdmissionState Gate;
+  // Copy of the engine of this thread, so that the request draws the numbers of
+  // the next one on it and takes none of them.
+  policy::RandomEngine &Random;
+  policy::TimePoint Now{};
 };
 
-ServiceCopy copyOf(Entry &Owner, ServiceRuntime &From) {
-  const std::lock_guard Lock(From.Mutex);
-  return {.Route = From.Route,
-          .Overload = From.Overload,
-          .Hedges = From.Hedges,
-          .Endpoints = From.Endpoints,
-          .Shares = versionShares(From, Owner.Use.Overrides),
-          .View = From.View};
-}
-
-Json rejection(const Dialect &Speaks, policy::ErrorKind Kind,
-               std::string_view Detail, policy::RandomEngine &Random) {
-  const policy::ErrorEntry &Entry = policy::errorEntry(Kind);
+Json rejection(const Dialect &Speaks, const policy::Error &Reason,
+               policy::Duration ReturnAfter) {
+  const policy::ErrorEntry &Entry = policy::errorEntry(Reason.Kind);
   Json Value = {{"rule", Entry.Name},
-                {"status", Speaks.StatusOf(Kind)},
-                {"detail", Detail.empty() ? Entry.Meaning : Detail}};
+                {"status", Speaks.StatusOf(Reason.Kind)},
+                {"detail", Reason.Detail.empty()
+                               ? Entry.Meaning
+                               : std::string_view(Reason.Detail)}};
   if (Entry.Retryable && !Speaks.Headers.RetryAfter.empty()) {
-    Value["retry_after_s"] =
-        std::chrono::duration<double>(policy::returnDelay(Kind, Random))
-            .count();
+    Value["retry_after_s"] = std::chrono::duration<double>(ReturnAfter).count();
   }
   return Value;
 }
 
+Json rejection(Explained &Request, const policy::Error &Reason) {
+  return rejection(Request.Owner.dialect(), Reason,
+                   policy::planReturn(Request.Gate, arrivalOf(Request.Call),
+                                      Reason.Kind, Request.Now,
+                                      Request.Random));
+}
+
 // Returns the first property by which the candidate gets no requests, or "ok".
 const char *stateOf(const policy::Candidate &Server, bool HasShare) {
   if (Server.Spec.ZoneOut) {
@@ -109,20 +114,20 @@
   return Server.Report.ColdStart ? "cold" : "ok";
 }
 
-Json candidate(const ServiceCopy &Service, const policy::Candidate &Server,
-               policy::TimePoint Now) {
+Json candidate(const Explained &Request, const policy::Candidate &Server) {
+  const policy::TimePoint Now = Request.Now;
   const policy::CandidateEstimate Expected =
-      policy::estimate(Service.Route, Server, Now);
+      policy::estimate(Request.Service.Route, Server, Now);
   const bool HasShare =
-      Service.Shares.empty() ||
-      std::any_of(Service.Shares.begin(), Service.Shares.end(),
+      Request.Shares.empty() ||
+      std::any_of(Request.Shares.begin(), Request.Shares.end(),
                   [&Server](const policy::VersionShare &Entry) {
                     return Entry.Version == Server.Spec.Version &&
                            Entry.Share > 0;
                   });
   Json Value = {{"node", Server.Spec.Node}};
-  const auto Found = Service.Endpoints.find(Server.Spec.Node);
-  if (Found != Service.Endpoints.end()) {
+  const auto Found = Request.Service.Endpoints.find(Server.Spec.Node);
+  if (Found != Request.Service.Endpoints.end()) {
     Value["address"] = Found->second.Address;
     Value["peer_port"] = Found->second.PeerPort;
     Value["zone"] = Found->second.Zone;
@@ -139,89 +144,147 @@
   return Value;
 }
 
-// Returns the decision of the sidecar of this node, on a copy of its state.
-Json sidecarDecision(Entry &Owner, const EntryCall::Parameters &Call,
-                     bool HasChoice, policy::TimePoint Now,
-                     policy::RandomEngine &Random) {
-  const Sidecar &Own = Owner.Use.Own;
-  if (const auto Refusal = Own.checkBackend(Call.Request)) {
-    return rejection(Owner.dialect(), Refusal->Kind, Refusal->Detail, Random);
+// Adds the decision of the sidecar of this node, on a copy of its state, and
+// what it is made by.
+void addSidecar(Json &Value, Explained &Request) {
+  const Sidecar &Own = Request.Owner.Use.Own;
+  const CallRequest &Sent = Request.Call.Request;
+  if (const auto Refusal = Own.checkBackend(Sent)) {
+    Value["sidecar"] = rejection(Request, *Refusal);
+    return;
   }
-  policy::AdmissionState Admission = Own.admissionState();
+  policy::AdmissionState State = Own.admissionState();
+  (void)policy::expire(State, Request.Now);
+  const policy::AdmissionQuery Query = admissionQuery(Sent);
+  Value["admission"] = {
+      {"organisation", Query.Organisation},
+      {"rank", Query.Priority},
+      {"nested", Query.Nested},
+      {"in_flight", State.InFlight},
+      {"limit", policy::limit(State)},
+      {"waiting", State.Waiting.size()},
+      {"goes_first_probability",
+       policy::firstProbability(State.Shares, Query.Organisation)}};
   const policy::AdmissionDecision Decision =
-      policy::admit(Admission,
-                    {.Deadline = Call.Request.Deadline,
-                     .Objective = Call.Request.Objective,
-                     .Priority = Call.Request.Priority,
-                     .HasChoice = HasChoice},
-                    Now);
+      policy::admit(State, Query, Request.Now);
   switch (Decision.Action) {
   case policy::AdmissionAction::Run:
-    return "run";
+    Value["sidecar"] = "run";
+    return;
   case policy::AdmissionAction::Wait:
-    return "wait";
+    Value["sidecar"] = "wait";
+    return;
   case policy::AdmissionAction::Refuse:
     break;
   }
-  return rejection(Owner.dialect(), Decision.Kind, "refused by the sidecar",
-                   Random);
+  Value["sidecar"] =
+      rejection(Request, {Decision.Kind, "refused by the sidecar"});
+}
+
+// Decides as admission by the losses of nested calls does, and adds what the
+// decision is made by. Returns false if the request is rejected.
+bool addLosses(Json &Value, Explained &Request) {
+  const EntryCall::Parameters &Call = Request.Call;
+  if (!isShedByLosses(Request.Owner.Options, Call)) {
+    return true;
+  }
+  const policy::TimePoint Now = Request.Now;
+  const std::string &Route = Call.Request.Route;
+  policy::onRouteCounts(Request.Gate, Route, Request.Owner.Options.Node,
+                        Request.Owner.Use.Own.running().counts(Route, Now),
+                        Now);
+  const policy::RouteDecision Decision =
+      policy::admitRoute(Request.Gate, arrivalOf(Call), Now);
+  const policy::RouteEvidence &Evidence = Decision.Evidence;
+  Value["losses"] = {{"admitted", Decision.Admitted},
+                     {"share", Decision.Share},
+                     {"higher_share", Decision.HigherShare},
+                     {"runs", Evidence.Runs},
+                     {"losses", Evidence.Losses},
+                     {"trust", Evidence.Trust},
+                     {"age_ms", inMs(Evidence.Age)}};
+  return Decision.Admitted;
+}
+
+// Returns the reason for which the entry node rejects the request before it
+// chooses a candidate, or nothing.
+std::optional<policy::Error> initialRejection(Json &Value, Explained &Request) {
+  CallRequest &Sent = Request.Call.Request;
+  if (const auto Stop = Request.Owner.stop()) {
+    const auto Deadline = deadlineBeforeStop(Sent, *Stop, Request.Now);
+    if (!Deadline) {
+      return policy::Error{policy::ErrorKind::Shutdown,
+                           "the node stops before the deadline"};
+    }
+    Sent.Deadline = *Deadline;
+  }
+  if (!addLosses(Value, Request)) {
+    return policy::Error{policy::ErrorKind::Overloaded,
+                         "nested calls of the route find no capacity"};
+  }
+  if (!policy::admitService(Request.Service.Overload, Request.Now,
+                            Request.Random)) {
+    return policy::Error{
+        policy::ErrorKind::Overloaded,
+        "the entry node sheds a share of the requests of the service"};
+  }
+  return std::nullopt;
 }
 
 // Adds the decision of the entry node: the chosen candidate or the rule that
 // rejects the request.
-void addChoice(Json &Value, Entry &Owner, const EntryCall::Parameters &Call,
-               ServiceCopy &Service, policy::TimePoint Now) {
-  // A copy, so that the explanation does not change what requests draw.
-  policy::RandomEngine Random = threadEngine();
-  if (!policy::admitService(Service.Overload, Now, Random)) {
-    Value["rejection"] = rejection(
-        Owner.dialect(), policy::ErrorKind::Overloaded,
-        "the entry node sheds a share of the requests of the service", Random);
+void addChoice(Json &Value, Explained &Request) {
+  if (const auto Reason = initialRejection(Value, Request)) {
+    Value["rejection"] = rejection(Request, *Reason);
     return;
   }
-  const policy::LoadReport Own = Owner.Use.Own.load();
-  policy::onReport(Service.Route, Owner.Options.Node, Own, Now);
-  policy::RouteQuery Query{.Idempotent = Call.Request.Idempotent,
+  const Entry &Owner = Request.Owner;
+  CallRequest &Sent = Request.Call.Request;
+  policy::RouteState &Route = Request.Service.Route;
+  policy::onReport(Route, Owner.Options.Node, Owner.Use.Own.load(),
+                   Request.Now);
+  policy::RouteQuery Query{.Idempotent = Sent.Idempotent,
                            .Excluded = {},
-                           .Versions = Service.Shares,
+                           .Versions = Request.Shares,
                            .Key = {}};
-  if (!Call.Request.Idempotent && !Call.Request.IdempotencyKey.empty()) {
-    Query.Key = policy::hashOf(Call.Request.IdempotencyKey);
+  if (!Sent.Idempotent && !Sent.IdempotencyKey.empty()) {
+    Query.Key = policy::hashOf(Sent.IdempotencyKey);
   }
   policy::Error LastError;
   const auto Node =
-      policy::choose(Service.Route, Query, Now, Random, LastError);
+      policy::choose(Route, Query, Request.Now, Request.Random, LastError);
   Value["candidates"] = Json::array();
-  for (const policy::Candidate &Server : Service.Route.Candidates) {
-    Value["candidates"].push_back(candidate(Service, Server, Now));
+  for (const policy::Candidate &Server : Route.Candidates) {
+    Value["candidates"].push_back(candidate(Request, Server));
     if (Node && Server.Spec.Node == *Node) {
       Value["choice"] = Value["candidates"].back();
     }
   }
   if (!Node) {
-    Value["rejection"] =
-        rejection(Owner.dialect(), LastError.Kind, LastError.Detail, Random);
+    Value["rejection"] = rejection(Request, LastError);
     return;
   }
-  if (*Node != Owner.Options.Node) {
-    return;
+  if (*Node == Owner.Options.Node) {
+    Sent.Version = Request.Service.Endpoints.at(*Node).Version;
+    Sent.HasChoice = policy::hasChoice(Route, Query, *Node);
+    addSidecar(Value, Request);
   }
-  Value["sidecar"] = sidecarDecision(
-      Owner, Call, policy::hasChoice(Service.Route, Query, *Node), Now, Random);
 }
 
-Json hedging(const Entry &Owner, const EntryCall::Parameters &Call,
-             ServiceCopy &Service, policy::TimePoint Now) {
-  const policy::HedgeOptions Options = Owner.hedgeOptions();
+Json hedging(Explained &Request) {
+  const policy::HedgeOptions Options = Request.Owner.hedgeOptions();
+  const EntryCall::Parameters &Call = Request.Call;
   const std::string &Route =
       Call.Request.Route.empty() ? Call.Route : Call.Request.Route;
-  const auto Delay = policy::hedgeDelay(Service.Hedges, Route, Options, Now);
-  return {{"percent", Service.View->HedgePercent.value_or(Options.Percent)},
-          {"delay_ms", Delay ? Json(inMs(*Delay)) : Json(nullptr)},
-          {"credit", Service.Hedges.Limit.Credit}};
+  const auto Delay =
+      policy::hedgeDelay(Request.Service.Hedges, Route, Options, Request.Now);
+  return {
+      {"percent", Request.Service.View->HedgePercent.value_or(Options.Percent)},
+      {"delay_ms", Delay ? Json(inMs(*Delay)) : Json(nullptr)},
+      {"credit", Request.Service.Hedges.Limit.Credit}};
 }
 
-void addService(Json &Value, const ServiceCopy &Service,
+void addService(Json &Value, const ServiceState &Service,
                 const ClusterView &View) {
   Value["service"] = Service.View->Name;
   Value["zones_out"] = View.ZonesOut;
@@ -241,6 +304,8 @@
                     {"prefix", Call.Route},
                     {"idempotent", Call.Request.Idempotent},
                     {"rank", Call.Request.Priority},
+                    {"organisation", Call.Request.Organisation},
+                    {"nested", Call.Request.Nested},
                     {"max_attempts", Call.MaxRuns},
                     {"deadline_ms", inMs(Call.Request.Deadline - Now)}};
   if (Call.Request.Objective != policy::TimePoint{}) {
@@ -250,6 +315,7 @@
   const settings::HostRoute *Route =
       View.Routing ? findRoute(*View.Routing, Query.Host, Path) : nullptr;
   if (Route) {
+    Value["route"]["public"] = Route->Public;
     Value["split"] = Json::array();
     for (const settings::RouteTarget &Target : Route->Targets) {
       Value["split"].push_back(
@@ -258,15 +324,66 @@
   }
 }
 
+// True if the routing table, or the dialect without one, has no organisation of
+// the name. A node without a table cannot tell.
+bool isUnknown(const Entry &Owner, const ClusterView &View,
+               const std::string &Organisation) {
+  if (Organisation.empty()) {
+    return false;
+  }
+  if (!Owner.dialect().RoutesByHost) {
+    return true;
+  }
+  return View.Routing &&
+         !View.Routing->Organisations->Organisations.contains(Organisation);
+}
+
+std::string textOf(const Json &Value) {
+  return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+void explainCall(Json &Value, Entry &Owner, const ClusterView &View,
+                 const WhereQuery &Query, policy::TimePoint Now) {
+  HttpRequest Sent;
+  Sent.Method = Query.Method;
+  Sent.Target = Query.Path;
+  Sent.Headers = {{"Host", Query.Host}};
+  policy::RandomEngine Random = threadEngine();
+  policy::Error LastError;
+  auto Call = parseStatedCall(
+      Owner, std::move(Sent),
+      {.Organisation = Query.Organisation, .Nested = Query.Nested}, Now, Random,
+      LastError);
+  if (!Call) {
+    Value["rejection"] = rejection(Owner.dialect(), LastError,
+                                   policy::returnDelay(LastError.Kind, Random));
+    return;
+  }
+  ServiceRuntime &Service = *Call->Runtime;
+  Explained Request{.Owner = Owner,
+                    .Call = *Call,
+                    .Service = Service,
+                    .Shares = versionShares(Service, Owner.Use.Overrides),
+                    .Gate = Owner.Gate.state(),
+                    .Random = Random,
+                    .Now = Now};
+  addRoute(Value, View, Query, *Call, Now);
+  addService(Value, Service, View);
+  addChoice(Value, Request);
+  Value["hedge"] = hedging(Request);
+}
+
 } // namespace
 
 std::optional<WhereQuery> parseWhere(std::string_view Target) {
   WhereQuery Query;
+  std::string Nested = "false";
   const std::pair<std::string_view, std::string *> Fields[] = {
       {"host", &Query.Host},
       {"path", &Query.Path},
       {"method", &Query.Method},
-      {"organisation", &Query.Organisation}};
+      {"organisation", &Query.Organisation},
+      {"nested", &Nested}};
   std::vector<std::string_view> Seen;
   const std::size_t Mark = Target.find('?');
   std::string_view Rest = Mark == std::string_view::npos
@@ -291,6 +408,10 @@
     Seen.push_back(Name);
     *Field->second = *std::move(Value);
   }
+  if (Nested != "true" && Nested != "false") {
+    return std::nullopt;
+  }
+  Query.Nested = Nested == "true";
   return Query;
 }
 
@@ -301,32 +422,20 @@
                  {{"host", Query.Host},
                   {"path", Query.Path},
                   {"method", Query.Method},
-                  {"organisation", Query.Organisation}}},
+                  {"organisation", Query.Organisation},
+                  {"nested", Query.Nested}}},
                 {"view", View->Sequence},
                 {"stopping", Owner.stop().has_value()}};
   if (View->Routing) {
     Value["routing_table"] = {{"version", View->Routing->Version},
                               {"outdated", View->RoutingOutdated}};
   }
-  HttpRequest Request;
-  Request.Method = Query.Method;
-  Request.Target = Query.Path;
-  Request.Headers = {{"Host", Query.Host}};
-  policy::Error LastError;
-  auto Call = parseCall(Owner, std::move(Request), Now, LastError);
-  if (!Call) {
-    policy::RandomEngine Random = threadEngine();
-    Value["rejection"] =
-        rejection(Owner.dialect(), LastError.Kind, LastError.Detail, Random);
-  } else {
-    Call->Request.Organisation = Query.Organisation;
-    ServiceCopy Service = copyOf(Owner, *Call->Runtime);
-    addRoute(Value, *View, Query, *Call, Now);
-    addService(Value, Service, *View);
-    addChoice(Value, Owner, *Call, Service, Now);
-    Value["hedge"] = hedging(Owner, *Call, Service, Now);
+  if (isUnknown(Owner, *View, Query.Organisation)) {
+    Value["error"] = "unknown organisation: " + Query.Organisation;
+    return textOf(Value);
   }
-  return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
+  explainCall(Value, Owner, *View, Query, Now);
+  return textOf(Value);
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/dump/where.h
+++ b/packages/daemon/src/daemon/dump/where.h
@@ -14,12 +14,18 @@
   std::string Host;
   std::string Path = "/";
   std::string Method = "GET";
+  // Organisation that makes the request; empty for a caller without a key.
   std::string Organisation;
+  // True for a call that the local backend server makes while it runs a request
+  // of the organisation.
+  bool Nested = false;
 };
 
-// Reads the query of /-/where?host=H&path=P&method=M&organisation=O. Returns
-// nothing if a name is unknown or given twice, an encoding is malformed, or the
-// path is over 4096 or another value over 256 bytes.
+// Reads the query of
+// /-/where?host=H&path=P&method=M&organisation=O&nested=true. Returns nothing
+// if a name is unknown or given twice, an encoding is malformed, the path is
+// over 4096 or another value over 256 bytes, or nested is neither true nor
+// false.
 [[nodiscard]] std::optional<WhereQuery> parseWhere(std::string_view Target);
 
 // Explains as JSON where the request would go now, or which rule would reject
--- a/packages/daemon/src/daemon/entry/call_identity.cpp
+++ b/packages/daemon/src/daemon/entry/call_identity.cpp
@@ -1,6 +1,7 @@
 #include "daemon/entry/call_identity.h"
 
 #include "daemon/dialect/dialect.h"
+#include "daemon/entry/stated_caller.h"
 #include "daemon/log/log.h"
 #include "daemon/peer/call.h"
 #include "daemon/view/cluster_view.h"
@@ -8,6 +9,7 @@
 #include "policy/organisation/credential.h"
 
 #include <algorithm>
+#include <utility>
 #include <vector>
 
 namespace magnolia::daemon {
@@ -45,6 +47,32 @@
                                : Decision.Priority + FirstRoutePriority;
 }
 
+// Query for a request to the route, without its caller.
+policy::AuthorizationQuery queryOf(const ClusterView &View,
+                                   const settings::HostRoute &Route) {
+  return {.Configured = !View.Routing->Organisations->Organisations.empty(),
+          .PublicRoute = Route.Public,
+          .TableOutdated = View.RoutingOutdated,
+          .RoutePriority = Route.Priority};
+}
+
+// Returns the identity by the decision, or nothing and the error.
+std::optional<CallIdentity> identityOf(const policy::AuthorizationQuery &Query,
+                                       policy::Error &LastError) {
+  const policy::Authorization Decision = policy::authorize(Query);
+  if (Decision.Refusal) {
+    LastError = {*Decision.Refusal,
+                 "the request carries no valid key of an organisation"};
+    return std::nullopt;
+  }
+  CallIdentity Identity;
+  Identity.Organisation = Decision.Organisation;
+  Identity.Priority =
+      priorityOf(Decision, Query.Configured, Query.Parent.has_value());
+  Identity.StatesOrganisation = Decision.StatesOrganisation;
+  return Identity;
+}
+
 } // namespace
 
 std::optional<CallIdentity>
@@ -53,11 +81,8 @@
          const std::optional<RunningRequest> &Parent,
          policy::Error &LastError) {
   const OrganisationIndex &Index = *View.Routing->Organisations;
-  policy::AuthorizationQuery Query{.Configured = !Index.Organisations.empty(),
-                                   .PublicRoute = Route.Public,
-                                   .TableOutdated = View.RoutingOutdated,
-                                   .RoutePriority = Route.Priority};
-  CallIdentity Identity;
+  policy::AuthorizationQuery Query = queryOf(View, Route);
+  std::optional<KeyDigest> Key;
   policy::Credential Read;
   if (Parent) {
     Query.Parent = {.Organisation = Parent->Organisation,
@@ -66,26 +91,40 @@
   } else if (Query.Configured && !Route.Public) {
     Read = credentialOf(Speaks, Request);
     if (Read.Fault == policy::CredentialFault::None) {
-      Identity.Key = digestOf(Read.Key);
-      if (const auto *const Owner = findOwner(Index, *Identity.Key)) {
+      Key = digestOf(Read.Key);
+      if (const auto *const Owner = findOwner(Index, *Key)) {
         Query.Owner = {.Name = Owner->Name, .Priority = Owner->Priority};
       }
     }
   }
-  const policy::Authorization Decision = policy::authorize(Query);
-  if (Decision.Refusal) {
+  auto Identity = identityOf(Query, LastError);
+  if (Identity) {
+    Identity->Key = std::move(Key);
+  } else {
     logRefusal(Speaks, View, Route, Request, Read.Fault);
-    LastError = {*Decision.Refusal,
-                 "the request carries no valid key of an organisation"};
-    return std::nullopt;
   }
-  Identity.Organisation = Decision.Organisation;
-  Identity.Priority =
-      priorityOf(Decision, Query.Configured, Parent.has_value());
-  Identity.StatesOrganisation = Decision.StatesOrganisation;
   return Identity;
 }
 
+std::optional<CallIdentity> identifyStated(const ClusterView &View,
+                                           const settings::HostRoute &Route,
+                                           const StatedCaller &Caller,
+                                           policy::Error &LastError) {
+  const auto &Organisations = View.Routing->Organisations->Organisations;
+  const auto Found = Organisations.find(Caller.Organisation);
+  policy::AuthorizationQuery Query = queryOf(View, Route);
+  if (Found != Organisations.end()) {
+    Query.Owner = {.Name = Found->second->Name,
+                   .Priority = Found->second->Priority};
+  }
+  if (Caller.Nested) {
+    const policy::KeyOwner Owner = Query.Owner.value_or(policy::KeyOwner{});
+    Query.Parent = {.Organisation = Owner.Name,
+                    .Priority = Owner.Priority.value_or(Route.Priority)};
+  }
+  return identityOf(Query, LastError);
+}
+
 void applyIdentity(const Dialect &Speaks, const ClusterView &View,
                    const CallIdentity &Identity, CallRequest &Request) {
   Request.Priority = Identity.Priority;
--- a/packages/daemon/src/daemon/entry/call_identity.h
+++ b/packages/daemon/src/daemon/entry/call_identity.h
@@ -19,6 +19,7 @@
 struct CallRequest;
 struct ClusterView;
 struct Dialect;
+struct StatedCaller;
 
 // For whom a request runs.
 struct CallIdentity {
@@ -40,6 +41,15 @@
          const settings::HostRoute &Route, const HttpRequest &Request,
          const std::optional<RunningRequest> &Parent, policy::Error &LastError);
 
+// Finds out for whom a request of the stated caller would run, without its key.
+// A nested call has the priority of its organisation, or of its own route if
+// the organisation has none: the route of the parent is not stated. Returns
+// nothing and sets the error if the request would be refused. An organisation
+// that does not exist counts as a missing key.
+[[nodiscard]] std::optional<CallIdentity>
+identifyStated(const ClusterView &View, const settings::HostRoute &Route,
+               const StatedCaller &Caller, policy::Error &LastError);
+
 // Puts the identity into the request. If organisations are configured, removes
 // the headers of the key and of the organisation that the caller sent.
 void applyIdentity(const Dialect &Speaks, const ClusterView &View,
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -94,7 +94,6 @@
   // Returns false if the request is rejected because nested calls of its route
   // find no capacity.
   [[nodiscard]] bool admitByLosses(policy::TimePoint Now);
-  [[nodiscard]] policy::RouteArrival arrival() const;
   // Records the counts of the request's route that a sidecar reported.
   void reportCounts(policy::NodeId Sidecar, const policy::RouteCounts &Counts,
                     policy::TimePoint Now);
@@ -184,6 +183,19 @@
   bool CallerGone = false;
 };
 
+// Returns what the admission by the losses of nested calls decides by.
+[[nodiscard]] policy::RouteArrival arrivalOf(const EntryCall::Parameters &Call);
+
+// True if the call may be rejected for the losses of nested calls.
+[[nodiscard]] bool isShedByLosses(const EntryOptions &Options,
+                                  const EntryCall::Parameters &Call);
+
+// Returns the deadline of a request at a node that stops, or nothing if no
+// attempt may start because the stop could cut it.
+[[nodiscard]] std::optional<policy::TimePoint>
+deadlineBeforeStop(const CallRequest &Request, const policy::StopWindow &Stop,
+                   policy::TimePoint Now);
+
 } // namespace magnolia::daemon
 
 #endif
--- a/packages/daemon/src/daemon/entry/entry_call_losses.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call_losses.cpp
@@ -13,7 +13,7 @@
 
 using Milliseconds = std::chrono::duration<double, std::milli>;
 
-policy::RouteArrival EntryCall::arrival() const {
+policy::RouteArrival arrivalOf(const EntryCall::Parameters &Call) {
   return {.Route = Call.Request.Route,
           .Priority = Call.Request.Priority,
           .CallerDeadline = Call.CallerDeadline,
@@ -21,15 +21,19 @@
           .Aware = Call.WorkloadAware};
 }
 
+bool isShedByLosses(const EntryOptions &Options,
+                    const EntryCall::Parameters &Call) {
+  return Options.ShedByLosses && Call.WorkloadAware && !Call.Request.Nested;
+}
+
 bool EntryCall::admitByLosses(policy::TimePoint Now) {
-  if (!Owner.Options.ShedByLosses || !Call.WorkloadAware ||
-      Call.Request.Nested) {
+  if (!isShedByLosses(Owner.Options, Call)) {
     return true;
   }
   // The counts of the own backend server need no response.
   reportCounts(Owner.Options.Node,
                Owner.Use.Own.running().counts(Call.Request.Route, Now), Now);
-  const policy::RouteDecision Decision = Owner.Gate.admit(arrival(), Now);
+  const policy::RouteDecision Decision = Owner.Gate.admit(arrivalOf(Call), Now);
   if (Decision.Returned) {
     Owner.Use.Counts.count(Counter::ReturnsKept);
   }
@@ -61,7 +65,7 @@
       Owner.Use.Counts.count(Counter::NestedCallsLost);
     }
   } else if (Result->Kind && policy::errorEntry(*Result->Kind).Retryable) {
-    ReturnAfter = Owner.Gate.planReturn(arrival(), *Result->Kind, Now);
+    ReturnAfter = Owner.Gate.planReturn(arrivalOf(Call), *Result->Kind, Now);
   }
   if (Shed) {
     logShed();
--- a/packages/daemon/src/daemon/entry/entry_call_refusals.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call_refusals.cpp
@@ -43,18 +43,23 @@
                   : std::nullopt;
 }
 
+std::optional<policy::TimePoint>
+deadlineBeforeStop(const CallRequest &Request, const policy::StopWindow &Stop,
+                   policy::TimePoint Now) {
+  const bool HasObjective = Request.Objective != policy::TimePoint{};
+  return policy::deadlineBeforeStop(
+      {.Deadline = Request.Deadline,
+       .Objective = HasObjective ? Request.Objective - Now : policy::Duration{},
+       .Idempotent = Request.Idempotent},
+      Stop, Now);
+}
+
 bool EntryCall::limitToStop(policy::TimePoint Now) {
   const auto Stop = Owner.stop();
   if (!Stop) {
     return true;
   }
-  const bool HasObjective = Call.Request.Objective != policy::TimePoint{};
-  const auto Deadline = policy::deadlineBeforeStop(
-      {.Deadline = State.Deadline,
-       .Objective =
-           HasObjective ? Call.Request.Objective - Now : policy::Duration{},
-       .Idempotent = State.Idempotent},
-      *Stop, Now);
+  const auto Deadline = deadlineBeforeStop(Call.Request, *Stop, Now);
   if (Deadline) {
     State.Deadline = Call.Request.Deadline = *Deadline;
   }
--- a/packages/daemon/src/daemon/entry/fwd.h
+++ b/packages/daemon/src/daemon/entry/fwd.h
@@ -15,6 +15,8 @@
 struct HttpServiceOptions;
 struct HttpServiceState;
 struct ServiceRuntime;
+struct ServiceState;
+struct StatedCaller;
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/daemon/entry/parse_call.cpp
+++ b/packages/daemon/src/daemon/entry/parse_call.cpp
@@ -1,6 +1,7 @@
 #include "daemon/entry/parse_call.h"
 
 #include "daemon/entry/call_identity.h"
+#include "daemon/entry/stated_caller.h"
 #include "daemon/log/log.h"
 #include "policy/chain/chain_headers.h"
 #include "policy/overload/return_delay.h"
@@ -151,61 +152,78 @@
        {"outdated", View.RoutingOutdated}});
 }
 
-// Builds the call of a request whose service the routing table selects.
-std::optional<EntryCall::Parameters> parseRouted(Entry &Owner,
-                                                 HttpRequest Request,
-                                                 policy::TimePoint Now,
-                                                 policy::Error &LastError) {
-  const auto View = Owner.Use.Views.current();
-  if (!View->Routing) {
+// Returns the route of the request, or null and the error.
+const settings::HostRoute *selectRoute(const ClusterView &View,
+                                       const HttpRequest &Request,
+                                       policy::Error &LastError) {
+  if (!View.Routing) {
     LastError = {ErrorKind::NoBackendServer, "no routing table is loaded yet"};
-    return std::nullopt;
+    return nullptr;
   }
-  const Dialect &Speaks = Owner.dialect();
   const settings::HostRoute *Route =
-      findRoute(*View->Routing, hostOf(Request), pathOf(Request.Target));
+      findRoute(*View.Routing, hostOf(Request), pathOf(Request.Target));
   if (!Route) {
-    logMissingRoute(Speaks, Request, *View);
     // Only the newest table can tell that a route does not exist. Callers do
     // not retry a 404.
-    LastError = {View->RoutingOutdated ? ErrorKind::ConfigurationOutdated
-                                       : ErrorKind::UnknownService,
+    LastError = {View.RoutingOutdated ? ErrorKind::ConfigurationOutdated
+                                      : ErrorKind::UnknownService,
                  "no route matches the host and path"};
-    return std::nullopt;
-  }
-  const auto Parent = parentOf(Owner, Speaks, Request);
-  auto Identity = identify(Speaks, *View, *Route, Request, Parent, LastError);
-  if (!Identity) {
-    return std::nullopt;
   }
+  return Route;
+}
+
+// Where a call is built from: the state of the node, or copies if the request
+// is explained for a stated caller.
+struct CallSource {
+  policy::TimePoint Now{};
+  policy::RandomEngine &Random;
+  // Null for the request of a caller.
+  const StatedCaller *Stated = nullptr;
+};
+
+std::shared_ptr<ServiceRuntime> runtimeOf(Entry &Owner, const ClusterView &View,
+                                          std::string_view Service,
+                                          const CallSource &Source) {
+  return Source.Stated ? Owner.Services.copy(View, Service, Source.Now)
+                       : Owner.Services.find(View, Service, Source.Now);
+}
+
+// Builds the call of a request whose service the routing table selects, once
+// its caller is known.
+std::optional<EntryCall::Parameters>
+buildRouted(Entry &Owner, const ClusterView &View,
+            const settings::HostRoute &Route, HttpRequest Request,
+            const std::optional<RunningRequest> &Parent, CallIdentity Identity,
+            const CallSource &Source, policy::Error &LastError) {
+  const Dialect &Speaks = Owner.dialect();
+  const policy::TimePoint Now = Source.Now;
   std::uniform_real_distribution<double> Point(0, 1);
-  const settings::RouteTarget &Target = targetAt(*Route, Point(threadEngine()));
+  const settings::RouteTarget &Target = targetAt(Route, Point(Source.Random));
   EntryCall::Parameters Call;
-  Call.Runtime = Owner.Services.find(*View, Target.Service, Now);
+  Call.Runtime = runtimeOf(Owner, View, Target.Service, Source);
   if (!Call.Runtime) {
     LastError = {ErrorKind::NoBackendServer, "no service " + Target.Service};
     return std::nullopt;
   }
-  Call.Route = Route->Prefix;
-  Call.MaxRuns = Route->MaxAttempts;
+  Call.Route = Route.Prefix;
+  Call.MaxRuns = Route.MaxAttempts;
   Call.MayHedge = false;
-  Call.Request.Id = Owner.nextId();
   Call.Request.Service = Target.Service;
-  Call.Request.Idempotent = Route->Idempotent;
-  Call.Request.Route = Route->Name;
-  Call.Request.Bulk = Route->Bulk;
+  Call.Request.Idempotent = Route.Idempotent;
+  Call.Request.Route = Route.Name;
+  Call.Request.Bulk = Route.Bulk;
   Call.Request.Nested = Parent.has_value();
   Call.WorkloadAware = policy::isWorkloadAware(Owner.Options.WorkloadAware,
-                                               hasBulkRoutes(*View->Routing));
+                                               hasBulkRoutes(*View.Routing));
   Call.Request.OfRepeat = Call.WorkloadAware && Parent && Parent->Repeat;
   const auto CallerTimeout = deadlineOf(Speaks, Request);
   if (CallerTimeout) {
     Call.CallerDeadline = Now + *CallerTimeout;
   }
-  setTimes(Call, *Route, CallerTimeout, Owner.Options, Now);
+  setTimes(Call, Route, CallerTimeout, Owner.Options, Now);
   takeMessage(Call, std::move(Request));
-  applyIdentity(Speaks, *View, *Identity, Call.Request);
-  Call.Key = std::move(Identity->Key);
+  applyIdentity(Speaks, View, Identity, Call.Request);
+  Call.Key = std::move(Identity.Key);
   if (!Speaks.Headers.CallerService.empty()) {
     replaceHeader(Call.Request.Headers, Speaks.Headers.CallerService,
                   Owner.Options.LocalService);
@@ -213,6 +231,37 @@
   return Call;
 }
 
+// Builds the call of a request whose service the routing table selects.
+std::optional<EntryCall::Parameters> parseRouted(Entry &Owner,
+                                                 HttpRequest Request,
+                                                 const CallSource &Source,
+                                                 policy::Error &LastError) {
+  const auto View = Owner.Use.Views.current();
+  const Dialect &Speaks = Owner.dialect();
+  const settings::HostRoute *Route = selectRoute(*View, Request, LastError);
+  if (!Route) {
+    if (View->Routing && !Source.Stated) {
+      logMissingRoute(Speaks, Request, *View);
+    }
+    return std::nullopt;
+  }
+  std::optional<RunningRequest> Parent;
+  if (!Source.Stated) {
+    Parent = parentOf(Owner, Speaks, Request);
+  } else if (Source.Stated->Nested) {
+    Parent.emplace();
+  }
+  auto Identity =
+      Source.Stated
+          ? identifyStated(*View, *Route, *Source.Stated, LastError)
+          : identify(Speaks, *View, *Route, Request, Parent, LastError);
+  if (!Identity) {
+    return std::nullopt;
+  }
+  return buildRouted(Owner, *View, *Route, std::move(Request), Parent,
+                     *std::move(Identity), Source, LastError);
+}
+
 } // namespace
 
 bool isLocal(const HttpRequest &Request) {
@@ -248,13 +297,14 @@
          isIdempotent(findRule(*Found->second, pathOf(Target)), Request.Method);
 }
 
-std::optional<EntryCall::Parameters> parseCall(Entry &Owner,
-                                               HttpRequest Request,
-                                               policy::TimePoint Now,
-                                               policy::Error &LastError) {
+namespace {
+
+std::optional<EntryCall::Parameters> parse(Entry &Owner, HttpRequest Request,
+                                           const CallSource &Source,
+                                           policy::Error &LastError) {
   if (Owner.dialect().RoutesByHost) {
     if (toOriginForm(Request.Target, Request.Method)) {
-      return parseRouted(Owner, std::move(Request), Now, LastError);
+      return parseRouted(Owner, std::move(Request), Source, LastError);
     }
     LastError = {ErrorKind::BadRequest, "the request target is not a path"};
     return std::nullopt;
@@ -278,7 +328,7 @@
   const auto View = Owner.Use.Views.current();
   const auto Found = View->Services.find(Service);
   EntryCall::Parameters Call;
-  Call.Runtime = Owner.Services.find(*View, Service, Now);
+  Call.Runtime = runtimeOf(Owner, *View, Service, Source);
   if (!Call.Runtime || Found == View->Services.end()) {
     LastError = {ErrorKind::UnknownService, "no service " + Service};
     return std::nullopt;
@@ -286,16 +336,37 @@
   const RouteRule *Rule = findRule(*Found->second, pathOf(Request.Target));
   Call.Route = Rule ? Rule->PathPrefix : "/";
   Call.RetriesExhausted = Chain->RetriesExhausted;
-  Call.Request.Id = Owner.nextId();
   Call.Request.Service = Service;
   Call.Request.Idempotent = isIdempotent(Rule, Request.Method);
-  Call.Request.Deadline = Now + timeoutOf(Owner.Options, *Chain, Rule);
+  Call.Request.Deadline = Source.Now + timeoutOf(Owner.Options, *Chain, Rule);
   Call.Request.Hops = Chain->Hops + 1;
   Call.Request.IdempotencyKey = Chain->IdempotencyKey;
   takeMessage(Call, std::move(Request));
   return Call;
 }
 
+} // namespace
+
+std::optional<EntryCall::Parameters> parseCall(Entry &Owner,
+                                               HttpRequest Request,
+                                               policy::TimePoint Now,
+                                               policy::Error &LastError) {
+  auto Call = parse(Owner, std::move(Request),
+                    {.Now = Now, .Random = threadEngine()}, LastError);
+  if (Call) {
+    Call->Request.Id = Owner.nextId();
+  }
+  return Call;
+}
+
+std::optional<EntryCall::Parameters>
+parseStatedCall(Entry &Owner, HttpRequest Request, const StatedCaller &Caller,
+                policy::TimePoint Now, policy::RandomEngine &Random,
+                policy::Error &LastError) {
+  return parse(Owner, std::move(Request),
+               {.Now = Now, .Random = Random, .Stated = &Caller}, LastError);
+}
+
 HttpResponse errorResponse(const Dialect &Speaks, ErrorKind Kind,
                            std::string_view Detail, bool RetriesExhausted,
                            std::optional<policy::Duration> RetryAfter) {
--- a/packages/daemon/src/daemon/entry/parse_call.h
+++ b/packages/daemon/src/daemon/entry/parse_call.h
@@ -3,6 +3,7 @@
 
 #include "daemon/dialect/dialect.h"
 #include "daemon/entry/entry_call.h"
+#include "daemon/entry/fwd.h"
 #include "daemon/http/message.h"
 
 #include <optional>
@@ -33,6 +34,15 @@
 parseCall(Entry &Owner, HttpRequest Request, policy::TimePoint Now,
           policy::Error &LastError);
 
+// Builds the call that a request of the stated caller would be now, without its
+// key, from copies: it takes no request id, writes no log line, draws from
+// Random, and the runtime of its service is a copy. Returns nothing and sets
+// LastError if the request cannot be run.
+[[nodiscard]] std::optional<EntryCall::Parameters>
+parseStatedCall(Entry &Owner, HttpRequest Request, const StatedCaller &Caller,
+                policy::TimePoint Now, policy::RandomEngine &Random,
+                policy::Error &LastError);
+
 // Builds the error response to a caller, with the headers that state whether
 // the request ran. A rejected caller is asked to return after the given time,
 // or after a random one.
--- a/packages/daemon/src/daemon/entry/service_runtime.cpp
+++ b/packages/daemon/src/daemon/entry/service_runtime.cpp
@@ -106,6 +106,28 @@
   return Runtime;
 }
 
+std::shared_ptr<ServiceRuntime>
+ServiceTable::copy(const ClusterView &View, std::string_view Name,
+                   policy::TimePoint Now) const {
+  const auto Service = View.Services.find(Name);
+  if (Service == View.Services.end()) {
+    return nullptr;
+  }
+  std::shared_ptr<ServiceRuntime> Original;
+  {
+    const std::lock_guard Lock(Mutex);
+    const auto Found = Services.find(Name);
+    Original = Found != Services.end() ? Found->second : nullptr;
+  }
+  std::shared_ptr<ServiceRuntime> Copy = make();
+  if (Original) {
+    const std::lock_guard Lock(Original->Mutex);
+    static_cast<ServiceState &>(*Copy) = *Original;
+  }
+  refresh(*Copy, View, Service->second, Now);
+  return Copy;
+}
+
 std::vector<std::pair<std::string, std::shared_ptr<ServiceRuntime>>>
 ServiceTable::all() const {
   const std::lock_guard Lock(Mutex);
--- a/packages/daemon/src/daemon/entry/service_runtime.h
+++ b/packages/daemon/src/daemon/entry/service_runtime.h
@@ -31,10 +31,8 @@
   std::map<std::string, std::uint32_t, std::less<>> Indices;
 };
 
-// State of one service at this entry node. The mutex guards every other member
-// and is held for short sections only.
-struct ServiceRuntime {
-  std::mutex Mutex;
+// State of one service at this entry node, by which its requests are decided.
+struct ServiceState {
   std::uint64_t ViewSequence = 0;
   std::shared_ptr<const ServiceView> View;
   policy::RouteState Route;
@@ -47,6 +45,11 @@
   std::unordered_map<policy::NodeId, BackendEndpoint> Endpoints;
 };
 
+// The mutex guards the state and is held for short sections only.
+struct ServiceRuntime : ServiceState {
+  std::mutex Mutex;
+};
+
 // Applies the view if it is newer. The caller must hold the mutex.
 void refresh(ServiceRuntime &Runtime, const ClusterView &View,
              const std::shared_ptr<const ServiceView> &Service,
@@ -75,6 +78,12 @@
   // if the view does not contain the service.
   [[nodiscard]] std::shared_ptr<ServiceRuntime>
   find(const ClusterView &View, std::string_view Name, policy::TimePoint Now);
+  // Returns a copy of the runtime with the view applied, or a new one if the
+  // service has had no requests yet; the table stays as it is. Returns null if
+  // the view does not contain the service.
+  [[nodiscard]] std::shared_ptr<ServiceRuntime>
+  copy(const ClusterView &View, std::string_view Name,
+       policy::TimePoint Now) const;
   [[nodiscard]] std::vector<
       std::pair<std::string, std::shared_ptr<ServiceRuntime>>>
   all() const;
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -59,6 +59,19 @@
   return std::nullopt;
 }
 
+policy::AdmissionQuery admissionQuery(const CallRequest &Request) {
+  return {.Deadline = Request.Deadline,
+          .Objective = Request.Objective,
+          .Priority = Request.Nested ? NestedCallPriority : Request.Priority,
+          .Repeat = Request.Repeat,
+          .Nested = Request.Nested,
+          .OfRepeat = Request.OfRepeat,
+          .HasChoice = Request.HasChoice,
+          .Organisation = Request.Nested
+                              ? std::string_view()
+                              : std::string_view(Request.Organisation)};
+}
+
 Sidecar::Admission Sidecar::admit(const CallRequest &Request,
                                   policy::TimePoint Now) {
   Counts.count(Counter::SidecarRequests);
@@ -67,18 +80,8 @@
   }
   const std::lock_guard Lock(Mutex);
   expireWaits(Now);
-  const policy::AdmissionDecision Decision = policy::admit(
-      Admitted,
-      {.Deadline = Request.Deadline,
-       .Objective = Request.Objective,
-       .Priority = Request.Nested ? NestedCallPriority : Request.Priority,
-       .Repeat = Request.Repeat,
-       .Nested = Request.Nested,
-       .OfRepeat = Request.OfRepeat,
-       .HasChoice = Request.HasChoice,
-       .Organisation = Request.Nested ? std::string_view()
-                                      : std::string_view(Request.Organisation)},
-      Now);
+  const policy::AdmissionDecision Decision =
+      policy::admit(Admitted, admissionQuery(Request), Now);
   switch (Decision.Action) {
   case policy::AdmissionAction::Run:
     return std::monostate();
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -26,6 +26,7 @@
 #include <vector>
 
 namespace magnolia::policy {
+struct AdmissionQuery;
 struct Completion;
 } // namespace magnolia::policy
 
@@ -76,6 +77,10 @@
   std::optional<policy::ErrorKind> Refusal;
 };
 
+// Returns what the admission of the request decides by. A nested call goes
+// before all others and counts for no organisation.
+[[nodiscard]] policy::AdmissionQuery admissionQuery(const CallRequest &Request);
+
 // Admission control and run ledger of the local backend server, shared by all
 // threads that handle requests.
 class Sidecar {
--- a/packages/policy/src/policy/organisation/fair_share.cpp
+++ b/packages/policy/src/policy/organisation/fair_share.cpp
@@ -86,11 +86,20 @@
   setCredit(Shares, hashOf(Organisation), std::clamp(Next, Lowest, MaxCredit));
 }
 
+double firstProbability(const FairShare &Shares,
+                        std::string_view Organisation) {
+  if (Organisation.empty() || Shares.Share <= 0) {
+    return 0;
+  }
+  return std::clamp(creditOf(Shares, hashOf(Organisation)) + quota(Shares), 0.0,
+                    1.0);
+}
+
 bool goesFirst(FairShare &Shares, std::string_view Organisation) {
   if (Organisation.empty() || Shares.Share <= 0) {
     return false;
   }
-  return draw(Shares) < creditOf(Shares, hashOf(Organisation)) + quota(Shares);
+  return draw(Shares) < firstProbability(Shares, Organisation);
 }
 
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/organisation/fair_share.h
+++ b/packages/policy/src/policy/organisation/fair_share.h
@@ -49,6 +49,10 @@
 void recordShare(FairShare &Shares, std::string_view Organisation,
                  ShareOutcome Outcome);
 
+// Probability that a request that finds no free slot goes first.
+[[nodiscard]] double firstProbability(const FairShare &Shares,
+                                      std::string_view Organisation);
+
 // Decides whether a request that finds no free slot goes first.
 [[nodiscard]] bool goesFirst(FairShare &Shares, std::string_view Organisation);
 
