--- a/packages/ctl/test/ctl/command/where.cpp
+++ b/packages/ctl/test/ctl/command/where.cpp
@@ -53,6 +53,8 @@
   EXPECT_EQ(Sent.find("path")->second, "/known/a?b=c");
   EXPECT_EQ(Sent.find("host")->second, "h.example");
   EXPECT_EQ(Sent.find("method")->second, "GET");
+  // Nodes of earlier releases reject the name.
+  EXPECT_EQ(Sent.count("nested"), 0U);
   EXPECT_TRUE(B.printed("route: name r, rank 2")) << B.Stream.str();
   EXPECT_TRUE(B.printed("*  10.0.0.2  -          b     1        ok"))
       << B.Stream.str();
@@ -60,6 +62,18 @@
   EXPECT_TRUE(B.printed("hedge: percent 5, delay_ms -")) << B.Stream.str();
 }
 
+// Guards against an organisation that the node does not know and that looks
+// like an answer, and against a node that is asked for another request.
+TEST_F(WhereCommand, FailsForAnUnknownOrganisation) {
+  B.Run.Options.Organisation = "org-c";
+  B.Run.Options.Nested = true;
+  EXPECT_EQ(run(R"({"error":"unknown organisation: org-c"})"),
+            ExitCode::Failed);
+  EXPECT_EQ(Sent.find("organisation")->second, "org-c");
+  EXPECT_EQ(Sent.find("nested")->second, "true");
+  EXPECT_TRUE(B.printed("unknown organisation: org-c")) << B.Stream.str();
+}
+
 // Guards against a node that does not respond taken for one without a route.
 TEST_F(WhereCommand, FailsWithoutAnAnswer) {
   EXPECT_EQ(run(std::nullopt), ExitCode::Failed);
--- a/packages/ctl/test/ctl/options/parse_options.cpp
+++ b/packages/ctl/test/ctl/options/parse_options.cpp
@@ -31,12 +31,16 @@
   EXPECT_EQ(Options->Timeout, std::chrono::seconds(3));
   EXPECT_TRUE(Options->Json);
   EXPECT_EQ(Options->Operator, "karim");
-  const auto Where = parseOptions(
-      split("where /a --http 127.0.0.1:8080 --host h --method PUT"), Error);
+  const auto Where =
+      parseOptions(split("where /a --http 127.0.0.1:8080 --host h --method PUT "
+                         "--organisation org-a --nested"),
+                   Error);
   ASSERT_TRUE(Where) << Error.Detail;
   EXPECT_EQ(Where->Selected, Command::Where);
   EXPECT_EQ(Where->Http, (settings::HostPort{"127.0.0.1", 8080}));
   EXPECT_EQ(Where->Method, "PUT");
+  EXPECT_EQ(Where->Organisation, "org-a");
+  EXPECT_TRUE(Where->Nested);
   EXPECT_EQ(parseOptions(split("--help"), Error)->Selected, Command::Help);
   EXPECT_EQ(parseOptions(split("validate a b"), Error)->Arguments.size(), 2U);
 }
--- a/packages/daemon/test/daemon/dump/where.cpp
+++ b/packages/daemon/test/daemon/dump/where.cpp
@@ -32,11 +32,14 @@
       {"half an encoding", "/-/where?path=%2", false},
       {"an encoding that is no number", "/-/where?path=%zz", false},
       {"a name without a value", "/-/where?host", false},
+      {"a nested call that is not read", "/-/where?nested=true", true},
+      {"a nested call that is taken for another", "/-/where?nested=yes", false},
   };
   for (const WhereRow &Row : Rows) {
     EXPECT_EQ(parseWhere(Row.Target).has_value(), Row.Accepted) << Row.Failure;
   }
   EXPECT_EQ(parseWhere(Rows[0].Target)->Path, "/a?b");
+  EXPECT_TRUE(parseWhere("/-/where?nested=true")->Nested);
   EXPECT_FALSE(parseWhere("/-/where?path=" + std::string(5000, 'a')));
 }
 
