--- a/packages/daemon/src/daemon/entry/fwd.h
+++ b/packages/daemon/src/daemon/entry/fwd.h
@@ -16,6 +16,8 @@
 struct HttpServiceOptions;
 struct HttpServiceState;
 struct ServiceRuntime;
+struct ServiceState;
+struct StatedCaller;
 
 } // namespace magnolia::daemon
 
