Hedge requests from the first fifty response times on

The quantile of a route counted only response times of slices that had settled: the current slice of 5 s and the one before were left out, so the first hedge of a route could not start before 10 s of traffic. Until 50 have settled, the quantile now comes from the first response times of the route, at most 250 of them and for at most 40 s. It needs 50 and 2.5 above the quantile (50 up to the 95th percentile, 250 for the 99th): of 50, the 95th percentile is with 95 % confidence one that 1.3 to 13.7 % of the requests exceed, and the limit of hedges bounds the cost of such an error.

--- a/packages/policy/src/policy/hedge/response_times.cpp
+++ b/packages/policy/src/policy/hedge/response_times.cpp
@@ -3,6 +3,7 @@
 #include <boost/histogram/axis/regular.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace magnolia::policy {
 
@@ -29,12 +30,19 @@
   }
 }
 
+void restartFirst(ResponseTimes &Times, TimePoint Now) {
+  Times.First.fill(0);
+  Times.FirstSamples = 0;
+  Times.FirstAt = Now;
+}
+
 // Makes the slice of the time Now the current one and empties those that have
 // left the window.
 void rotate(ResponseTimes &Times, TimePoint Now) {
   constexpr std::size_t Slices = ResponseTimes::Slices;
   if (Times.SliceStart == TimePoint{}) {
     Times.SliceStart = Now;
+    restartFirst(Times, Now);
     return;
   }
   if (Now - Times.SliceStart < ResponseTimes::SliceLength) {
@@ -44,6 +52,9 @@
   Times.SliceStart += Passed * ResponseTimes::SliceLength;
   // After more steps than this all slices are empty.
   const auto Steps = std::min<std::int64_t>(Passed, std::int64_t{Slices} + 1);
+  if (Steps > std::int64_t{Slices}) {
+    restartFirst(Times, Now);
+  }
   for (std::int64_t I = 0; I < Steps; ++I) {
     settle(Times, (Times.Current + Slices - 1) % Slices, true);
     Times.Current = (Times.Current + 1) % Slices;
@@ -52,6 +63,42 @@
   }
 }
 
+// Returns the number of first response times from which the quantile is
+// derived.
+std::uint32_t enoughFor(std::uint32_t Percent) {
+  // Below this number above the quantile, a single slow request moves the
+  // highest quantiles.
+  constexpr double MinAbove = 2.5;
+  constexpr double Whole = 100;
+  if (Percent >= Whole) {
+    return ResponseTimes::MaxFirst;
+  }
+  const double Wanted = MinAbove * Whole / (Whole - Percent);
+  return std::max(ResponseTimes::MinSamples,
+                  static_cast<std::uint32_t>(std::ceil(Wanted)));
+}
+
+// True until the first response times leave the window.
+bool hasFirst(const ResponseTimes &Times, TimePoint Now) {
+  return Now - Times.FirstAt <
+         ResponseTimes::Slices * ResponseTimes::SliceLength;
+}
+
+// Returns the upper bound of the bin that holds the quantile.
+Duration quantileOf(const ResponseTimes::Row &Counts, std::uint32_t Samples,
+                    std::uint32_t Percent) {
+  constexpr std::uint64_t Whole = 100;
+  const std::uint64_t Rank =
+      (std::uint64_t{Samples} * Percent + Whole - 1) / Whole;
+  std::uint64_t Sum = 0;
+  std::size_t Bin = 0;
+  while (Bin + 1 < ResponseTimes::Bins && (Sum += Counts[Bin]) < Rank) {
+    ++Bin;
+  }
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
+      binAxis().value(static_cast<int>(Bin) + 1)));
+}
+
 } // namespace
 
 void recordTime(ResponseTimes &Times, Duration Length, TimePoint Now) {
@@ -61,24 +108,22 @@
   constexpr int LastBin = static_cast<int>(ResponseTimes::Bins) - 1;
   const auto Bin = static_cast<std::size_t>(std::clamp(Found, 0, LastBin));
   ++Times.Counts[Times.Current][Bin];
+  if (Times.FirstSamples < ResponseTimes::MaxFirst) {
+    ++Times.First[Bin];
+    ++Times.FirstSamples;
+  }
 }
 
 std::optional<Duration> quantile(ResponseTimes &Times, std::uint32_t Percent,
                                  TimePoint Now) {
   rotate(Times, Now);
-  if (Times.Samples < ResponseTimes::MinSamples) {
-    return std::nullopt;
+  if (Times.Samples >= ResponseTimes::MinSamples) {
+    return quantileOf(Times.Settled, Times.Samples, Percent);
   }
-  constexpr std::uint64_t Whole = 100;
-  const std::uint64_t Rank =
-      (std::uint64_t{Times.Samples} * Percent + Whole - 1) / Whole;
-  std::uint64_t Sum = 0;
-  std::size_t Bin = 0;
-  while (Bin + 1 < ResponseTimes::Bins && (Sum += Times.Settled[Bin]) < Rank) {
-    ++Bin;
+  if (Times.FirstSamples < enoughFor(Percent) || !hasFirst(Times, Now)) {
+    return std::nullopt;
   }
-  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(
-      binAxis().value(static_cast<int>(Bin) + 1)));
+  return quantileOf(Times.First, Times.FirstSamples, Percent);
 }
 
 } // namespace magnolia::policy
--- a/packages/policy/test/policy/hedge/load_patterns.cpp
+++ b/packages/policy/test/policy/hedge/load_patterns.cpp
@@ -63,6 +63,47 @@
   EXPECT_TRUE(Hedged.allSlotsFree());
 }
 
+// Guards against hedges that start only when the first slice of response times
+// has settled, 10 s after the first request.
+TEST(HedgePatterns, FirstSecondsAreHedged) {
+  const auto Make = [](HedgeOptions Hedge) {
+    return Replay({.Hedge = Hedge,
+                   .Length = seconds(10),
+                   .Takes = [](std::size_t, TimePoint, RandomEngine &Random) {
+                     const bool Long = Random() % 100 < 3;
+                     return usualWork(Random) * (Long ? 7 : 1);
+                   }});
+  };
+  Replay Plain = Make({});
+  Replay Hedged = Make(FivePercent);
+  Plain.run();
+  Hedged.run();
+  EXPECT_GT(Plain.within(0.98, at(seconds(2))), milliseconds(500));
+  EXPECT_LT(Hedged.within(0.98, at(seconds(2))), milliseconds(300));
+  ASSERT_FALSE(Hedged.HedgesAt.empty());
+  // Requests start at 1 s, and 50 response times take half a second.
+  EXPECT_LT(Hedged.HedgesAt.front(), at(milliseconds(2500)));
+  expectWithinLimit(Hedged, 5);
+}
+
+// Guards against hedges that keep a service slow that becomes slow as a whole
+// before any response time has settled.
+TEST(HedgePatterns, WholeServiceSlowAtTheStartGetsNoHedges) {
+  Replay Run({.Hedge = {.Percent = 20},
+              .Length = seconds(10),
+              .Takes = [](std::size_t, TimePoint Now, RandomEngine &Random) {
+                const bool Slow = Now > at(seconds(4)) && Now < at(seconds(7));
+                return usualWork(Random) * (Slow ? 3 : 1);
+              }});
+  Run.run();
+  const auto WhileSlow = std::count_if(
+      Run.HedgesAt.begin(), Run.HedgesAt.end(), [](TimePoint Time) {
+        return Time > at(seconds(4)) && Time < at(seconds(7));
+      });
+  EXPECT_LE(WhileSlow, 10);
+  expectWithinLimit(Run, 20);
+}
+
 // Guards against a tail that consists of the 3 in 100 runs that take seven
 // times as long.
 TEST(HedgePatterns, ThreeInHundredTakeSevenTimesAsLong) {
--- a/packages/policy/test/policy/hedge/response_times.cpp
+++ b/packages/policy/test/policy/hedge/response_times.cpp
@@ -39,6 +39,37 @@
   }
 }
 
+// Guards against a delay that is known only when the slice of the first
+// response times has settled, and against a high quantile from a few of them.
+TEST(ResponseTimes, FirstTimesCountAtOnce) {
+  struct Row {
+    std::uint32_t Percent;
+    std::uint32_t Enough;
+  };
+  const TimePoint Now(std::chrono::seconds(10));
+  for (const Row &Wanted : {Row{50, 50}, Row{95, 50}, Row{99, 250}}) {
+    ResponseTimes Times;
+    for (std::uint32_t I = 1; I <= Wanted.Enough; ++I) {
+      EXPECT_FALSE(quantile(Times, Wanted.Percent, Now)) << I;
+      recordTime(Times, milliseconds(10), Now);
+    }
+    ASSERT_TRUE(quantile(Times, Wanted.Percent, Now)) << Wanted.Percent;
+    EXPECT_LT(*quantile(Times, Wanted.Percent, Now), milliseconds(12));
+  }
+}
+
+// Guards against a delay from times of the past on a route with few requests.
+TEST(ResponseTimes, FirstTimesLeaveTheWindow) {
+  ResponseTimes Times;
+  const TimePoint Start(std::chrono::seconds(10));
+  const Duration Window = ResponseTimes::Slices * ResponseTimes::SliceLength;
+  for (Duration At{}; At < Window; At += milliseconds(700)) {
+    recordTime(Times, milliseconds(10), Start + At);
+  }
+  EXPECT_TRUE(quantile(Times, 95, Start + Window - milliseconds(1)));
+  EXPECT_FALSE(quantile(Times, 95, Start + Window));
+}
+
 // Guards against a service that counts as fast because it is compared with the
 // response times of the same seconds.
 TEST(ResponseTimes, LatestTimesDoNotCountYet) {
