Limit the time for a connection by the time left of the call

Cause: nested calls have a time budget of 400 ms. A connection to a sidecar whose link is full with uploads ended after 250 ms, and the attempt after it often met the end of the budget; the parent then failed with 500.

Change: with admission by workload, a new connection may take 0.3 of the time left.

--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -171,8 +171,11 @@
     return std::nullopt;
   }
   Owner.Use.Counts.count(Counter::Attempts);
+  const policy::TimePoint Latest = Call.WorkloadAware
+                                       ? policy::connectDeadline(State, now())
+                                       : State.Deadline;
   PeerPool::PooledConnection Pooled =
-      Owner.Use.Peers.take(Current.Peer, State.Deadline);
+      Owner.Use.Peers.take(Current.Peer, Latest);
   if (!Pooled.Connection) {
     Owner.Use.Counts.count(Counter::PeerConnectFailures);
     recordConnectFailure(Current, now());
--- a/packages/policy/src/policy/retry/plan_next.cpp
+++ b/packages/policy/src/policy/retry/plan_next.cpp
@@ -156,6 +156,12 @@
   return std::nullopt;
 }
 
+TimePoint connectDeadline(const AttemptState &State, TimePoint Now) {
+  constexpr double ConnectShare = 0.3;
+  const auto Left = static_cast<double>((State.Deadline - Now).count());
+  return Now + Duration(static_cast<Duration::rep>(Left * ConnectShare));
+}
+
 void onAttempt(AttemptState &State) {
   ++State.Attempts;
   ++State.Open;
--- a/packages/policy/src/policy/retry/plan_next.h
+++ b/packages/policy/src/policy/retry/plan_next.h
@@ -21,6 +21,12 @@
 [[nodiscard]] std::optional<ErrorKind> checkFirst(const AttemptState &State,
                                                   TimePoint Now);
 
+// Returns the time by which a new connection to a sidecar must be established.
+// It uses a share of the time left, so that a call with a short deadline has
+// time for another sidecar after a failure.
+[[nodiscard]] TimePoint connectDeadline(const AttemptState &State,
+                                        TimePoint Now);
+
 // Count the start and the end of an attempt.
 void onAttempt(AttemptState &State);
 void onAttemptEnd(AttemptState &State);
--- a/packages/policy/test/policy/retry/plan_next.cpp
+++ b/packages/policy/test/policy/retry/plan_next.cpp
@@ -306,5 +306,19 @@
   EXPECT_EQ(HedgeAction(0, 1), RetryAction::Hedge);
 }
 
+// Guards against a nested call with a short deadline that spends its time on
+// connections to servers whose links are full.
+TEST(PlanNext, TwoFailedConnectionsLeaveTimeForAThirdServer) {
+  AttemptState State;
+  const TimePoint Start{std::chrono::seconds(1)};
+  State.Deadline = Start + std::chrono::milliseconds(400);
+  const TimePoint Second = connectDeadline(State, Start);
+  const TimePoint Third = connectDeadline(State, Second);
+  EXPECT_EQ(Second, Start + std::chrono::milliseconds(120));
+  // The work of a nested call takes 40 ms, and four times as long at a server
+  // that is slow for a moment.
+  EXPECT_GT(State.Deadline - Third, std::chrono::milliseconds(160));
+}
+
 } // namespace
 } // namespace magnolia::policy
