Mend what the read-through of the new code found

- A connection may take 100 ms even if the call has little time left: a shorter limit counted healthy sidecars as failed.
- The early rollback of a rollout needs a baseline and failures that exceed the permitted number by two standard deviations.
- The counters of busy links and failed connections keep what earlier passes saw.
- A run without a window is not taken back once the true time is known.
- The route query of traffic and of magnoliactl where has one source; names and comments are clearer.

--- a/packages/daemon/src/daemon/dump/where.cpp
+++ b/packages/daemon/src/daemon/dump/where.cpp
@@ -70,8 +70,8 @@
   ServiceState &Service;
   const std::vector<policy::VersionShare> Shares;
   policy::RouteAdmissionState Gate;
-  // Copy of the engine of this thread, so that the request draws the numbers of
-  // the next one on it and takes none of them.
+  // Copy of the random engine of this thread: the explanation uses the numbers
+  // that the next request draws, without taking them from it.
   policy::RandomEngine &Random;
   policy::TimePoint Now{};
 };
@@ -243,15 +243,8 @@
   policy::RouteState &Route = Request.Service.Route;
   policy::onReport(Route, Owner.Options.Node, Owner.Use.Own.load(),
                    Request.Now);
-  policy::RouteQuery Query{.Idempotent = Sent.Idempotent,
-                           .LargeBody = Sent.Bulk && !Sent.Idempotent,
-                           .WorkloadAware = Request.Call.WorkloadAware,
-                           .Excluded = {},
-                           .Versions = Request.Shares,
-                           .Key = {}};
-  if (!Sent.Idempotent && !Sent.IdempotencyKey.empty()) {
-    Query.Key = policy::hashOf(Sent.IdempotencyKey);
-  }
+  policy::RouteQuery Query = routeQueryOf(Request.Call);
+  Query.Versions = Request.Shares;
   policy::Error LastError;
   const auto Node =
       policy::choose(Route, Query, Request.Now, Request.Random, LastError);
--- a/packages/daemon/src/daemon/entry/entry.h
+++ b/packages/daemon/src/daemon/entry/entry.h
@@ -26,7 +26,8 @@
 struct EntryOptions {
   policy::NodeId Node = 0;
   policy::Incarnation Run = 0;
-  // Time at which the node started; by default, long ago.
+  // Time at which the node started; the default is long ago, so that no request
+  // waits for backend servers to become known.
   policy::TimePoint Start{};
   policy::Duration Spin{};
   policy::Duration Deadline{};
--- a/packages/daemon/src/daemon/entry/entry_call.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call.cpp
@@ -34,6 +34,17 @@
 
 } // namespace
 
+policy::RouteQuery routeQueryOf(const EntryCall::Parameters &Call) {
+  const CallRequest &Request = Call.Request;
+  policy::RouteQuery Query{.Idempotent = Request.Idempotent,
+                           .LargeBody = Request.Bulk && !Request.Idempotent,
+                           .WorkloadAware = Call.WorkloadAware};
+  if (!Request.Idempotent && !Request.IdempotencyKey.empty()) {
+    Query.Key = policy::hashOf(Request.IdempotencyKey);
+  }
+  return Query;
+}
+
 EntryCall::EntryCall(Entry &Owner, Parameters Parameters)
     : Owner(Owner), Call(std::move(Parameters)) {
   State.Idempotent = Call.Request.Idempotent;
@@ -79,16 +90,8 @@
 std::optional<EntryCall::Attempt>
 EntryCall::chooseTarget(policy::Error &ChooseError) {
   ServiceRuntime &Runtime = *Call.Runtime;
-  policy::RouteQuery Query{.Idempotent = State.Idempotent,
-                           .LargeBody =
-                               Call.Request.Bulk && !Call.Request.Idempotent,
-                           .WorkloadAware = Call.WorkloadAware,
-                           .Excluded = Tried,
-                           .Versions = {},
-                           .Key = {}};
-  if (!State.Idempotent && !Call.Request.IdempotencyKey.empty()) {
-    Query.Key = policy::hashOf(Call.Request.IdempotencyKey);
-  }
+  policy::RouteQuery Query = routeQueryOf(Call);
+  Query.Excluded = Tried;
   const std::lock_guard Lock(Runtime.Mutex);
   auto Shares = versionShares(Runtime, Owner.Use.Overrides);
   if (!Tried.empty()) {
--- a/packages/daemon/src/daemon/entry/entry_call.h
+++ b/packages/daemon/src/daemon/entry/entry_call.h
@@ -12,6 +12,7 @@
 #include "policy/retry/outcome.h"
 #include "policy/retry/retry_decision.h"
 #include "policy/route/feedback.h"
+#include "policy/route/fwd.h"
 
 #include <cstddef>
 #include <list>
@@ -200,6 +201,11 @@
   bool CallerGone = false;
 };
 
+// Returns the constraints on the choice of a backend server for the first
+// attempt, without the shares of the versions.
+[[nodiscard]] policy::RouteQuery
+routeQueryOf(const EntryCall::Parameters &Call);
+
 // Returns what the admission by the losses of nested calls decides by.
 [[nodiscard]] policy::RouteArrival arrivalOf(const EntryCall::Parameters &Call);
 
--- a/packages/daemon/src/daemon/entry/entry_call_start.cpp
+++ b/packages/daemon/src/daemon/entry/entry_call_start.cpp
@@ -69,7 +69,7 @@
 WaitStep EntryCall::waitForBackends(policy::TimePoint Until) {
   WaitStep Step = WaitStep::Continue;
   while (Step == WaitStep::Continue) {
-    sleepUnlessGone(policy::nextLook(Until, now()));
+    sleepUnlessGone(policy::nextCheck(Until, now()));
     const std::size_t Known = knownBackends(now());
     if (Known > 0) {
       // The caller may have left since the wake-up.
--- a/packages/policy/src/policy/overload/await_backends.cpp
+++ b/packages/policy/src/policy/overload/await_backends.cpp
@@ -9,15 +9,18 @@
 
 using namespace std::chrono_literals;
 
-// Nodes learn of the backend servers within 0.6 s of their start.
+// Nodes learn of the backend servers within 0.6 s of their start; three times
+// as long leaves time for one that has to ask again.
 constexpr Duration StartPhase = 2s;
+// Bounds the memory of the requests that are held.
 constexpr std::uint32_t MaxWaiting = 64;
 // Largest part of the time until the objective that a request may wait, so that
 // it can still meet the objective.
 constexpr double ObjectivePart = 0.3;
 constexpr Duration WaitWithoutObjective = 100ms;
 constexpr Duration MaxWait = 500ms;
-constexpr Duration LookInterval = 20ms;
+// Short against the wait; a check only reads the number of servers.
+constexpr Duration CheckInterval = 20ms;
 
 Duration longestWait(const UnservedRequest &Request, TimePoint Now) {
   if (!Request.Objective) {
@@ -51,8 +54,8 @@
 
 void endWait(BackendWaits &State) { --State.Waiting; }
 
-TimePoint nextLook(TimePoint Until, TimePoint Now) {
-  return std::min(Until, Now + LookInterval);
+TimePoint nextCheck(TimePoint Until, TimePoint Now) {
+  return std::min(Until, Now + CheckInterval);
 }
 
 WaitStep nextStep(const WaitProgress &Progress, TimePoint Now) {
--- a/packages/policy/src/policy/overload/await_backends.h
+++ b/packages/policy/src/policy/overload/await_backends.h
@@ -60,7 +60,7 @@
 void endWait(BackendWaits &State);
 
 // Returns the time at which a waiting request looks for backend servers again.
-[[nodiscard]] TimePoint nextLook(TimePoint Until, TimePoint Now);
+[[nodiscard]] TimePoint nextCheck(TimePoint Until, TimePoint Now);
 
 [[nodiscard]] WaitStep nextStep(const WaitProgress &Progress, TimePoint Now);
 
--- a/packages/policy/src/policy/retry/plan_next.cpp
+++ b/packages/policy/src/policy/retry/plan_next.cpp
@@ -157,9 +157,12 @@
 }
 
 TimePoint connectDeadline(const AttemptState &State, TimePoint Now) {
+  // Leaves time for two more attempts.
   constexpr double ConnectShare = 0.3;
+  constexpr Duration MinConnectTime = std::chrono::milliseconds(100);
   const auto Left = static_cast<double>((State.Deadline - Now).count());
-  return Now + Duration(static_cast<Duration::rep>(Left * ConnectShare));
+  const Duration Share(static_cast<Duration::rep>(Left * ConnectShare));
+  return std::min(State.Deadline, Now + std::max(Share, MinConnectTime));
 }
 
 void onAttempt(AttemptState &State) {
--- a/packages/policy/src/policy/retry/plan_next.h
+++ b/packages/policy/src/policy/retry/plan_next.h
@@ -23,7 +23,8 @@
 
 // Returns the time by which a new connection to a sidecar must be established.
 // It uses a share of the time left, so that a call with a short deadline has
-// time for another sidecar after a failure.
+// time for another sidecar after a failure, but at least 100 ms if the deadline
+// permits: less would fail connections to sidecars that are only busy.
 [[nodiscard]] TimePoint connectDeadline(const AttemptState &State,
                                         TimePoint Now);
 
--- a/packages/policy/src/policy/rollout/advance.cpp
+++ b/packages/policy/src/policy/rollout/advance.cpp
@@ -1,6 +1,7 @@
 #include "policy/rollout/advance.h"
 
 #include <algorithm>
+#include <cmath>
 #include <string>
 
 namespace magnolia::policy {
@@ -56,23 +57,39 @@
   return Sum;
 }
 
+// Returns the failure rate that the new version may have.
+double permittedRate(const VersionCounts &Old, const RolloutOptions &Options) {
+  return 2 * failureRate(Old) + Options.FailureMargin;
+}
+
 // Returns true if the new version's failure rate in this step stays within the
 // margin above that of the old version.
 bool isHealthy(const RolloutStats &Stats, const RolloutOptions &Options) {
   return Options.FailureMargin <= 0 ||
          failureRate(newInStep(Stats)) <=
-             2 * failureRate(oldBaseline(Stats)) + Options.FailureMargin;
+             permittedRate(oldBaseline(Stats), Options);
 }
 
 // Returns true if the new version has a large share and fails too often even
 // before the end of the step. Waiting for it would expose callers for longer.
+// Since this is checked all the time, the failures must exceed the permitted
+// number by two standard deviations.
 bool failsEarly(const RolloutRecord &Record, const RolloutStats &Stats,
                 const RolloutOptions &Options) {
-  return Record.Phase == RolloutPhase::Shifting &&
-         Record.Share >= Options.LargeShare && Stats.RolloutId == Record.Id &&
-         Stats.Step == Record.Step &&
-         newInStep(Stats).Failures >= Options.MinEarlyFailures &&
-         !isHealthy(Stats, Options);
+  const bool Applies =
+      Options.FailureMargin > 0 && Record.Phase == RolloutPhase::Shifting &&
+      Record.Share >= Options.LargeShare && Stats.RolloutId == Record.Id &&
+      Stats.Step == Record.Step;
+  const VersionCounts Old = oldBaseline(Stats);
+  const VersionCounts New = newInStep(Stats);
+  if (!Applies || Old.Requests < RolloutStats::MinBaselineResponses ||
+      New.Failures < Options.MinEarlyFailures) {
+    return false;
+  }
+  const double Permitted =
+      permittedRate(Old, Options) * static_cast<double>(New.Requests);
+  return static_cast<double>(New.Failures) >
+         Permitted + 2 * std::sqrt(Permitted);
 }
 
 RolloutRecord atStep(RolloutRecord Record, std::uint32_t Step, TimePoint Now,
--- a/packages/policy/src/policy/rollout/rollout_stats.cpp
+++ b/packages/policy/src/policy/rollout/rollout_stats.cpp
@@ -22,9 +22,9 @@
 // Keeps the responses of a step that ends as the baseline of later ones.
 void keepBaseline(RolloutStats &Stats) {
   const VersionCounts Step = oldInStep(Stats);
-  if (Step.Requests >= RolloutStats::MinOldResponses) {
+  if (Step.Requests >= RolloutStats::MinBaselineResponses) {
     Stats.OldBefore = Step;
-  } else if (Stats.OldBefore.Requests < RolloutStats::MinOldResponses) {
+  } else if (Stats.OldBefore.Requests < RolloutStats::MinBaselineResponses) {
     addCounts(Stats.OldBefore, Step);
   }
 }
@@ -142,7 +142,7 @@
 
 VersionCounts oldBaseline(const RolloutStats &Stats) {
   VersionCounts Baseline = oldInStep(Stats);
-  if (Baseline.Requests < RolloutStats::MinOldResponses) {
+  if (Baseline.Requests < RolloutStats::MinBaselineResponses) {
     addCounts(Baseline, Stats.OldBefore);
   }
   return Baseline;
--- a/packages/policy/src/policy/rollout/rollout_stats.h
+++ b/packages/policy/src/policy/rollout/rollout_stats.h
@@ -24,8 +24,9 @@
 struct RolloutStats {
   static constexpr std::size_t MaxRoutes = 64;
   static constexpr std::size_t MaxReporters = 32'768;
-  // Minimum number of responses of the old version for a failure rate.
-  static constexpr std::uint64_t MinOldResponses = 30;
+  // Below this number, responses of the old version in earlier steps are added
+  // to the baseline. One failure in 30 is the margin of short rollouts.
+  static constexpr std::uint64_t MinBaselineResponses = 30;
 
   std::string RolloutId;
   std::uint32_t Step = 0;
--- a/packages/policy/src/policy/route/choose.cpp
+++ b/packages/policy/src/policy/route/choose.cpp
@@ -10,24 +10,26 @@
 
 namespace {
 
-// Whether a candidate can take the request, best first.
+// Whether a candidate can take the request, best first. A rejection by a full
+// server costs a round trip, a failed connection the whole connect timeout.
 enum class Room : std::uint8_t { Free, LinkBusy, Full, ConnectFailed };
 
 // Rules by which a candidate with a free slot counts as full.
-struct Rules {
+struct FullRules {
   bool LinkUse = false;
   bool ConnectFailures = false;
   // Random bits for the rule on the use of the link. They are drawn once, since
   // a candidate may be looked at several times for one request.
-  std::uint64_t Draw = 0;
+  std::uint64_t RandomBits = 0;
 };
 
 struct Pick {
   Candidate *Best = nullptr;
   double Cost = 0;
-  Room Left = Room::Free;
+  Room Availability = Room::Free;
   bool Trial = false;
-  // True if a candidate counted as full by the rule.
+  // True if a candidate counted as full by the rule on the use of its link or
+  // on failed connections.
   bool SawLinkBusy = false;
   bool SawConnectFailed = false;
 };
@@ -73,21 +75,21 @@
 }
 
 Room roomOf(const RouteState &State, const Candidate &Server, bool Full,
-            const Rules &InEffect, TimePoint Now) {
-  if (InEffect.ConnectFailures &&
+            const FullRules &Applied, TimePoint Now) {
+  if (Applied.ConnectFailures &&
       internal::hasConnectFailed(State, Server, Now)) {
     return Room::ConnectFailed;
   }
   if (Full) {
     return Room::Full;
   }
-  return InEffect.LinkUse && isLinkBusy(State, Server, InEffect.Draw, Now)
+  return Applied.LinkUse && isLinkBusy(State, Server, Applied.RandomBits, Now)
              ? Room::LinkBusy
              : Room::Free;
 }
 
 void evaluate(RouteState &State, std::uint32_t Position,
-              const RouteQuery &Query, const Rules &InEffect, TimePoint Now,
+              const RouteQuery &Query, const FullRules &Applied, TimePoint Now,
               Pick &Current) {
   Candidate &Server = State.Candidates[State.Active[Position]];
   if (Current.Trial || Server.Report.Draining ||
@@ -97,31 +99,34 @@
   internal::ejectIfOutlier(State, Server, Now);
   if (Server.Health.Phase != HealthPhase::Healthy) {
     if (isTrialAllowed(Server, Query, Now)) {
-      Current = {.Best = &Server, .Trial = true};
+      Current.Best = &Server;
+      Current.Availability = Room::Free;
+      Current.Trial = true;
     }
     return;
   }
   const internal::Score Score = internal::score(State, Server, Now);
-  const Room Left = roomOf(State, Server, Score.Full, InEffect, Now);
-  Current.SawLinkBusy |= Left == Room::LinkBusy;
-  Current.SawConnectFailed |= Left == Room::ConnectFailed;
+  const Room Availability = roomOf(State, Server, Score.Full, Applied, Now);
+  Current.SawLinkBusy |= Availability == Room::LinkBusy;
+  Current.SawConnectFailed |= Availability == Room::ConnectFailed;
   const bool Better =
-      Current.Best == nullptr ||
-      (Left == Current.Left ? Score.Cost < Current.Cost : Left < Current.Left);
+      Current.Best == nullptr || (Availability == Current.Availability
+                                      ? Score.Cost < Current.Cost
+                                      : Availability < Current.Availability);
   if (Better) {
     Current.Best = &Server;
     Current.Cost = Score.Cost;
-    Current.Left = Left;
+    Current.Availability = Availability;
   }
 }
 
 // Scores Count candidates of Active, beginning at First.
 void evaluateAll(RouteState &State, std::uint32_t First, std::uint32_t Count,
-                 const RouteQuery &Query, const Rules &InEffect, TimePoint Now,
-                 RandomEngine &Random, Pick &Current) {
+                 const RouteQuery &Query, const FullRules &Applied,
+                 TimePoint Now, RandomEngine &Random, Pick &Current) {
   const std::uint32_t Start = randomBelow(Count, Random);
   for (std::uint32_t I = 0; I < Count; ++I) {
-    evaluate(State, First + (Start + I) % Count, Query, InEffect, Now, Current);
+    evaluate(State, First + (Start + I) % Count, Query, Applied, Now, Current);
   }
 }
 
@@ -129,15 +134,16 @@
 // free slot was found, or until MaxDraws is reached.
 void evaluateSamples(RouteState &State, std::uint32_t First,
                      std::uint32_t Count, const RouteQuery &Query,
-                     const Rules &InEffect, TimePoint Now, RandomEngine &Random,
-                     Pick &Current) {
+                     const FullRules &Applied, TimePoint Now,
+                     RandomEngine &Random, Pick &Current) {
   for (std::uint32_t Draw = 0; Draw < State.Options.MaxDraws; ++Draw) {
     const bool Enough = Draw >= State.Options.Samples &&
-                        Current.Best != nullptr && Current.Left == Room::Free;
+                        Current.Best != nullptr &&
+                        Current.Availability == Room::Free;
     if (Enough || Current.Trial) {
       return;
     }
-    evaluate(State, First + randomBelow(Count, Random), Query, InEffect, Now,
+    evaluate(State, First + randomBelow(Count, Random), Query, Applied, Now,
              Current);
   }
 }
@@ -146,47 +152,50 @@
 // local zone comes first, since a few draws from all zones often miss all of
 // its servers.
 Pick pickByRules(RouteState &State, const VersionGroup &Group,
-                 const RouteQuery &Query, const Rules &InEffect, TimePoint Now,
-                 RandomEngine &Random) {
+                 const RouteQuery &Query, const FullRules &Applied,
+                 TimePoint Now, RandomEngine &Random) {
   Pick Current;
   if (Group.Count <= State.Options.MaxFullScan) {
-    evaluateAll(State, Group.First, Group.Count, Query, InEffect, Now, Random,
+    evaluateAll(State, Group.First, Group.Count, Query, Applied, Now, Random,
                 Current);
     return Current;
   }
   if (Group.LocalCount > State.Options.MaxFullScan) {
-    evaluateSamples(State, Group.First, Group.LocalCount, Query, InEffect, Now,
+    evaluateSamples(State, Group.First, Group.LocalCount, Query, Applied, Now,
                     Random, Current);
   } else if (Group.LocalCount > 0) {
-    evaluateAll(State, Group.First, Group.LocalCount, Query, InEffect, Now,
+    evaluateAll(State, Group.First, Group.LocalCount, Query, Applied, Now,
                 Random, Current);
   }
-  evaluateSamples(State, Group.First, Group.Count, Query, InEffect, Now, Random,
+  evaluateSamples(State, Group.First, Group.Count, Query, Applied, Now, Random,
                   Current);
   return Current;
 }
 
-// Chooses without a rule if all candidates count as full and those with a free
-// slot do so by that rule.
+// A rule is dropped if the best candidate found is one that it excludes. A
+// candidate without a free slot is preferred to one that could not be reached.
 Pick pickLowestCost(RouteState &State, const VersionGroup &Group,
                     const RouteQuery &Query, TimePoint Now,
                     RandomEngine &Random) {
-  Rules InEffect{.LinkUse = Query.WorkloadAware && Query.LargeBody,
-                 .ConnectFailures = Query.WorkloadAware};
-  if (InEffect.LinkUse) {
-    InEffect.Draw = Random();
+  FullRules Applied{.LinkUse = Query.WorkloadAware && Query.LargeBody,
+                    .ConnectFailures = Query.WorkloadAware};
+  if (Applied.LinkUse) {
+    Applied.RandomBits = Random();
   }
-  Pick Found = pickByRules(State, Group, Query, InEffect, Now, Random);
-  if (Found.Left == Room::ConnectFailed) {
-    InEffect.ConnectFailures = false;
-    Found = pickByRules(State, Group, Query, InEffect, Now, Random);
+  Pick Found = pickByRules(State, Group, Query, Applied, Now, Random);
+  const bool SawConnectFailed = Found.SawConnectFailed;
+  bool SawLinkBusy = Found.SawLinkBusy;
+  if (Found.Availability == Room::ConnectFailed) {
+    Applied.ConnectFailures = false;
+    Found = pickByRules(State, Group, Query, Applied, Now, Random);
+    SawLinkBusy |= Found.SawLinkBusy;
   }
-  if (Found.Left == Room::LinkBusy) {
-    InEffect.LinkUse = false;
-    Found = pickByRules(State, Group, Query, InEffect, Now, Random);
+  if (Found.Availability == Room::LinkBusy) {
+    Applied.LinkUse = false;
+    Found = pickByRules(State, Group, Query, Applied, Now, Random);
   }
-  State.Counters.LinkBusy += Found.SawLinkBusy ? 1 : 0;
-  State.Counters.ConnectFailed += Found.SawConnectFailed ? 1 : 0;
+  State.Counters.LinkBusy += SawLinkBusy ? 1 : 0;
+  State.Counters.ConnectFailed += SawConnectFailed ? 1 : 0;
   return Found;
 }
 
--- a/packages/policy/src/policy/usage/count_runs.cpp
+++ b/packages/policy/src/policy/usage/count_runs.cpp
@@ -85,7 +85,10 @@
 void uncountRun(RunCounts &State, std::string_view Organisation,
                 std::optional<UsageWindow> Window) {
   if (!Window) {
-    decrement(State.Unplaced, Organisation);
+    // Once the true time is known, the run has moved to a window.
+    if (!State.Offset) {
+      decrement(State.Unplaced, Organisation);
+    }
     return;
   }
   const auto Counts = State.Windows.find(*Window);
--- a/packages/policy/src/policy/usage/true_time.cpp
+++ b/packages/policy/src/policy/usage/true_time.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::size_t MaxClocks = 65'536;
+// Enough samples for short windows, whose messages come often.
 constexpr Duration MinSampleAge = std::chrono::seconds(10);
 
 // Returns the age at which a sample counts as outdated. Two messages may be
--- a/packages/policy/test/policy/retry/plan_next.cpp
+++ b/packages/policy/test/policy/retry/plan_next.cpp
@@ -320,5 +320,14 @@
   EXPECT_GT(State.Deadline - Third, std::chrono::milliseconds(160));
 }
 
+// Guards against a deadline of a few milliseconds by which a connection to a
+// healthy sidecar counts as failed.
+TEST(PlanNext, ShortDeadlineDoesNotShortenAConnection) {
+  AttemptState State;
+  const TimePoint Start{std::chrono::seconds(1)};
+  State.Deadline = Start + std::chrono::milliseconds(20);
+  EXPECT_EQ(connectDeadline(State, Start), State.Deadline);
+}
+
 } // namespace
 } // namespace magnolia::policy
