Let requests wait for their turn at a cold server

While a backend server announces its cold start, the sidecar admitted the requests of each second in its first milliseconds and rejected the rest in order of arrival, nested calls and high ranks included.

With AdmissionOptions::PacesCold, which Sidecar::setWorkloadAware sets, starts are spaced evenly after a burst of two, and a request that finds the rate reached waits in the queue for slots if its expected wait is within its maximum wait. The expected wait is the larger of the wait for a slot and the wait for the rate. nextStart tells waiting calls when to wake up, and release names those that start. A request that is cancelled between its grant and its start gives its place back.

--- a/packages/daemon/src/daemon/metrics/metrics.cpp
+++ b/packages/daemon/src/daemon/metrics/metrics.cpp
@@ -82,6 +82,11 @@
      "Requests started before the one in front of them was answered."},
     {Counter::PipelinePauses, "pipeline_pauses",
      "Times that input of a connection waited because of its limits."},
+    {Counter::ColdWaits, "cold_waits",
+     "Requests that waited for the rate of the cold backend server."},
+    {Counter::ColdWaitsStarted, "cold_waits_started",
+     "Requests that started after they waited for the rate of the cold backend "
+     "server."},
 }};
 
 constexpr bool inOrder() {
--- a/packages/daemon/src/daemon/metrics/metrics.h
+++ b/packages/daemon/src/daemon/metrics/metrics.h
@@ -51,10 +51,12 @@
   LinkRejections,
   PipelinedRequests,
   PipelinePauses,
+  ColdWaits,
+  ColdWaitsStarted,
 };
 
 inline constexpr std::size_t CounterCount =
-    static_cast<std::size_t>(Counter::PipelinePauses) + 1;
+    static_cast<std::size_t>(Counter::ColdWaitsStarted) + 1;
 
 enum class Timing : std::uint8_t {
   // Entry node: from the arrival of the complete request to the complete
--- a/packages/daemon/src/daemon/sidecar/sidecar.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar.cpp
@@ -7,14 +7,16 @@
 
 #include <sys/eventfd.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace magnolia::daemon {
 
 using policy::ErrorKind;
 
-SlotWait::SlotWait(policy::Ticket Waiting)
-    : Id(Waiting), Wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
+SlotWait::SlotWait(policy::Ticket Waiting, bool WaitsForColdRate)
+    : Id(Waiting), ForColdRate(WaitsForColdRate),
+      Wake(eventfd(0, EFD_NONBLOCK | EFD_CLOEXEC)) {}
 
 Sidecar::Sidecar(SidecarOptions Opts, LocalBackend &Backend, Metrics &Counts)
     : Options(Opts), Backend(Backend), Counts(Counts),
@@ -83,8 +85,13 @@
   case policy::AdmissionAction::Run:
     return std::monostate();
   case policy::AdmissionAction::Wait: {
-    auto Wait = std::make_shared<SlotWait>(Decision.Id);
+    auto Wait = std::make_shared<SlotWait>(Decision.Id, Decision.ForColdRate);
     Waits.emplace(Decision.Id, Wait);
+    if (Decision.ForColdRate) {
+      Counts.count(Counter::ColdWaits);
+    }
+    // The turn of a request in front may have come at this time.
+    releaseWaits(Now);
     return Wait;
   }
   case policy::AdmissionAction::Refuse:
@@ -93,17 +100,23 @@
   return policy::Error{Decision.Kind, "refused by the sidecar"};
 }
 
-void Sidecar::grant(const std::vector<policy::Ticket> &Ready) {
+void Sidecar::grant(const std::vector<policy::Ticket> &Ready,
+                    policy::TimePoint Now) {
   for (const policy::Ticket Id : Ready) {
     const auto Found = Waits.find(Id);
     if (Found != Waits.end()) {
       Found->second->Granted = true;
+      Found->second->GrantedAt = Now;
       eventfd_write(Found->second->Wake.fd(), 1);
       Waits.erase(Found);
     }
   }
 }
 
+void Sidecar::releaseWaits(policy::TimePoint Now) {
+  grant(policy::release(Admitted, Now), Now);
+}
+
 void Sidecar::expireWaits(policy::TimePoint Now) {
   for (const policy::Expiry &Expired : policy::expire(Admitted, Now)) {
     const auto Found = Waits.find(Expired.Id);
@@ -119,7 +132,11 @@
                                        ErrorKind &Refusal) {
   const std::lock_guard Lock(Mutex);
   expireWaits(Now);
+  releaseWaits(Now);
   if (Wait.Granted) {
+    if (Wait.ForColdRate) {
+      Counts.count(Counter::ColdWaitsStarted);
+    }
     return WaitStatus::Granted;
   }
   if (Wait.Refusal) {
@@ -129,15 +146,18 @@
   return WaitStatus::Waiting;
 }
 
-policy::TimePoint Sidecar::nextExpiry() const {
+policy::TimePoint Sidecar::nextWaitCheck(policy::TimePoint Now) const {
   const std::lock_guard Lock(Mutex);
-  return policy::nextExpiry(Admitted);
+  return std::min(policy::nextExpiry(Admitted),
+                  policy::nextStart(Admitted, Now));
 }
 
 void Sidecar::abandon(SlotWait &Wait, policy::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   if (Wait.Granted) {
-    grant(policy::complete(Admitted, {.NotSent = true}, Now));
+    grant(policy::complete(
+              Admitted, {.NotSent = true, .NeverStarted = Wait.GrantedAt}, Now),
+          Now);
     return;
   }
   policy::abandon(Admitted, Wait.Id);
@@ -146,7 +166,7 @@
 
 void Sidecar::complete(const policy::Completion &Ended, policy::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
-  grant(policy::complete(Admitted, Ended, Now));
+  grant(policy::complete(Admitted, Ended, Now), Now);
 }
 
 std::optional<ErrorKind> Sidecar::beginRun(const CallRequest &Request,
@@ -230,6 +250,8 @@
 void Sidecar::onColdLeft(policy::Duration Left, policy::TimePoint Now) {
   const std::lock_guard Lock(Mutex);
   policy::onColdLeft(Admitted, Left, Now);
+  // A server that has become warm has no turns to wait for.
+  releaseWaits(Now);
 }
 
 void Sidecar::setCapacity(std::uint32_t Connections, double ColdPerSecond) {
@@ -273,6 +295,7 @@
   }
   Admitted.Draining = State.Draining;
   policy::onBackendIncarnation(Admitted, State.Run, Now);
+  releaseWaits(Now);
 }
 
 void Sidecar::beginStop(policy::TimePoint End) {
@@ -287,6 +310,7 @@
   Running.setCounting(On);
   const std::lock_guard Lock(Mutex);
   Admitted.Options.NestedRepeatShare = On ? NestedRepeatShare : 0;
+  Admitted.Options.PacesCold = On;
 }
 
 void Sidecar::setZoneOut(bool Out) { ZoneOut = Out; }
--- a/packages/daemon/src/daemon/sidecar/sidecar.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar.h
@@ -66,13 +66,16 @@
 // Entry of one request in the queue for a slot. The descriptor becomes readable
 // when the wait ends.
 struct SlotWait {
-  explicit SlotWait(policy::Ticket Waiting);
+  SlotWait(policy::Ticket Waiting, bool WaitsForColdRate);
 
   policy::Ticket Id;
+  // True if it waits for the rate of a cold server and not for a slot.
+  bool ForColdRate;
   UniqueFd Wake;
   // Guarded by the sidecar's mutex. The request still waits if it is neither
   // granted nor refused.
   bool Granted = false;
+  policy::TimePoint GrantedAt{};
   std::optional<policy::ErrorKind> Refusal;
 };
 
@@ -95,11 +98,13 @@
   checkBackend(const CallRequest &Request) const;
 
   enum class WaitStatus : std::uint8_t { Waiting, Granted, Refused };
-  // Refuses all requests that have waited too long and returns the status of
-  // this one.
+  // Refuses all requests that have waited too long, starts those whose turn has
+  // come and returns the status of this one.
   [[nodiscard]] WaitStatus checkWait(SlotWait &Wait, policy::TimePoint Now,
                                      policy::ErrorKind &Refusal);
-  [[nodiscard]] policy::TimePoint nextExpiry() const;
+  // Returns the time of the next call of checkWait, if nothing else happens
+  // before.
+  [[nodiscard]] policy::TimePoint nextWaitCheck(policy::TimePoint Now) const;
   // Leaves the queue, or frees the slot if it has been granted already.
   void abandon(SlotWait &Wait, policy::TimePoint Now);
 
@@ -173,8 +178,9 @@
   void onOtherInstance();
 
 private:
-  // The caller must hold the mutex for grant and expireWaits.
-  void grant(const std::vector<policy::Ticket> &Ready);
+  // The caller must hold the mutex for grant, releaseWaits and expireWaits.
+  void grant(const std::vector<policy::Ticket> &Ready, policy::TimePoint Now);
+  void releaseWaits(policy::TimePoint Now);
   void expireWaits(policy::TimePoint Now);
   void setAdmission(const SidecarOptions &Opts);
 
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -91,8 +91,9 @@
 }
 
 policy::TimePoint SidecarCall::nextCheck() const {
-  return Step == Stage::Waiting ? std::min(Request.Deadline, Owner.nextExpiry())
-                                : Request.Deadline;
+  return Step == Stage::Waiting
+             ? std::min(Request.Deadline, Owner.nextWaitCheck(now()))
+             : Request.Deadline;
 }
 
 void SidecarCall::advance(policy::TimePoint Now) {
--- a/packages/policy/src/policy/admission/admission_options.h
+++ b/packages/policy/src/policy/admission/admission_options.h
@@ -21,6 +21,10 @@
   // Factor on ColdPerSecond; above 1 only if servers are known to sustain a
   // higher rate than they announce.
   double ColdFactor = 1.0;
+  // If true, the requests of a cold server start evenly spaced, and one that
+  // finds the rate reached may wait for its turn. If false, it is rejected at
+  // once.
+  bool PacesCold = false;
   // Retries of requests that an earlier attempt has sent to a backend server
   // are limited to RepeatRatio of the first attempts in ten seconds plus
   // RepeatSlack. If both are 0, retries are not limited here.
--- a/packages/policy/src/policy/admission/admission_state.h
+++ b/packages/policy/src/policy/admission/admission_state.h
@@ -3,6 +3,7 @@
 
 #include "policy/admission/admission_options.h"
 #include "policy/admission/arrival_window.h"
+#include "policy/admission/cold_pace.h"
 #include "policy/organisation/fair_share.h"
 
 #include <string>
@@ -13,7 +14,7 @@
 // Identifies one waiting request of one sidecar; never reused.
 using Ticket = std::uint64_t;
 
-// Request that waits for a slot.
+// Request that waits for a slot or for its turn at a cold server.
 struct Waiter {
   Ticket Id = 0;
   TimePoint Since{};
@@ -31,8 +32,9 @@
 };
 
 // Admission state of one backend server. The in-flight count is exact: each Run
-// and each ticket returned by complete adds one, and each call of complete
-// subtracts one. It is not thread-safe; callers guard it with one mutex.
+// and each ticket returned by complete or release adds one, and each call of
+// complete subtracts one. It is not thread-safe; callers guard it with one
+// mutex.
 struct AdmissionState {
   AdmissionOptions Options;
   // Waiting requests, ordered by priority and then by arrival; at most
@@ -57,6 +59,8 @@
   // End of the cold start that the backend server announced.
   TimePoint ColdUntil{};
   ArrivalWindow Arrivals;
+  // Used only with Options.PacesCold.
+  ColdPace Pace;
   FairShare Shares;
   std::uint64_t Admitted = 0;
   std::uint64_t Queued = 0;
--- a/packages/policy/src/policy/admission/admit.cpp
+++ b/packages/policy/src/policy/admission/admit.cpp
@@ -1,5 +1,6 @@
 #include "policy/admission/admit.h"
 
+#include "policy/admission/internal/cold_rate.h"
 #include "policy/admission/internal/ramp.h"
 
 #include <algorithm>
@@ -8,9 +9,18 @@
 
 namespace {
 
-ErrorKind fullErrorKind(const AdmissionState &State) {
-  return internal::isRamping(State) ? ErrorKind::ColdStart
-                                    : ErrorKind::Overloaded;
+// Returns true if the rate of a cold server and not a missing slot makes
+// requests wait.
+bool isHeldByPace(const AdmissionState &State, TimePoint Now) {
+  return internal::isPaced(State, Now) &&
+         (State.InFlight < limit(State) ||
+          internal::nextColdStart(State, Now) > Now);
+}
+
+ErrorKind fullErrorKind(const AdmissionState &State, TimePoint Now) {
+  return internal::isRamping(State) || isHeldByPace(State, Now)
+             ? ErrorKind::ColdStart
+             : ErrorKind::Overloaded;
 }
 
 AdmissionDecision refuse(AdmissionState &State, ErrorKind Kind) {
@@ -21,6 +31,7 @@
 void takeSlot(AdmissionState &State, bool Repeat, TimePoint Now) {
   internal::addBusyTime(State, Now);
   recordArrival(State.Arrivals, Repeat, Now);
+  internal::recordColdStart(State, Now);
   ++State.InFlight;
   ++State.Admitted;
   State.MaxInFlight = std::max(State.MaxInFlight, State.InFlight);
@@ -45,13 +56,27 @@
   return Fresh ? State.WorkTimePercent : UsualPercent;
 }
 
-// Estimates the time until a request of this priority gets a slot.
-Duration expectedWait(const AdmissionState &State, std::uint32_t Priority,
-                      TimePoint Now) {
+// Estimates the time until a request behind this number of others gets a slot.
+Duration expectedSlotWait(const AdmissionState &State, std::size_t Before,
+                          TimePoint Now) {
   constexpr std::uint32_t UsualPercent = 100;
   const Duration PerSlot =
       State.Latency * workTimeNow(State, Now) / (UsualPercent * limit(State));
-  return PerSlot * (countWaitingBefore(State, Priority) + 1);
+  if (!internal::isPaced(State, Now)) {
+    return PerSlot * (Before + 1);
+  }
+  // Requests that wait for the rate leave slots free.
+  const std::size_t Free =
+      limit(State) - std::min(limit(State), State.InFlight);
+  return PerSlot * (Before + 1 - std::min(Before + 1, Free));
+}
+
+// Estimates the time until a request of this priority starts.
+Duration expectedWait(const AdmissionState &State, std::uint32_t Priority,
+                      TimePoint Now) {
+  const std::size_t Before = countWaitingBefore(State, Priority);
+  return std::max(expectedSlotWait(State, Before, Now),
+                  internal::expectedColdWait(State, Before, Now));
 }
 
 // A request with an objective may wait for a share of the time left, since it
@@ -70,14 +95,6 @@
   return Now >= Entry.Deadline || Now >= Entry.Until;
 }
 
-// Returns true if a cold server has received all the requests that it accepts
-// in one second.
-bool isColdRateReached(AdmissionState &State, TimePoint Now) {
-  return isCold(State, Now) && State.Options.ColdPerSecond > 0 &&
-         static_cast<double>(arrivalsInLastSecond(State.Arrivals, Now) + 1) >
-             State.Options.ColdFactor * State.Options.ColdPerSecond;
-}
-
 bool usesRetryBudget(const AdmissionQuery &Query) {
   return Query.Repeat || Query.OfRepeat;
 }
@@ -125,15 +142,24 @@
   return Entry.GoesFirst ? ShareOutcome::ServedFirst : ShareOutcome::Served;
 }
 
-// Decides on a request that finds no free slot.
+// Returns true if a request of this priority starts without a wait.
+bool mayStart(const AdmissionState &State, std::uint32_t Priority,
+              TimePoint Now) {
+  return State.InFlight < limit(State) &&
+         countWaitingBefore(State, Priority) == 0 &&
+         (!internal::isPaced(State, Now) ||
+          internal::nextColdStart(State, Now) <= Now);
+}
+
+// Decides on a request that finds no free slot, or the rate of a cold server
+// reached.
 AdmissionDecision admitToQueue(AdmissionState &State,
                                const AdmissionQuery &Query, TimePoint Now) {
   State.StepReachedLimit = true;
   const bool First = Query.Priority > FirstPriority &&
                      goesFirst(State.Shares, Query.Organisation);
   const std::uint32_t Priority = First ? FirstPriority : Query.Priority;
-  if (First && State.InFlight < limit(State) &&
-      countWaitingBefore(State, Priority) == 0) {
+  if (First && mayStart(State, Priority, Now)) {
     takeSlot(State, usesRetryBudget(Query), Now);
     recordShare(State.Shares, Query.Organisation, ShareOutcome::ServedFirst);
     return {.Action = AdmissionAction::Run};
@@ -144,7 +170,7 @@
   if (Wait > MaxWaitTime || Now + Wait >= Query.Deadline ||
       (Full && !displaceLast(State, Priority, Now))) {
     recordShare(State.Shares, Query.Organisation, ShareOutcome::Unserved);
-    return refuse(State, fullErrorKind(State));
+    return refuse(State, fullErrorKind(State, Now));
   }
   ++State.Queued;
   enqueue(State, {.Id = ++State.LastTicket,
@@ -155,7 +181,30 @@
                   .Repeat = usesRetryBudget(Query),
                   .Organisation = std::string(Query.Organisation),
                   .GoesFirst = First});
-  return {.Action = AdmissionAction::Wait, .Id = State.LastTicket};
+  return {.Action = AdmissionAction::Wait,
+          .Id = State.LastTicket,
+          .ForColdRate = isHeldByPace(State, Now)};
+}
+
+// Starts waiting requests in their order while slots and the rate of a cold
+// server permit it. Expired ones stay in the queue until expire rejects them.
+std::vector<Ticket> startWaiting(AdmissionState &State, TimePoint Now) {
+  std::vector<Ticket> Ready;
+  for (auto Entry = State.Waiting.begin();
+       Entry != State.Waiting.end() && State.InFlight < limit(State);) {
+    if (isExpired(*Entry, Now)) {
+      ++Entry;
+      continue;
+    }
+    if (internal::isColdRateReached(State, Now)) {
+      break;
+    }
+    Ready.push_back(Entry->Id);
+    takeSlot(State, Entry->Repeat, Now);
+    recordShare(State.Shares, Entry->Organisation, servedOutcome(*Entry));
+    Entry = State.Waiting.erase(Entry);
+  }
+  return Ready;
 }
 
 } // namespace
@@ -171,7 +220,7 @@
   if (Now >= Query.Deadline) {
     return refuse(State, ErrorKind::DeadlineExceededNotRun);
   }
-  if (isColdRateReached(State, Now)) {
+  if (!State.Options.PacesCold && internal::isColdRateReached(State, Now)) {
     return refuse(State, ErrorKind::ColdStart);
   }
   if (Query.HasChoice && isSlowNow(State, Now)) {
@@ -180,8 +229,7 @@
   if (!isRetryAllowed(State, Query, Now)) {
     return refuse(State, ErrorKind::Overloaded);
   }
-  if (State.InFlight < limit(State) &&
-      countWaitingBefore(State, Query.Priority) == 0) {
+  if (mayStart(State, Query.Priority, Now)) {
     takeSlot(State, usesRetryBudget(Query), Now);
     recordShare(State.Shares, Query.Organisation, ShareOutcome::Served);
     return {.Action = AdmissionAction::Run};
@@ -196,23 +244,26 @@
   if (!Ended.NotSent) {
     internal::recordCompletion(State, Ended, Now);
   }
-  std::vector<Ticket> Ready;
-  // Expired requests stay in the queue until expire rejects them.
-  for (auto Entry = State.Waiting.begin();
-       Entry != State.Waiting.end() && State.InFlight < limit(State);) {
-    if (isExpired(*Entry, Now)) {
-      ++Entry;
-      continue;
-    }
-    if (isColdRateReached(State, Now)) {
-      break;
-    }
-    Ready.push_back(Entry->Id);
-    takeSlot(State, Entry->Repeat, Now);
-    recordShare(State.Shares, Entry->Organisation, servedOutcome(*Entry));
-    Entry = State.Waiting.erase(Entry);
+  if (Ended.NeverStarted != TimePoint{}) {
+    internal::returnColdStart(State, Ended.NeverStarted, Now);
   }
-  return Ready;
+  return startWaiting(State, Now);
+}
+
+TimePoint nextStart(const AdmissionState &State, TimePoint Now) {
+  const bool Waits = std::any_of(
+      State.Waiting.begin(), State.Waiting.end(),
+      [Now](const Waiter &Entry) { return !isExpired(Entry, Now); });
+  if (!State.Options.PacesCold || !Waits || State.InFlight >= limit(State)) {
+    return TimePoint::max();
+  }
+  return internal::isPaced(State, Now) ? internal::nextColdStart(State, Now)
+                                       : Now;
+}
+
+std::vector<Ticket> release(AdmissionState &State, TimePoint Now) {
+  return State.Options.PacesCold ? startWaiting(State, Now)
+                                 : std::vector<Ticket>();
 }
 
 std::vector<Expiry> expire(AdmissionState &State, TimePoint Now) {
@@ -225,7 +276,7 @@
     Ended.push_back({.Id = Entry.Id,
                      .Kind = Now >= Entry.Deadline
                                  ? ErrorKind::DeadlineExceededNotRun
-                                 : fullErrorKind(State)});
+                                 : fullErrorKind(State, Now)});
     return true;
   });
   State.Expired += Ended.size();
--- a/packages/policy/src/policy/admission/admit.h
+++ b/packages/policy/src/policy/admission/admit.h
@@ -35,10 +35,13 @@
 
 struct AdmissionDecision {
   AdmissionAction Action = AdmissionAction::Refuse;
-  // Set for Wait; complete or expire returns it later.
+  // Set for Wait; complete, release or expire returns it later.
   Ticket Id = 0;
   // Set for Refuse; always a kind that states that the request did not run.
   ErrorKind Kind = ErrorKind::Overloaded;
+  // Set for Wait if the request waits for the rate of a cold server and not for
+  // a slot.
+  bool ForColdRate = false;
 };
 
 // End of a request that held a slot.
@@ -50,6 +53,9 @@
   // True if nothing was sent to the backend server. Latency and ramp are then
   // unchanged.
   bool NotSent = false;
+  // Time at which the request was to start, if it was cancelled before it did.
+  // Another request then takes its place at a cold server. Zero otherwise.
+  TimePoint NeverStarted{};
 };
 
 // Waiting request that the caller must reject with Kind; it did not run.
@@ -68,6 +74,16 @@
 [[nodiscard]] std::vector<Ticket>
 complete(AdmissionState &State, const Completion &Ended, TimePoint Now);
 
+// Returns the earliest time at which a waiting request starts although no other
+// one completes: at a cold server when the rate permits it, or Now. Returns
+// TimePoint::max() if none waits, if no slot is free or without
+// Options.PacesCold.
+[[nodiscard]] TimePoint nextStart(const AdmissionState &State, TimePoint Now);
+
+// Returns the tickets of waiting requests that take a slot now although no
+// other request has completed. Must be called at nextStart.
+[[nodiscard]] std::vector<Ticket> release(AdmissionState &State, TimePoint Now);
+
 // Removes and returns the waiting requests whose deadline or maximum wait has
 // passed.
 [[nodiscard]] std::vector<Expiry> expire(AdmissionState &State, TimePoint Now);
--- a/packages/policy/src/policy/admission/arrival_window.cpp
+++ b/packages/policy/src/policy/admission/arrival_window.cpp
@@ -1,5 +1,7 @@
 #include "policy/admission/arrival_window.h"
 
+#include <algorithm>
+
 namespace magnolia::policy {
 
 namespace {
@@ -36,6 +38,26 @@
   return Window.LastSecond.size();
 }
 
+TimePoint timeWithFewer(const ArrivalWindow &Window, std::size_t Count,
+                        TimePoint Now) {
+  const std::deque<TimePoint> &Sent = Window.LastSecond;
+  if (Sent.size() < Count) {
+    return Now;
+  }
+  // A request counts until a whole second has passed, inclusively.
+  return std::max(Now, Sent[Sent.size() - Count] + Second + Duration(1));
+}
+
+bool removeArrival(ArrivalWindow &Window, TimePoint At) {
+  std::deque<TimePoint> &Sent = Window.LastSecond;
+  const auto Found = std::find(Sent.begin(), Sent.end(), At);
+  if (Found == Sent.end()) {
+    return false;
+  }
+  Sent.erase(Found);
+  return true;
+}
+
 bool isRetryWithinBudget(const ArrivalWindow &Window, double Ratio,
                          double Slack, TimePoint Now) {
   const std::int64_t Number = secondOf(Now);
--- a/packages/policy/src/policy/admission/arrival_window.h
+++ b/packages/policy/src/policy/admission/arrival_window.h
@@ -33,6 +33,15 @@
 [[nodiscard]] std::size_t arrivalsInLastSecond(ArrivalWindow &Window,
                                                TimePoint Now);
 
+// Returns the earliest time, Now or later, at which fewer than Count requests
+// were sent in the second before. Count must be positive.
+[[nodiscard]] TimePoint timeWithFewer(const ArrivalWindow &Window,
+                                      std::size_t Count, TimePoint Now);
+
+// Removes the request that was recorded at this time from those of the last
+// second. Returns false if there is none.
+bool removeArrival(ArrivalWindow &Window, TimePoint At);
+
 // Returns true if one more retry stays within Ratio of the first attempts of
 // the last ten seconds plus Slack.
 [[nodiscard]] bool isRetryWithinBudget(const ArrivalWindow &Window,
--- a/packages/policy/src/policy/admission/fwd.h
+++ b/packages/policy/src/policy/admission/fwd.h
@@ -11,6 +11,7 @@
 struct AdmissionQuery;
 struct AdmissionState;
 struct ArrivalWindow;
+struct ColdPace;
 struct Completion;
 struct Expiry;
 struct Waiter;
