--- a/review/standin-2/many_routes.cpp
+++ b/review/standin-2/many_routes.cpp
@@ -4,7 +4,8 @@
 #include <nlohmann/json.hpp>
 
 // A service with many routes moves to a bad version, which fails on one route
-// only. The route is added by a manifest while the roll-out goes on.
+// only. The route, whose requests may not be repeated, is added by a manifest
+// while the roll-out goes on.
 
 namespace {
 
@@ -26,8 +27,10 @@
 constexpr int ServerError = 500;
 
 const Route &addedRoute() {
-  static const Route Added{
-      .Name = "r-added", .Prefix = "/added/", .Service = "catalogue"};
+  static const Route Added{.Name = "r-added",
+                           .Prefix = "/added/",
+                           .Service = "catalogue",
+                           .Idempotent = false};
   return Added;
 }
 
@@ -49,9 +52,9 @@
   const std::vector<Route> Routes = usedRoutes();
   for (std::size_t Number = First; !Stopping; ++Number) {
     const bool ToAdded = HasAdded && Number % AddedOneIn == 0;
-    (void)Fleet.request(Machine,
-                        ToAdded ? addedRoute() : Routes[Number % Routes.size()],
-                        "GET", RequestTime);
+    const Route &To = ToAdded ? addedRoute() : Routes[Number % Routes.size()];
+    (void)Fleet.request(Machine, To, To.Idempotent ? "GET" : "POST",
+                        RequestTime);
     std::this_thread::sleep_for(RequestGap);
   }
 }
