--- a/review/standin-2/deployment.cpp
+++ b/review/standin-2/deployment.cpp
@@ -147,7 +147,7 @@
       {"region", "fes"},
       {"port_range", {FirstPort, LastPort}},
       {"seeds", Json::array()},
-      {"bootstrap", false},
+      {"bootstrap", FirstStart},
       {"heartbeat_s", 1.5},
       {"bounds",
        {{"grace_s", 6},
@@ -255,6 +255,7 @@
       }
     }
   }
+  FirstStart = false;
   return true;
 }
 
--- a/review/standin-2/deployment.h
+++ b/review/standin-2/deployment.h
@@ -101,6 +101,8 @@
   const std::string Network;
   Store Keys;
   std::uint64_t ManifestVersion = 0;
+  // True until all nodes of the first start are ready.
+  bool FirstStart = true;
   std::atomic<std::uint64_t> Requests = 0;
   std::vector<std::unique_ptr<Running>> Machines;
 };
