Do not take a reset during an upload for the end of a response

Cause: the kernel reports a broken connection once. The send of the upload took the report, and the sidecar only dropped what was left to send. The next receive returned the bytes that had arrived and then 0, as at an orderly end, which is what ends a response without a length. A connection that the kernel gives up because the server does not read for 5 s (TCP_USER_TIMEOUT) took the same way.

Change: sendSome says how the connection is. A send that fails with EPIPE comes after the end of the server's bytes, so they are whole; any other failure means that bytes may be lost. The sidecar keeps this status: a response without a length that ends on a connection which broke is a broken response, 502 with the outcome unknown, as it is without an upload. What has arrived whole, by its length, its chunks or an orderly end, is still passed on. A connection whose send failed is not kept for reuse either; before, it counted as one whose server closed it early.

--- a/packages/daemon/src/daemon/entry/caller_connection.cpp
+++ b/packages/daemon/src/daemon/entry/caller_connection.cpp
@@ -225,7 +225,8 @@
   if (!Writing) {
     beginResponse();
   }
-  const bool Sent = sendSome(Accepted.fd(), HeadLeft, BodyLeft);
+  const bool Sent =
+      sendSome(Accepted.fd(), HeadLeft, BodyLeft) == SendStatus::Open;
   if (Sent && !(HeadLeft.empty() && BodyLeft.empty())) {
     return false;
   }
--- a/packages/daemon/src/daemon/net/socket.cpp
+++ b/packages/daemon/src/daemon/net/socket.cpp
@@ -56,6 +56,19 @@
   return waitReady({&Poll, 1}, Deadline, {});
 }
 
+// A reset is EPIPE behind the end of the remote side's bytes and ECONNRESET
+// before it; a connection that timed out has an error of its own.
+SendStatus statusOfFailedSend(int Error) {
+  switch (Error) {
+  case EAGAIN:
+    return SendStatus::Open;
+  case EPIPE:
+    return SendStatus::Closed;
+  default:
+    return SendStatus::Broken;
+  }
+}
+
 } // namespace
 
 void setUpSocket(int Fd) {
@@ -123,7 +136,7 @@
   return Text.data();
 }
 
-bool sendSome(int Fd, std::string_view &Head, std::string_view &Body) {
+SendStatus sendSome(int Fd, std::string_view &Head, std::string_view &Body) {
   while (!Head.empty() || !Body.empty()) {
     // sendmsg takes mutable buffers but does not modify them.
     std::array<iovec, 2> Buffers = {
@@ -134,20 +147,20 @@
     Message.msg_iovlen = Buffers.size();
     const ssize_t Sent = ::sendmsg(Fd, &Message, MSG_NOSIGNAL);
     if (Sent < 0 && errno != EINTR) {
-      return errno == EAGAIN;
+      return statusOfFailedSend(errno);
     }
     const auto Count = static_cast<std::size_t>(std::max<ssize_t>(Sent, 0));
     const std::size_t FromHead = std::min(Count, Head.size());
     Head.remove_prefix(FromHead);
     Body.remove_prefix(Count - FromHead);
   }
-  return true;
+  return SendStatus::Open;
 }
 
 bool sendAll(int Fd, std::string_view Head, std::string_view Body,
              policy::TimePoint Deadline) {
   for (;;) {
-    if (!sendSome(Fd, Head, Body)) {
+    if (sendSome(Fd, Head, Body) != SendStatus::Open) {
       return false;
     }
     if (Head.empty() && Body.empty()) {
--- a/packages/daemon/src/daemon/net/socket.h
+++ b/packages/daemon/src/daemon/net/socket.h
@@ -43,10 +43,22 @@
 [[nodiscard]] bool sendAll(int Fd, std::string_view Head, std::string_view Body,
                            policy::TimePoint Deadline);
 
+// State of a connection after sendSome.
+enum class SendStatus : std::uint8_t {
+  Open,
+  // The remote side reads no more. It had closed its sending side before, so
+  // what it sent has arrived whole.
+  Closed,
+  // The connection broke, and bytes of the remote side may be lost. This is
+  // reported once: receiveSome then returns ConnectionClosed behind the bytes
+  // that arrived.
+  Broken,
+};
+
 // Sends as much as the socket accepts without waiting and removes it from the
-// views. Returns false if the connection is broken.
-[[nodiscard]] bool sendSome(int Fd, std::string_view &Head,
-                            std::string_view &Body);
+// views.
+[[nodiscard]] SendStatus sendSome(int Fd, std::string_view &Head,
+                                  std::string_view &Body);
 
 // Results of receiveSome for a connection that the remote side closed cleanly,
 // and for one that broke.
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.cpp
@@ -220,6 +220,7 @@
   Head = requestHead(backendRequest(Now), Request.Service, Request.Body.size());
   HeadLeft = Head;
   BodyLeft = Request.Body;
+  Sending = SendStatus::Open;
   if (!Listed) {
     Listed = Owner.running().begin(
         SentId, {.Organisation = Request.Organisation,
@@ -231,7 +232,11 @@
 }
 
 void SidecarCall::sendMore() {
-  if (!sendSome(Connection->Socket.fd(), HeadLeft, BodyLeft)) {
+  if (Sending != SendStatus::Open) {
+    return;
+  }
+  Sending = sendSome(Connection->Socket.fd(), HeadLeft, BodyLeft);
+  if (Sending != SendStatus::Open) {
     HeadLeft = BodyLeft = {};
   }
 }
@@ -277,8 +282,9 @@
       return;
     }
     if (Count < 0) {
-      if (Count == ConnectionClosed &&
-          Connection->Reader.finish() == HttpReadStatus::Ready) {
+      const bool Closed =
+          Count == ConnectionClosed && Sending != SendStatus::Broken;
+      if (Closed && Connection->Reader.finish() == HttpReadStatus::Ready) {
         (void)handleResponse(Now);
       } else {
         handleBrokenResponse(Now, "the backend server closed the connection");
--- a/packages/daemon/src/daemon/sidecar/sidecar_call.h
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call.h
@@ -1,6 +1,7 @@
 #ifndef DAEMON_SIDECAR_SIDECAR_CALL_H
 #define DAEMON_SIDECAR_SIDECAR_CALL_H
 
+#include "daemon/net/socket.h"
 #include "daemon/peer/call.h"
 #include "daemon/sidecar/sidecar.h"
 #include "policy/usage/window_counts.h"
@@ -51,8 +52,8 @@
   // True if a refusal of an earlier attempt, or of another request without an
   // id, could not be told from one of this attempt.
   [[nodiscard]] bool needsNewConnection() const;
-  // Start and continue sending the request to the backend server. A broken
-  // connection is detected when the response is read.
+  // Start and continue sending the request to the backend server. What arrived
+  // before a connection broke is still read.
   void send(policy::TimePoint Now);
   void sendMore();
   void readResponse(policy::TimePoint Now);
@@ -103,6 +104,7 @@
   std::string Head;
   std::string_view HeadLeft;
   std::string_view BodyLeft;
+  SendStatus Sending = SendStatus::Open;
   bool ReceivedBytes = false;
   // Responses to other requests that were skipped.
   int ExtraResponses = 0;
--- a/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
+++ b/packages/daemon/src/daemon/sidecar/sidecar_call_outcomes.cpp
@@ -101,8 +101,10 @@
                  : "the response does not name the request that it belongs to");
     return true;
   }
-  const bool Reusable = Response.KeepAlive && !Connection->Reader.hasBytes() &&
-                        HeadLeft.empty() && BodyLeft.empty();
+  const bool SentWhole =
+      Sending == SendStatus::Open && HeadLeft.empty() && BodyLeft.empty();
+  const bool Reusable =
+      Response.KeepAlive && !Connection->Reader.hasBytes() && SentWhole;
   if (Reusable) {
     Owner.pool().give(std::move(Connection), Now);
   }
--- a/packages/daemon/test/daemon/support/scripted_backend.h
+++ b/packages/daemon/test/daemon/support/scripted_backend.h
@@ -52,6 +52,8 @@
     return Requests;
   }
 
+  // Responds once the head of a request has arrived and reads no body.
+  std::atomic<bool> RespondsToHeads = false;
   std::atomic<int> Hanging = 0;
   // Connections that have sent a request, and bytes of endless responses that
   // the peer or the kernel has accepted.
@@ -160,14 +162,15 @@
     ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &Abort, sizeof Abort);
   }
 
-  static std::size_t wholeRequest(const std::string &Bytes) {
+  [[nodiscard]] std::size_t wholeRequest(const std::string &Bytes) const {
     const std::size_t Head = Bytes.find("\r\n\r\n");
     if (Head == std::string::npos) {
       return 0;
     }
     const std::size_t Field = Bytes.find("Content-Length: ");
+    const bool HasBody = Field < Head && !RespondsToHeads;
     const std::size_t Length =
-        Field < Head ? std::stoul(Bytes.substr(Field + 16, 20)) : 0;
+        HasBody ? std::stoul(Bytes.substr(Field + 16, 20)) : 0;
     const std::size_t End = Head + 4 + Length;
     return Bytes.size() >= End ? End : 0;
   }
