Refuse responses with a status that HTTP does not define

One with status 000 to 099, or a 101 that nobody asked for, was not passed on, but the request kept its slot to its deadline and got 504; an idempotent one was not sent again. A report of usage that was answered with 600 was dropped as refused, and a health check counted a 600 as a report of bad health.

Cause: the reader of responses took every status below 200 for an interim response, behind which the final one is awaited, and every other one for a final response. Only the frames between nodes checked the range, so the caller at the other node got 502.

Change: policy::statusClassOf says what a status is, in one place. HttpReader, which reads what backend servers, their health checks and the receiver of usage reports send, refuses an invalid one once the head is complete, and the frames between nodes use the same function. 101 is invalid because the nodes never ask for another protocol.

--- a/packages/daemon/src/daemon/http/reader.cpp
+++ b/packages/daemon/src/daemon/http/reader.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/memory/held_bytes.h"
 #include "daemon/memory/release_buffer.h"
+#include "policy/core/status_class.h"
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -26,7 +27,6 @@
 // Larger buffers are freed after a message.
 constexpr std::size_t KeptBytes = 65'536;
 constexpr std::string_view Chunked = "chunked";
-constexpr unsigned FirstFinalStatus = 200;
 // More interim responses to one request than any server has a use for.
 constexpr std::size_t MaxInterimResponses = 16;
 
@@ -102,6 +102,13 @@
          Lengths.first == Lengths.second && From.version() >= Http11;
 }
 
+bool hasValidStatus(const RequestParser::value_type &) { return true; }
+
+bool hasValidStatus(const ResponseParser::value_type &Response) {
+  return policy::statusClassOf(Response.result_int()) !=
+         policy::StatusClass::Invalid;
+}
+
 } // namespace
 
 struct HttpReader::State {
@@ -185,7 +192,7 @@
       // The parser takes all header lines at once.
       if (!HadHead && To.is_header_done() &&
           (hasFoldedLine({Bytes.data() + Start, Begin - Start}) ||
-           !hasClearFraming(To.get()))) {
+           !hasClearFraming(To.get()) || !hasValidStatus(To.get()))) {
         return HttpReadStatus::Malformed;
       }
       if (!holdBody(To)) {
@@ -202,7 +209,8 @@
     for (;;) {
       const HttpReadStatus Status = advance(*Response);
       if (Status != HttpReadStatus::Ready ||
-          Response->get().result_int() >= FirstFinalStatus) {
+          policy::statusClassOf(Response->get().result_int()) ==
+              policy::StatusClass::Final) {
         return Status;
       }
       // The final response follows an interim one.
--- a/packages/daemon/src/daemon/peer/call_frames.cpp
+++ b/packages/daemon/src/daemon/peer/call_frames.cpp
@@ -3,6 +3,7 @@
 #include "daemon/memory/held_bytes.h"
 #include "daemon/memory/release_buffer.h"
 #include "daemon/peer/peer_connection.h"
+#include "policy/core/status_class.h"
 #include "wire/convert/convert.h"
 #include "wire/frame/limits.h"
 #include "wire/peer.pb.h"
@@ -17,10 +18,6 @@
 
 using wire::BodyChunkBytes;
 
-// Responses of backend servers and of the system have final status codes.
-constexpr std::uint32_t StatusMinimum = 200;
-constexpr std::uint32_t StatusMaximum = 599;
-
 template <class Message>
 void writeHeaders(const HttpHeaders &From, Message &To) {
   for (const HttpHeader &Header : From) {
@@ -246,8 +243,8 @@
     return !Message.body_continues();
   }
   Response.Status = static_cast<std::uint16_t>(Message.status());
-  return Message.status() >= StatusMinimum &&
-         Message.status() <= StatusMaximum &&
+  return policy::statusClassOf(Message.status()) ==
+             policy::StatusClass::Final &&
          readHeaders(Message, Response.Headers);
 }
 
--- a/packages/daemon/test/daemon/entry/broken_responses.cpp
+++ b/packages/daemon/test/daemon/entry/broken_responses.cpp
@@ -67,6 +67,10 @@
               Body + "\r\n0\r\n\r\n"};
 }
 
+std::string withStatus(const std::string &Status) {
+  return "HTTP/1.1 " + Status + " X\r\nContent-Length: 4\r\n\r\npart";
+}
+
 const BrokenRow Rows[] = {
     {"a body without a length that is reset",
      "HTTP/1.1 200 OK\r\n\r\npart[reset]"},
@@ -77,6 +81,10 @@
     {"chunks that are reset",
      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
      "4\r\npart\r\n[reset]"},
+    {"status 000", withStatus("000")},
+    {"status 099", withStatus("099")},
+    {"status 600", withStatus("600")},
+    {"status 999", withStatus("999")},
 };
 
 // Guards against a broken response that reaches the caller as a response, or
--- a/packages/daemon/test/daemon/http/reader.cpp
+++ b/packages/daemon/test/daemon/http/reader.cpp
@@ -207,7 +207,9 @@
             "3;a=b\r\nabc\r\n0\r\n\r\n"},
            {"leading zeros", "Content-Length: 003\r\n", "abc"},
            {"blanks around the length", "Content-Length: \t 3 \r\n", "abc"},
-           {"no blank before the length", "Content-Length:3\r\n", "abc"}}) {
+           {"no blank before the length", "Content-Length:3\r\n", "abc"},
+           {"a trailer", "Transfer-Encoding: chunked\r\n",
+            "3\r\nabc\r\n0\r\nX-A: b\r\nX-C: d\r\n\r\n"}}) {
     HttpReader Request(HttpReader::Kind::Request, Small);
     feed(Request, "POST / HTTP/1.1\r\n" + Row.Headers + "\r\n" + Row.Rest);
     ASSERT_TRUE(Request.read() == Status::Ready) << Row.Failure;
@@ -249,6 +251,18 @@
   }
 }
 
+// Guards against a status that HTTP does not define, which is passed on or
+// awaited like an interim one.
+TEST(HttpReader, UndefinedStatusesAreRejected) {
+  for (const char *Code :
+       {"000", "001", "042", "099", "101", "600", "700", "999"}) {
+    HttpReader Reader(HttpReader::Kind::Response, Small);
+    Reader.begin("GET");
+    feed(Reader, "HTTP/1.1 " + std::string(Code) + " X\r\n\r\n");
+    EXPECT_EQ(Reader.read(), Status::Malformed) << Code;
+  }
+}
+
 // Guards against memory that grows with a line that never ends after the head.
 TEST(HttpReader, EndlessLinesAfterTheHeadAreRejected) {
   const std::string Filler(2 * Small.HeadBytes, '0');
--- a/packages/daemon/test/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/test/daemon/sidecar/backend_watch.cpp
@@ -82,6 +82,22 @@
   }
 }
 
+// Guards against a broken response that counts as a report of health.
+TEST_F(BackendWatchTest, BrokenResponseIsNoHealthReport) {
+  const std::string Whole = "Content-Length: 0\r\n\r\n";
+  const EndlessRow Rows[] = {
+      {"an undefined status", "HTTP/1.1 000 X\r\n" + Whole},
+      {"a status that is too large", "HTTP/1.1 600 X\r\n" + Whole},
+      {"a part of a body", "HTTP/1.1 200 OK\r\n\r\npart[reset]"},
+  };
+  for (const EndlessRow &Row : Rows) {
+    Checks = Reports = 0;
+    startBackend([&Row](const std::string &) { return Row.Raw; });
+    EXPECT_TRUE(watch(2)) << Row.Failure;
+    EXPECT_EQ(Reports, 0) << Row.Failure;
+  }
+}
+
 // Guards against an earlier response, written once more, that is taken for the
 // state of the backend server, and against a health response that is then taken
 // for the response to a request.
--- a/packages/daemon/test/daemon/usage/report_sender.cpp
+++ b/packages/daemon/test/daemon/usage/report_sender.cpp
@@ -7,6 +7,7 @@
 #include <chrono>
 #include <future>
 #include <string>
+#include <utility>
 
 namespace magnolia::daemon {
 namespace {
@@ -21,11 +22,12 @@
   SendOutcome Expected;
 };
 
-ReportResult send(std::uint16_t Port, policy::TimePoint Until) {
+ReportResult send(std::uint16_t Port, policy::TimePoint Until,
+                  std::string Body = "{}") {
   ReportSender Sender("127.0.0.1", Port, [] { return Now; });
   std::promise<ReportResult> Result;
   EXPECT_TRUE(Sender.submit(
-      {.Method = "POST", .Target = "/report", .Body = "{}"}, Until,
+      {.Method = "POST", .Target = "/report", .Body = std::move(Body)}, Until,
       [&Result](ReportResult Sent) { Result.set_value(std::move(Sent)); }));
   return Result.get_future().get();
 }
@@ -47,6 +49,12 @@
       {"a response that is not HTTP", "nonsense\r\n\r\n[cut]",
        SendOutcome::Retry},
       {"a connection that is closed", "", SendOutcome::Retry},
+      {"a response that is reset in its body",
+       "HTTP/1.1 200 OK\r\n\r\npart[reset]", SendOutcome::Retry},
+      {"an undefined status", "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+       SendOutcome::Retry},
+      {"a report that is lost for a status that is too large",
+       "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", SendOutcome::Retry},
   };
   for (const ResponseRow &Row : Rows) {
     test::ScriptedBackend Receiver(
@@ -59,6 +67,20 @@
             SendOutcome::Retry);
 }
 
+// Guards against a report that counts as accepted although the receiver reset
+// its connection before it had read it.
+TEST(ReportSender, AResetDuringTheReportDoesNotAcceptIt) {
+  test::ScriptedBackend Receiver([](const std::string &) {
+    return std::string("HTTP/1.1 200 OK\r\n\r\npart[reset]");
+  });
+  Receiver.RespondsToHeads = true;
+  constexpr std::size_t ReportBytes = std::size_t{12} << 20;
+  EXPECT_EQ(send(Receiver.port(), Now + std::chrono::seconds(5),
+                 std::string(ReportBytes, 'x'))
+                .Outcome,
+            SendOutcome::Retry);
+}
+
 // Guards against a holder that sends after its lease.
 TEST(ReportSender, SendsNothingAfterTheGivenTime) {
   test::ScriptedBackend Receiver(
