Refuse trailers that begin with a blank

Cause: the parser joins a line that begins with a blank to the one before. The reader refuses such a line in a head, but did not look at trailers.

Change: HttpReader checks the lines of the trailers as it checks those of the head, for responses and requests.

Handled before, tests kept: a blank, a control byte or another byte that is no token in the name of a field, before the colon, or no name at all, in the head of a response, in that of an interim one and in a first trailer.

--- a/packages/daemon/src/daemon/http/reader.cpp
+++ b/packages/daemon/src/daemon/http/reader.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon/memory/held_bytes.h"
 #include "daemon/memory/release_buffer.h"
+#include "policy/core/folded_line.h"
 #include "policy/core/status_class.h"
 
 #include <boost/beast/http/parser.hpp>
@@ -73,14 +74,6 @@
   });
 }
 
-// True if a line of the head continues the one before, which other readers take
-// for a header of its own.
-bool hasFoldedLine(std::string_view Head) {
-  return Head.starts_with(' ') || Head.starts_with('\t') ||
-         Head.find("\n ") != std::string_view::npos ||
-         Head.find("\n\t") != std::string_view::npos;
-}
-
 // True if every reader finds the end of the message at the same place. The
 // parser itself accepts codings that it does not know, and then takes the
 // message for one without a body.
@@ -109,6 +102,18 @@
          policy::StatusClass::Invalid;
 }
 
+// Checks the bytes that the parser has just taken. It takes all lines of the
+// head at once, and those of the trailers with the end of the last chunk.
+template <class Parser>
+bool isClear(const Parser &To, bool HadHead, std::string_view Taken) {
+  const bool TookHead = !HadHead && To.is_header_done();
+  const bool TookTrailers = HadHead && To.is_done() && To.chunked();
+  if ((TookHead || TookTrailers) && policy::hasFoldedLine(Taken)) {
+    return false;
+  }
+  return !TookHead || (hasClearFraming(To.get()) && hasValidStatus(To.get()));
+}
+
 } // namespace
 
 struct HttpReader::State {
@@ -189,10 +194,7 @@
       if (ParseError) {
         return statusOf(ParseError);
       }
-      // The parser takes all header lines at once.
-      if (!HadHead && To.is_header_done() &&
-          (hasFoldedLine({Bytes.data() + Start, Begin - Start}) ||
-           !hasClearFraming(To.get()) || !hasValidStatus(To.get()))) {
+      if (!isClear(To, HadHead, {Bytes.data() + Start, Begin - Start})) {
         return HttpReadStatus::Malformed;
       }
       if (!holdBody(To)) {
--- a/packages/daemon/test/daemon/entry/broken_responses.cpp
+++ b/packages/daemon/test/daemon/entry/broken_responses.cpp
@@ -71,6 +71,10 @@
   return "HTTP/1.1 " + Status + " X\r\nContent-Length: 4\r\n\r\npart";
 }
 
+std::string withField(const std::string &Field) {
+  return "HTTP/1.1 200 OK\r\n" + Field + "\r\nContent-Length: 4\r\n\r\npart";
+}
+
 const BrokenRow Rows[] = {
     {"a body without a length that is reset",
      "HTTP/1.1 200 OK\r\n\r\npart[reset]"},
@@ -85,6 +89,10 @@
     {"status 099", withStatus("099")},
     {"status 600", withStatus("600")},
     {"status 999", withStatus("999")},
+    {"a blank in the name of a field", withField("A B: c")},
+    {"a blank before a colon", withField("A : c")},
+    {"a blank after Content-Length", withField("Content-Length : 2")},
+    {"a control byte in the name of a field", withField("A\x01: c")},
 };
 
 // Guards against a broken response that reaches the caller as a response, or
--- a/packages/daemon/test/daemon/sidecar/backend_watch.cpp
+++ b/packages/daemon/test/daemon/sidecar/backend_watch.cpp
@@ -88,6 +88,9 @@
   const EndlessRow Rows[] = {
       {"an undefined status", "HTTP/1.1 000 X\r\n" + Whole},
       {"a status that is too large", "HTTP/1.1 600 X\r\n" + Whole},
+      {"a blank in a name", "HTTP/1.1 200 OK\r\nA B: c\r\n" + Whole},
+      {"a blank before a colon", "HTTP/1.1 200 OK\r\nA : c\r\n" + Whole},
+      {"a control byte in a name", "HTTP/1.1 200 OK\r\nA\x01: c\r\n" + Whole},
       {"a part of a body", "HTTP/1.1 200 OK\r\n\r\npart[reset]"},
   };
   for (const EndlessRow &Row : Rows) {
--- a/packages/daemon/test/daemon/sidecar/sidecar_call_malformed.cpp
+++ b/packages/daemon/test/daemon/sidecar/sidecar_call_malformed.cpp
@@ -81,5 +81,66 @@
   }
 }
 
+// Lines with a blank or a control byte in the name of a field, or without a
+// name.
+const std::string BadFields[] = {
+    "A B: c",
+    " A: b",
+    "\tA: b",
+    "A : b",
+    "A\t: b",
+    "Content-Length : 5",
+    "Content-Length\t: 5",
+    "Content Length: 5",
+    " Content-Length: 5",
+    "Transfer-Encoding : chunked",
+    std::string("A\0B: c", 6),
+    std::string("\0: c", 4),
+    "A\x01: c",
+    "A\x0b: c",
+    "A\x1f: c",
+    "A\x7f: c",
+    "A\x85: c",
+    "A\xff: c",
+    "A\r: c",
+    "A\rB: c",
+    "(A): c",
+    "A@B: c",
+    "\"A\": c",
+    ": c",
+    "A",
+    "Content-Length",
+};
+
+// Guards against a line that is passed on, or a body that ends elsewhere for
+// the backend server, because the name of a field holds a blank or a control
+// byte.
+TEST_F(SidecarMalformed, FieldNameTable) {
+  const std::string Chunks =
+      "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
+  for (const std::string &Field : BadFields) {
+    const std::string Line = Field + "\r\n";
+    const std::string Whole = "Content-Length: 2\r\n\r\nok";
+    EXPECT_TRUE(isRefused(withStatus("200", Line + Whole)))
+        << "before the length: " << Field;
+    EXPECT_TRUE(
+        isRefused(withStatus("200", "Content-Length: 2\r\n" + Line + "\r\nok")))
+        << "after the length: " << Field;
+    EXPECT_TRUE(isRefused(withStatus("200", Line + "\r\nok[close]")))
+        << "without a length: " << Field;
+    EXPECT_TRUE(
+        isRefused("HTTP/1.1 200 X\r\n" + Line + "Request-Id: r1\r\n" + Whole))
+        << "first line: " << Field;
+    EXPECT_TRUE(isRefused("HTTP/1.1 103 X\r\n" + Line + "\r\n" +
+                          withStatus("200", Whole)))
+        << "in an interim response: " << Field;
+    EXPECT_TRUE(isRefused(withStatus("200", Chunks + Line + "\r\n")))
+        << "in a trailer: " << Field;
+    EXPECT_TRUE(
+        isRefused(withStatus("200", Chunks + "X-A: b\r\n" + Line + "\r\n")))
+        << "in a second trailer: " << Field;
+  }
+}
+
 } // namespace
 } // namespace magnolia::daemon
--- a/packages/daemon/test/daemon/usage/report_sender.cpp
+++ b/packages/daemon/test/daemon/usage/report_sender.cpp
@@ -55,6 +55,14 @@
        SendOutcome::Retry},
       {"a report that is lost for a status that is too large",
        "HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n", SendOutcome::Retry},
+      {"a blank in the name of a field",
+       "HTTP/1.1 200 OK\r\nA B: c\r\nContent-Length: 0\r\n\r\n",
+       SendOutcome::Retry},
+      {"a blank before a colon",
+       "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n", SendOutcome::Retry},
+      {"a control byte in the name of a field",
+       "HTTP/1.1 200 OK\r\nA\x01: c\r\nContent-Length: 0\r\n\r\n",
+       SendOutcome::Retry},
   };
   for (const ResponseRow &Row : Rows) {
     test::ScriptedBackend Receiver(
