Refuse store responses with a line that begins with a blank

The body ends elsewhere for a store that means the line as a header of its own.

Cause: the parser joins such a line to the one before; HttpReader refuses it since the incident of ambiguous framing, StoreConnection did not.

Change: StoreConnection refuses it too, in heads and trailers.

Evidence: on BrokenResponse.FieldNameTable fails for the three lines that begin with a blank, behind another header, with and without a length. The other 15 lines were refused before; their rows are kept.

Measured: the 18 store tests pass.

--- a/packages/store/src/store/client/internal/store_connection.cpp
+++ b/packages/store/src/store/client/internal/store_connection.cpp
@@ -1,5 +1,6 @@
 #include "store/client/internal/store_connection.h"
 
+#include "policy/core/folded_line.h"
 #include "policy/core/status_class.h"
 
 #include <boost/beast/http/parser.hpp>
@@ -136,14 +137,26 @@
   return false;
 }
 
+// True if the parser has just taken a header line that begins with a blank. It
+// takes all lines of the head at once, and those of the trailers with the end
+// of the last chunk.
+bool tookFoldedLine(const Parser &From, bool HadHead, std::string_view Taken) {
+  const bool TookLines =
+      HadHead ? From.is_done() && From.chunked() : From.is_header_done();
+  return TookLines && policy::hasFoldedLine(Taken);
+}
+
 // Parses as many of the buffered bytes as possible and removes them. Returns
 // false and sets Failed if they are not a response within the limits.
 bool parse(IncomingResponse &Into, std::string &Bytes,
            ConnectionResponse &Failed) {
   while (!Into.Parsed->is_done() && !Bytes.empty()) {
     boost::system::error_code Error;
+    const bool HadHead = Into.Parsed->is_header_done();
     const std::size_t Used = Into.Parsed->put(
         boost::asio::const_buffer(Bytes.data(), Bytes.size()), Error);
+    const bool Folded =
+        tookFoldedLine(*Into.Parsed, HadHead, {Bytes.data(), Used});
     Bytes.erase(0, Used);
     if (Error == http::error::need_more && Bytes.size() <= HeadBytes) {
       return true;
@@ -155,6 +168,11 @@
                       Error.message());
       return false;
     }
+    if (Folded) {
+      Failed = failed(ConnectionFailure::Broken,
+                      "a header line begins with a blank");
+      return false;
+    }
     if (!checkStatus(Into, Failed)) {
       return false;
     }
--- a/packages/store/test/store/client/broken_response.cpp
+++ b/packages/store/test/store/client/broken_response.cpp
@@ -126,5 +126,45 @@
   Store.Close();
 }
 
+// Lines with a blank or a control byte in the name of a field, or without a
+// name.
+const std::string BadFields[] = {
+    "A B: c",
+    " A: b",
+    "\tA: b",
+    "A : b",
+    "A\t: b",
+    "Content-Length : 5",
+    "Content Length: 5",
+    " Content-Length: 5",
+    "Transfer-Encoding : chunked",
+    std::string("A\0B: c", 6),
+    "A\x01: c",
+    "A\x1f: c",
+    "A\x7f: c",
+    "A\x85: c",
+    "A\rB: c",
+    "(A): c",
+    ": c",
+    "A",
+};
+
+// Guards against a response whose body ends elsewhere for the store because the
+// name of a field holds a blank or a control byte.
+TEST(BrokenResponse, FieldNameTable) {
+  for (const std::string &Field : BadFields) {
+    const std::string Line = Field + "\r\n";
+    expectRefused({.Bytes = withStatus("200", Line + withLength(Entry))},
+                  "first line: " + Field);
+    expectRefused(
+        {.Bytes = withStatus("200", "A: b\r\n" + Line + withLength(Entry))},
+        "before the length: " + Field);
+    expectRefused(
+        {.Bytes = withStatus("200", "A: b\r\n" + Line + "\r\n" + Entry),
+         .How = Ending::End},
+        "without a length: " + Field);
+  }
+}
+
 } // namespace
 } // namespace magnolia::store
