Count every route of a rollout in bounded memory

Cause: the breaker of an entry node and the driver counted the first 64 routes that they saw. Responses on others were in no comparison and held no step back.

Change: the first 256 routes have a row each, further ones share 128 rows by a hash of their names. The sums over all routes are kept while responses are counted, so an evaluation does not grow with the number of routes. A report still has 64 routes, so older nodes accept it: failures of the new version go first, the rest follows. The counters of what was left out are gone.

Why it works: every response is in the comparison of a row and of all routes.

--- a/packages/daemon/src/daemon/control/stats_codec.cpp
+++ b/packages/daemon/src/daemon/control/stats_codec.cpp
@@ -1,6 +1,5 @@
 #include "daemon/control/stats_codec.h"
 
-#include "policy/rollout/rollout_breaker.h"
 #include "policy/rollout/stats_report.h"
 
 #include <algorithm>
@@ -53,7 +52,7 @@
 std::optional<policy::StatsReport>
 toReport(const wire::EvidenceRequest &Request) {
   if (static_cast<std::size_t>(Request.routes_size()) >
-      policy::RolloutBreaker::MaxRoutes) {
+      policy::StatsReport::MaxRoutes) {
     return std::nullopt;
   }
   policy::StatsReport Report = {.Node = Request.node(),
--- a/packages/policy/src/policy/rollout/breaker.cpp
+++ b/packages/policy/src/policy/rollout/breaker.cpp
@@ -4,8 +4,6 @@
 #include "policy/rollout/internal/ring.h"
 
 #include <algorithm>
-#include <array>
-#include <span>
 
 namespace magnolia::policy {
 
@@ -13,34 +11,26 @@
 
 using RouteResponses = RolloutBreaker::RouteResponses;
 
-RouteResponses *routeOf(RolloutBreaker &Breaker, std::string_view Route) {
-  const auto Found = std::find_if(
-      Breaker.Routes.begin(), Breaker.Routes.end(),
-      [Route](const RouteResponses &Item) { return Item.Route == Route; });
-  if (Found != Breaker.Routes.end()) {
-    return &*Found;
+RouteResponses &responsesOf(RolloutBreaker &Breaker, std::string_view Route) {
+  const RouteRow Row = rowOf(Breaker.Rows, Route);
+  if (Row.Number == Breaker.Routes.size()) {
+    Breaker.Routes.emplace_back().Route = Row.Name;
   }
-  if (Breaker.Routes.size() >= RolloutBreaker::MaxRoutes) {
-    ++Breaker.OverLimit;
-    return nullptr;
-  }
-  Breaker.Routes.emplace_back().Route = Route;
-  return &Breaker.Routes.back();
+  return Breaker.Routes[Row.Number];
 }
 
-void count(RouteResponses &Item, VersionRole Role, bool Failed,
-           Duration Latency, TimePoint Now) {
-  const bool IsNew = Role == VersionRole::New;
+void count(RolloutBreaker &Breaker, RouteResponses &Item, VersionRole Role,
+           bool Failed, Duration Latency, TimePoint Now) {
+  ResponsePair Added;
+  addResponse(Role == VersionRole::New ? Added.New : Added.Old, Failed,
+              Latency);
   // Counts the response in the window in which its request was sent. By the
   // time of the response, slow responses from a burst of noise would be counted
   // together with fast ones from after it.
-  ResponseRing::Window *Window =
-      internal::windowAt(Item.Ring, internal::windowNumber(Now - Latency));
-  if (Window != nullptr) {
-    addResponse(IsNew ? Window->New : Window->Old, Failed, Latency);
-  }
-  addResponse(IsNew ? Item.Step.New : Item.Step.Old, Failed, Latency);
-  addResponse(IsNew ? Item.Report.New : Item.Report.Old, Failed, Latency);
+  internal::addToRings(Item.Ring, Breaker.All,
+                       internal::windowNumber(Now - Latency), Added);
+  addPair(Item.Step, Added);
+  addPair(Item.Report, Added);
 }
 
 Verdict evaluate(const RolloutBreaker &Breaker, const RouteResponses &Item,
@@ -55,11 +45,7 @@
   }
   if (Result.Kind == VerdictKind::None &&
       internal::hasFewResponses(Item.Ring, Now)) {
-    std::array<const ResponseRing *, RolloutBreaker::MaxRoutes> Rings{};
-    std::transform(Breaker.Routes.begin(), Breaker.Routes.end(), Rings.begin(),
-                   [](const RouteResponses &Each) { return &Each.Ring; });
-    Result = internal::evaluateAllRoutes(
-        std::span(Rings).first(Breaker.Routes.size()), Now);
+    Result = internal::evaluateAllRoutes(Breaker.All, Now);
   }
   return Result;
 }
@@ -128,22 +114,19 @@
 bool countResponse(RolloutBreaker &Breaker, std::string_view Route,
                    VersionRole Role, bool Failed, Duration Latency,
                    TimePoint Now) {
-  RouteResponses *Item = routeOf(Breaker, Route);
-  if (Item == nullptr) {
-    return false;
-  }
-  count(*Item, Role, Failed, Latency, Now);
+  RouteResponses &Item = responsesOf(Breaker, Route);
+  count(Breaker, Item, Role, Failed, Latency, Now);
   if (Role == VersionRole::Old || Breaker.Current.Kind == VerdictKind::Bad) {
     return false;
   }
-  Breaker.Current = evaluate(Breaker, *Item, Now);
+  Breaker.Current = evaluate(Breaker, Item, Now);
   if (Breaker.Current.Kind == VerdictKind::Bad) {
     return true;
   }
   if (Failed) {
-    openAfterFailure(Breaker, *Item, Now);
+    openAfterFailure(Breaker, Item, Now);
   } else {
-    updateHalfOpen(Breaker, *Item, Now);
+    updateHalfOpen(Breaker, Item, Now);
   }
   return false;
 }
@@ -184,23 +167,4 @@
              : Share;
 }
 
-StatsReport takeReport(RolloutBreaker &Breaker, const RolloutRecord &Record,
-                       NodeId Self, Incarnation Run) {
-  StatsReport Report = {.Node = Self,
-                        .Run = Run,
-                        .RolloutId = Breaker.RolloutId,
-                        .Window = Breaker.NextReport++,
-                        .Step = Record.Step,
-                        .Routes = {}};
-  for (RouteResponses &Item : Breaker.Routes) {
-    if (Item.Report.New.Requests + Item.Report.Old.Requests > 0) {
-      Report.Routes.push_back({.Route = Item.Route,
-                               .New = Item.Report.New,
-                               .Old = Item.Report.Old});
-      Item.Report = {};
-    }
-  }
-  return Report;
-}
-
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/rollout/internal/evaluate_routes.cpp
+++ b/packages/policy/src/policy/rollout/internal/evaluate_routes.cpp
@@ -23,48 +23,36 @@
 
 // Sums the recent windows, or the whole ring if the recent ones hold too few
 // responses.
-ResponsePair sumRecentOrAll(std::span<const ResponseRing *const> Rings,
-                            std::uint64_t Number, std::uint64_t MinResponses) {
-  ResponsePair Total;
-  for (const std::size_t Windows :
-       {ResponseRing::RecentCount, ResponseRing::WindowCount}) {
-    Total = {};
-    for (const ResponseRing *Ring : Rings) {
-      const ResponsePair Pair = pairedSum(*Ring, Number, Windows);
-      addCounts(Total.New, Pair.New);
-      addCounts(Total.Old, Pair.Old);
-    }
-    if (Total.New.Requests >= MinResponses) {
-      break;
-    }
-  }
-  return Total;
+ResponsePair sumRecentOrAll(const ResponseRing &Ring, std::uint64_t Number,
+                            std::uint64_t MinResponses) {
+  const ResponsePair Recent =
+      pairedSum(Ring, Number, ResponseRing::RecentCount);
+  return Recent.New.Requests >= MinResponses
+             ? Recent
+             : pairedSum(Ring, Number, ResponseRing::WindowCount);
 }
 
-Verdict evaluate(std::span<const ResponseRing *const> Rings,
+// Every has all responses, also those that Ring leaves out because the new
+// version had none at the same time.
+Verdict evaluate(const ResponseRing &Ring, const ResponseRing &Every,
                  std::string_view Route, std::uint64_t MinResponses,
                  TimePoint Now) {
   const std::uint64_t Number = windowNumber(Now);
-  const ResponsePair Pair = sumRecentOrAll(Rings, Number, MinResponses);
+  const ResponsePair Pair = sumRecentOrAll(Ring, Number, MinResponses);
   if (Pair.New.Failures >= MinMajorityFailures &&
       Pair.New.Failures * 2 > Pair.New.Requests && Pair.Old.Failures == 0) {
     // The new version mostly fails while the old one had no failure at the same
     // time. All responses of the old version may then be used, so that fewer
     // failures suffice for a verdict.
-    VersionCounts Old;
-    for (const ResponseRing *Ring : Rings) {
-      addCounts(Old, oldSum(*Ring, Number));
-    }
+    const VersionCounts Old = oldSum(Every, Number);
     if (failsMore(Pair.New, Old)) {
       return makeVerdict(Comparison::Fails, Route, Pair.New, Old);
     }
   }
   const Comparison Result = compare(Pair.New, Pair.Old, MinResponses);
   if (Result == Comparison::Slows) {
-    WindowRange Slow;
-    for (const ResponseRing *Ring : Rings) {
-      addSlowWindows(Slow, *Ring, Number, firstSlowBucket(Pair.Old));
-    }
+    const WindowRange Slow =
+        slowWindows(Ring, Number, firstSlowBucket(Pair.Old));
     if (spanOf(Slow) < MinSlowSpan ||
         Pair.Old.Requests < MinOldResponsesForSlow) {
       return {};
@@ -77,8 +65,7 @@
 
 Verdict evaluateRoute(const ResponseRing &Ring, std::string_view Route,
                       TimePoint Now) {
-  const ResponseRing *const Rings[] = {&Ring};
-  return evaluate(Rings, Route, MinSlowResponses, Now);
+  return evaluate(Ring, Ring, Route, MinSlowResponses, Now);
 }
 
 bool hasFewResponses(const ResponseRing &Ring, TimePoint Now) {
@@ -87,9 +74,8 @@
   return std::min(Pair.New.Requests, Pair.Old.Requests) < FewResponses;
 }
 
-Verdict evaluateAllRoutes(std::span<const ResponseRing *const> Rings,
-                          TimePoint Now) {
-  return evaluate(Rings, "(all)", MinCombinedResponses, Now);
+Verdict evaluateAllRoutes(const CombinedRing &All, TimePoint Now) {
+  return evaluate(All.Paired, All.Every, "(all)", MinCombinedResponses, Now);
 }
 
 } // namespace magnolia::policy::internal
--- a/packages/policy/src/policy/rollout/internal/evaluate_routes.h
+++ b/packages/policy/src/policy/rollout/internal/evaluate_routes.h
@@ -2,10 +2,10 @@
 #define POLICY_ROLLOUT_INTERNAL_EVALUATE_ROUTES_H
 
 #include "policy/core/types.h"
+#include "policy/rollout/combined_ring.h"
 #include "policy/rollout/response_ring.h"
 #include "policy/rollout/verdict.h"
 
-#include <span>
 #include <string_view>
 
 namespace magnolia::policy::internal {
@@ -20,8 +20,7 @@
 
 // Returns the verdict on all routes combined, for versions that receive too few
 // requests on each single route.
-[[nodiscard]] Verdict
-evaluateAllRoutes(std::span<const ResponseRing *const> Rings, TimePoint Now);
+[[nodiscard]] Verdict evaluateAllRoutes(const CombinedRing &All, TimePoint Now);
 
 } // namespace magnolia::policy::internal
 
--- a/packages/policy/src/policy/rollout/internal/ring.cpp
+++ b/packages/policy/src/policy/rollout/internal/ring.cpp
@@ -12,6 +12,11 @@
          Number - Slot.Number < Windows;
 }
 
+void add(ResponseRing::Window &Window, const ResponsePair &Added) {
+  addCounts(Window.New, Added.New);
+  addCounts(Window.Old, Added.Old);
+}
+
 } // namespace
 
 std::uint64_t windowNumber(TimePoint Now) {
@@ -32,6 +37,24 @@
   return &Found;
 }
 
+void addToRings(ResponseRing &Route, CombinedRing &All, std::uint64_t Number,
+                const ResponsePair &Added) {
+  ResponsePair Paired;
+  if (ResponseRing::Window *Window = windowAt(Route, Number)) {
+    const bool WasPaired = Window->New.Requests > 0;
+    add(*Window, Added);
+    if (Window->New.Requests > 0) {
+      Paired = {.New = Added.New, .Old = WasPaired ? Added.Old : Window->Old};
+    }
+  }
+  if (ResponseRing::Window *Window = windowAt(All.Paired, Number)) {
+    add(*Window, Paired);
+  }
+  if (ResponseRing::Window *Window = windowAt(All.Every, Number)) {
+    add(*Window, Added);
+  }
+}
+
 ResponsePair pairedSum(const ResponseRing &Ring, std::uint64_t Number,
                        std::size_t Windows) {
   ResponsePair Total;
@@ -64,8 +87,9 @@
   return Requests;
 }
 
-void addSlowWindows(WindowRange &Range, const ResponseRing &Ring,
-                    std::uint64_t Number, std::size_t FirstSlow) {
+WindowRange slowWindows(const ResponseRing &Ring, std::uint64_t Number,
+                        std::size_t FirstSlow) {
+  WindowRange Range;
   for (const ResponseRing::Window &Slot : Ring.Windows) {
     const bool HasSlow = std::any_of(
         Slot.New.Latency.begin() + static_cast<std::ptrdiff_t>(FirstSlow),
@@ -75,6 +99,7 @@
       Range.Last = std::max(Range.Last, Slot.Number);
     }
   }
+  return Range;
 }
 
 Duration spanOf(const WindowRange &Range) {
--- a/packages/policy/src/policy/rollout/internal/ring.h
+++ b/packages/policy/src/policy/rollout/internal/ring.h
@@ -2,6 +2,7 @@
 #define POLICY_ROLLOUT_INTERNAL_RING_H
 
 #include "policy/core/types.h"
+#include "policy/rollout/combined_ring.h"
 #include "policy/rollout/response_pair.h"
 #include "policy/rollout/response_ring.h"
 
@@ -17,6 +18,11 @@
 [[nodiscard]] ResponseRing::Window *windowAt(ResponseRing &Ring,
                                              std::uint64_t Number);
 
+// Adds responses on one route to the window with this number, of the route and
+// of all routes. Rings that no longer cover the number stay as they are.
+void addToRings(ResponseRing &Route, CombinedRing &All, std::uint64_t Number,
+                const ResponsePair &Added);
+
 // Sums the last windows up to the number, leaving out those without responses
 // of the new version. Its share changes, and noise during windows in which it
 // received few or no requests would otherwise look like a difference between
@@ -39,10 +45,11 @@
   std::uint64_t Last = 0;
 };
 
-// Extends the range to the windows in which the new version had responses in
+// Returns the first and last window in which the new version had responses in
 // the latency bucket FirstSlow or above.
-void addSlowWindows(WindowRange &Range, const ResponseRing &Ring,
-                    std::uint64_t Number, std::size_t FirstSlow);
+[[nodiscard]] WindowRange slowWindows(const ResponseRing &Ring,
+                                      std::uint64_t Number,
+                                      std::size_t FirstSlow);
 
 [[nodiscard]] Duration spanOf(const WindowRange &Range);
 
--- a/packages/policy/src/policy/rollout/response_pair.h
+++ b/packages/policy/src/policy/rollout/response_pair.h
@@ -11,6 +11,11 @@
   VersionCounts Old;
 };
 
+inline void addPair(ResponsePair &Sum, const ResponsePair &Added) {
+  addCounts(Sum.New, Added.New);
+  addCounts(Sum.Old, Added.Old);
+}
+
 } // namespace magnolia::policy
 
 #endif
--- a/packages/policy/src/policy/rollout/rollout_breaker.h
+++ b/packages/policy/src/policy/rollout/rollout_breaker.h
@@ -2,8 +2,10 @@
 #define POLICY_ROLLOUT_ROLLOUT_BREAKER_H
 
 #include "policy/core/types.h"
+#include "policy/rollout/combined_ring.h"
 #include "policy/rollout/response_pair.h"
 #include "policy/rollout/response_ring.h"
+#include "policy/rollout/route_rows.h"
 #include "policy/rollout/verdict.h"
 
 #include <cstddef>
@@ -19,7 +21,7 @@
 // last seconds per route and version, and the verdict that it draws from them
 // at once. Change it only with the functions of breaker.h.
 struct RolloutBreaker {
-  static constexpr std::size_t MaxRoutes = 64;
+  // Responses of one row.
   struct RouteResponses {
     std::string Route;
     ResponseRing Ring;
@@ -28,11 +30,16 @@
     ResponsePair Step;
     // Totals since the last report to the driver.
     ResponsePair Report;
+    // Sequence number of the last report that contained the row.
+    std::uint64_t Reported = 0;
   };
 
   std::string RolloutId;
   std::uint32_t Step = 0;
+  RouteRows Rows;
+  // By the numbers of the rows.
   std::vector<RouteResponses> Routes;
+  CombinedRing All;
   Verdict Current;
   // End of the open period, until which the new version receives no requests.
   TimePoint OpenUntil;
@@ -44,8 +51,6 @@
   std::uint32_t HalfOpenResponses = 0;
   std::uint64_t NextReport = 1;
   std::uint64_t Pauses = 0;
-  // Responses not counted because of MaxRoutes.
-  std::uint64_t OverLimit = 0;
 };
 
 } // namespace magnolia::policy
--- a/packages/policy/src/policy/rollout/rollout_stats.cpp
+++ b/packages/policy/src/policy/rollout/rollout_stats.cpp
@@ -3,9 +3,6 @@
 #include "policy/rollout/internal/evaluate_routes.h"
 #include "policy/rollout/internal/ring.h"
 
-#include <algorithm>
-#include <optional>
-
 namespace magnolia::policy {
 
 namespace {
@@ -44,21 +41,13 @@
   }
 }
 
-std::optional<std::size_t> routeIndex(RolloutStats &Stats,
-                                      std::string_view Route) {
-  const auto Found = std::find_if(
-      Stats.Routes.begin(), Stats.Routes.end(),
-      [Route](const RouteStats &Item) { return Item.Route == Route; });
-  if (Found != Stats.Routes.end()) {
-    return static_cast<std::size_t>(Found - Stats.Routes.begin());
-  }
-  if (Stats.Routes.size() >= RolloutStats::MaxRoutes) {
-    ++Stats.OverLimit;
-    return std::nullopt;
+std::size_t routeIndex(RolloutStats &Stats, std::string_view Route) {
+  const RouteRow Row = rowOf(Stats.Rows, Route);
+  if (Row.Number == Stats.Routes.size()) {
+    Stats.Routes.emplace_back().Route = Row.Name;
+    Stats.Rings.emplace_back();
   }
-  Stats.Routes.emplace_back().Route = Route;
-  Stats.Rings.emplace_back();
-  return Stats.Routes.size() - 1;
+  return Row.Number;
 }
 
 // Returns true for the first report with this sequence number from the entry
@@ -88,12 +77,9 @@
 
 void addRoute(RolloutStats &Stats, std::size_t Index, const RouteStats &Added,
               bool IsCurrentStep, TimePoint Now) {
-  ResponseRing::Window *Window =
-      internal::windowAt(Stats.Rings[Index], internal::windowNumber(Now));
-  if (Window != nullptr) {
-    addCounts(Window->New, Added.New);
-    addCounts(Window->Old, Added.Old);
-  }
+  internal::addToRings(Stats.Rings[Index], Stats.All,
+                       internal::windowNumber(Now),
+                       {.New = Added.New, .Old = Added.Old});
   // Responses of an earlier step tell nothing about the load of this one.
   if (IsCurrentStep) {
     addCounts(Stats.Routes[Index].New, Added.New);
@@ -110,14 +96,6 @@
   return Result;
 }
 
-Verdict evaluateCombined(const RolloutStats &Stats, TimePoint Now) {
-  std::vector<const ResponseRing *> Rings;
-  for (const ResponseRing &Ring : Stats.Rings) {
-    Rings.push_back(&Ring);
-  }
-  return internal::evaluateAllRoutes(Rings, Now);
-}
-
 } // namespace
 
 bool addReport(RolloutStats &Stats, const RolloutRecord &Record,
@@ -131,12 +109,11 @@
   }
   bool BecameBad = false;
   for (const RouteStats &Route : Report.Routes) {
-    if (const auto Index = routeIndex(Stats, Route.Route)) {
-      addRoute(Stats, *Index, Route, Report.Step == Record.Step, Now);
-      BecameBad |= mergeVerdict(Stats, evaluate(Stats, *Index, Now));
-    }
+    const std::size_t Index = routeIndex(Stats, Route.Route);
+    addRoute(Stats, Index, Route, Report.Step == Record.Step, Now);
+    BecameBad |= mergeVerdict(Stats, evaluate(Stats, Index, Now));
   }
-  BecameBad |= mergeVerdict(Stats, evaluateCombined(Stats, Now));
+  BecameBad |= mergeVerdict(Stats, internal::evaluateAllRoutes(Stats.All, Now));
   return BecameBad;
 }
 
--- a/packages/policy/src/policy/rollout/rollout_stats.h
+++ b/packages/policy/src/policy/rollout/rollout_stats.h
@@ -2,8 +2,10 @@
 #define POLICY_ROLLOUT_ROLLOUT_STATS_H
 
 #include "policy/core/types.h"
+#include "policy/rollout/combined_ring.h"
 #include "policy/rollout/response_ring.h"
 #include "policy/rollout/rollout_record.h"
+#include "policy/rollout/route_rows.h"
 #include "policy/rollout/route_stats.h"
 #include "policy/rollout/stats_report.h"
 #include "policy/rollout/verdict.h"
@@ -22,7 +24,6 @@
 // of the current step from all entry nodes, and the merged verdict. A new
 // driver starts with empty statistics and collects for the rest of the step.
 struct RolloutStats {
-  static constexpr std::size_t MaxRoutes = 64;
   static constexpr std::size_t MaxReporters = 32'768;
   // Below this number, responses of the old version in earlier steps are added
   // to the baseline. One failure in 30 is the margin of short rollouts.
@@ -30,11 +31,14 @@
 
   std::string RolloutId;
   std::uint32_t Step = 0;
-  // Sums over the whole step; Rings[I] belongs to Routes[I].
+  RouteRows Rows;
+  // Sums over the whole step, by the numbers of the rows; Rings[I] belongs to
+  // Routes[I].
   std::vector<RouteStats> Routes;
   // Responses of the last seconds on the same routes. The sums of a long step
   // would hide a fault that starts late in the step.
   std::vector<ResponseRing> Rings;
+  CombinedRing All;
   // Responses of the old version on all routes during the latest earlier step
   // that had enough of them, or during all steps if none had. The new version
   // is compared with them once the old one receives few requests.
@@ -43,6 +47,7 @@
   // Incarnation and sequence number of the last report of each entry node.
   std::unordered_map<NodeId, std::pair<Incarnation, std::uint64_t>> Reporters;
   std::uint64_t Duplicates = 0;
+  // Reports that were ignored because of MaxReporters.
   std::uint64_t OverLimit = 0;
 };
 
--- a/packages/policy/src/policy/rollout/stats_report.h
+++ b/packages/policy/src/policy/rollout/stats_report.h
@@ -4,14 +4,18 @@
 #include "policy/core/types.h"
 #include "policy/rollout/route_stats.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
 
 namespace magnolia::policy {
 
-// Responses that one entry node has seen since its previous report.
+// Responses that one entry node has seen since its previous report. The number
+// of routes in a report is limited; the responses on others follow later.
 struct StatsReport {
+  static constexpr std::size_t MaxRoutes = 64;
+
   NodeId Node = 0;
   Incarnation Run = 0;
   std::string RolloutId;
--- a/packages/policy/test/policy/rollout/rollout_run.cpp
+++ b/packages/policy/test/policy/rollout/rollout_run.cpp
@@ -15,7 +15,7 @@
 constexpr Duration Step = milliseconds{10};
 constexpr Duration ReportPeriod = milliseconds{500};
 constexpr Duration PollPeriod = milliseconds{200};
-constexpr std::array<const char *, 3> Routes = {"/browse", "/hold", "/track"};
+constexpr Duration UntilRouteIsAdded = seconds{5};
 
 double chance(RolloutRun &Run) {
   return std::uniform_real_distribution<double>(0.0, 1.0)(Run.Random);
@@ -31,6 +31,18 @@
   Run.Events.emplace(Run.Now + Delay, std::move(Event));
 }
 
+std::string routeName(std::size_t Route) {
+  return "/" + std::to_string(Route) + "/";
+}
+
+// Returns the route of the next request.
+std::size_t nextRoute(RolloutRun &Run) {
+  const bool Added = Run.Options.Behaviour == NewVersion::FailsOnAddedRoute &&
+                     Run.Now - Run.Start > UntilRouteIsAdded &&
+                     Run.Random() % 3 == 0;
+  return Added ? Run.Options.Routes : Run.Random() % Run.Options.Routes;
+}
+
 struct Response {
   bool Failed = false;
   bool Faulty = false;
@@ -50,6 +62,8 @@
     return true;
   case NewVersion::FailsOnOneRoute:
     return Route == 1;
+  case NewVersion::FailsOnAddedRoute:
+    return Route == Run.Options.Routes;
   case NewVersion::FailsHalf:
     return chance(Run) < 0.5;
   case NewVersion::FailsLate:
@@ -175,14 +189,14 @@
       Entry.Record.Phase != RolloutPhase::Done) {
     ++Run.NewAfterDeadline;
   }
-  const std::size_t Route = Run.Random() % Routes.size();
+  const std::size_t Route = nextRoute(Run);
   const Response Result = responseOf(Run, Role, Route);
   schedule(Run, Result.Latency, [=](RolloutRun &Now) {
     if (Result.Faulty && !Now.FaultSeenAt) {
       Now.FaultSeenAt = Now.Now;
     }
     RolloutBreaker &Breaker = Now.Entries[Index].Breaker;
-    if (countResponse(Breaker, Routes[Route], Role, Result.Failed,
+    if (countResponse(Breaker, routeName(Route), Role, Result.Failed,
                       Result.Latency, Now.Now)) {
       broadcastVerdict(Now, Breaker.Current);
     }
--- a/packages/policy/test/policy/rollout/rollout_run.h
+++ b/packages/policy/test/policy/rollout/rollout_run.h
@@ -23,6 +23,9 @@
   GoodUnderNoise,
   Fails,
   FailsOnOneRoute,
+  // The route is added some seconds after the start, when all others have been
+  // in use, and gets a third of the requests.
+  FailsOnAddedRoute,
   FailsHalf,
   Slows,
   FailsLate,
@@ -36,6 +39,8 @@
   NewVersion Behaviour = NewVersion::Good;
   Duration Length = std::chrono::seconds{120};
   std::size_t EntryNodes = 4;
+  // Number of routes, without one that is added.
+  std::size_t Routes = 3;
   // Requests per second of each entry node.
   double Rate = 50.0;
   double Loss = 0.05;
--- a/packages/policy/test/policy/rollout/run.cpp
+++ b/packages/policy/test/policy/rollout/run.cpp
@@ -38,6 +38,23 @@
 
 constexpr std::uint64_t Seeds = 6;
 
+// Guards against a bad version that is completed because its fault shows on a
+// route that came into use after many others.
+TEST(RolloutRun, FindsAFaultOnOneOfManyRoutes) {
+  for (const std::size_t Routes : {64U, 65U, 350U, 10'000U}) {
+    for (std::uint64_t Seed = 1; Seed <= 2; ++Seed) {
+      SCOPED_TRACE(std::to_string(Routes) + " routes, seed " +
+                   std::to_string(Seed));
+      const RolloutRun Run =
+          runRollout({.Seed = Seed,
+                      .Behaviour = NewVersion::FailsOnAddedRoute,
+                      .Routes = Routes});
+      EXPECT_EQ(Run.Store.Record.Phase, RolloutPhase::RolledBack);
+      EXPECT_EQ(Run.NewAfterFault, 0U);
+    }
+  }
+}
+
 TEST(RolloutRun, EndsInTheExpectedPhase) {
   for (const RunCase &Case : Cases) {
     for (std::uint64_t Seed = 1; Seed <= Seeds; ++Seed) {
