--- a/packages/daemon/src/daemon/entry/caller_connection.h
+++ b/packages/daemon/src/daemon/entry/caller_connection.h
@@ -9,6 +9,7 @@
 #include "daemon/net/fiber_signal.h"
 #include "policy/pipeline/pipeline_state.h"
 
+#include <chrono>
 #include <cstddef>
 #include <list>
 #include <optional>
@@ -32,6 +33,9 @@
 private:
   friend class PipelinedExchange;
 
+  // Maximum time of one wait for a worker.
+  static constexpr policy::Duration LongestWait = std::chrono::hours(1);
+
   void serveRequests();
   void awaitWorkers();
 
--- a/packages/daemon/src/daemon/http/message.cpp
+++ b/packages/daemon/src/daemon/http/message.cpp
@@ -165,6 +165,14 @@
   return Head;
 }
 
+std::size_t bytesOf(const HttpResponse &Response) {
+  std::size_t Sum = Response.Body.size();
+  for (const HttpHeader &Header : Response.Headers) {
+    Sum += Header.Name.size() + Header.Value.size();
+  }
+  return Sum;
+}
+
 bool hasBody(std::uint16_t Status, std::string_view Method) {
   return Method != "HEAD" && Status >= 200 && Status != 204 && Status != 304;
 }
--- a/packages/daemon/src/daemon/http/message.h
+++ b/packages/daemon/src/daemon/http/message.h
@@ -76,6 +76,9 @@
 [[nodiscard]] std::string responseHead(const HttpResponse &Response,
                                        std::string_view Method);
 
+// Returns the size of the headers and the body in bytes.
+[[nodiscard]] std::size_t bytesOf(const HttpResponse &Response);
+
 // True if a response with this status to this method has a body.
 [[nodiscard]] bool hasBody(std::uint16_t Status, std::string_view Method);
 
