Let connections linger until what was sent on them has arrived

Cause: the connection ended as soon as the kernel had taken the response, and its socket was closed with the second request unread. Linux resets such a connection and discards what has not arrived. A request that arrives after the close does the same.

Change: one way to close, in ConnectionServer behind every handler: end the output, keep the socket open until the peer has all of it or a limit in time and bytes is reached, then close. policy/linger decides. Input is dropped only if a response told the peer of the close; else it stays unread, so that a request which crosses the close of an idle connection may be sent again. At the limit on connections, lingering ones give way. A caller that is refused there gets its 503 in the same way. drainInput goes.

ScriptedBackend, a server of the tests whose scripts state how a connection ends, closes at once as before.

Why it works: a reset can no longer come before the output has arrived or a stated limit has passed.

--- a/packages/daemon/src/daemon/entry/caller_connection.cpp
+++ b/packages/daemon/src/daemon/entry/caller_connection.cpp
@@ -1,6 +1,7 @@
 #include "daemon/entry/caller_connection.h"
 
 #include "daemon/entry/parse_call.h"
+#include "daemon/entry/reject_unread.h"
 #include "daemon/log/log.h"
 #include "daemon/memory/release_buffer.h"
 #include "daemon/net/clock.h"
@@ -31,6 +32,7 @@
       Current(Service.currentOptions()),
       Reader(HttpReader::Kind::Request, Current.Limits, Service.Options.Memory),
       EmptyUntil(now()) {
+  Accepted.setLinger({.Longest = Current.Read});
   if (!Service.MayOverlap || !FiberLoop::current()) {
     Limits.Requests = 1;
   }
@@ -169,10 +171,11 @@
 
 void CallerConnection::endResponse() {
   const PipelinedExchange &First = Exchanges.front();
-  const std::optional<DrainLimits> Drain = First.Drain;
+  const std::optional<HttpReadStatus> Rejected = First.Rejected;
   // The time for the rest of a request counts once nothing is in front of it.
   HeadStart = now();
-  if (!Drain) {
+  Accepted.onOutput(HeadStart);
+  if (!Rejected) {
     Service.Counts.time(Timing::Request, HeadStart - First.Arrived);
   }
   Writing = false;
@@ -184,8 +187,9 @@
   }
   cancelRunning();
   countHeldBytes();
-  if (Drain) {
-    drainInput(Accepted.fd(), *Drain);
+  if (State.Closed) {
+    Accepted.setLinger(Rejected ? closeLimits(Current, *Rejected)
+                                : closeLimits(Current));
   }
 }
 
--- a/packages/daemon/src/daemon/entry/caller_connection_input.cpp
+++ b/packages/daemon/src/daemon/entry/caller_connection_input.cpp
@@ -1,8 +1,10 @@
 #include "daemon/entry/caller_connection.h"
 
 #include "daemon/entry/parse_call.h"
+#include "daemon/entry/reject_unread.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
+#include "policy/linger/linger_limits.h"
 #include "policy/pipeline/plan_pipeline.h"
 
 #include <algorithm>
@@ -76,7 +78,7 @@
 void CallerConnection::addRejection(HttpReadStatus Status) {
   PipelinedExchange &Added = Exchanges.emplace_back(*this);
   Added.Response = rejectUnread(Service, Status, Current.Limits);
-  Added.Drain = drainLimits(Status, Current.Limits);
+  Added.Rejected = Status;
   State.Requests.push_back({.Stage = policy::RequestStage::Done,
                             .Closes = true,
                             .ResponseBytes = bytesOf(Added.Response)});
@@ -113,6 +115,7 @@
   if (!Ended && Writing) {
     endResponse();
     close();
+    Accepted.setLinger(policy::CloseAtOnce);
     return;
   }
   onEvents(Entry.revents, now());
--- a/packages/daemon/src/daemon/entry/http_service.cpp
+++ b/packages/daemon/src/daemon/entry/http_service.cpp
@@ -4,6 +4,7 @@
 #include "daemon/entry/entry_call.h"
 #include "daemon/entry/local_endpoints.h"
 #include "daemon/entry/parse_call.h"
+#include "daemon/entry/reject_unread.h"
 #include "daemon/log/log.h"
 #include "daemon/net/clock.h"
 #include "daemon/net/socket.h"
@@ -40,13 +41,15 @@
   CallerConnection(State, Accepted).serve();
 }
 
-void HttpService::refuse(int Fd) {
+void HttpService::refuse(Session &Accepted) {
   HttpResponse Response =
       errorResponse(State.Speaks, ErrorKind::Overloaded,
                     "too many connections to this node", false);
   Response.KeepAlive = false;
-  (void)sendAll(Fd, responseHead(Response, {}), Response.Body,
+  (void)sendAll(Accepted.fd(), responseHead(Response, {}), Response.Body,
                 now() + State.Options.Read);
+  Accepted.onOutput(now());
+  Accepted.setLinger(closeLimits(State.Options));
 }
 
 HttpResponse serveCaller(Entry &Owner, const LocalEndpoints &Local,
--- a/packages/daemon/src/daemon/entry/http_service.h
+++ b/packages/daemon/src/daemon/entry/http_service.h
@@ -34,7 +34,7 @@
 
   void serve(Session &Accepted);
   // Sends an error response on a connection that exceeds the maximum count.
-  void refuse(int Fd);
+  void refuse(Session &Accepted);
   // Makes each connection close with the response to the last request that was
   // read.
   void beginClose() { State.Closing = true; }
--- a/packages/daemon/src/daemon/entry/pipelined_exchange.h
+++ b/packages/daemon/src/daemon/entry/pipelined_exchange.h
@@ -3,8 +3,8 @@
 
 #include "daemon/entry/caller_watch.h"
 #include "daemon/entry/fwd.h"
-#include "daemon/entry/reject_unread.h"
 #include "daemon/http/message.h"
+#include "daemon/http/reader.h"
 #include "daemon/net/fiber_signal.h"
 
 #include <optional>
@@ -33,8 +33,8 @@
   policy::TimePoint Arrived{};
   // True if the request runs on a fiber of its own.
   bool OnOwnFiber = false;
-  // Set if the request was rejected unread: what to read after the response.
-  std::optional<DrainLimits> Drain;
+  // Set if the request was rejected before it was read whole.
+  std::optional<HttpReadStatus> Rejected;
 
 private:
   CallerConnection &Owner;
--- a/packages/daemon/src/daemon/entry/reject_unread.cpp
+++ b/packages/daemon/src/daemon/entry/reject_unread.cpp
@@ -2,12 +2,8 @@
 
 #include "daemon/entry/http_service_state.h"
 #include "daemon/entry/parse_call.h"
-#include "daemon/net/clock.h"
-#include "daemon/net/socket.h"
+#include "policy/linger/linger_limits.h"
 
-#include <sys/socket.h>
-
-#include <array>
 #include <string>
 
 namespace magnolia::daemon {
@@ -16,6 +12,9 @@
 
 namespace {
 
+// Input that is read and dropped after a response that closes the connection.
+constexpr std::size_t DroppedBytes = std::size_t{4} << 20;
+
 // Time in which a caller may go on sending a body that was rejected for lack of
 // memory.
 constexpr policy::Duration RejectedBodyTime = std::chrono::seconds(5);
@@ -44,23 +43,18 @@
   return errorResponse(Service.Speaks, Kind, Detail, false);
 }
 
-DrainLimits drainLimits(HttpReadStatus Status, const HttpLimits &Limits) {
-  return Status == HttpReadStatus::NoMemory
-             ? DrainLimits{.Bytes = Limits.BodyBytes, .Time = RejectedBodyTime}
-             : DrainLimits{};
+policy::LingerLimits closeLimits(const HttpServiceOptions &Options) {
+  return {.DropBytes = DroppedBytes, .Longest = Options.Read};
 }
 
-void drainInput(int Fd, const DrainLimits &Limits) {
-  ::shutdown(Fd, SHUT_WR);
-  std::array<char, 16'384> Buffer{};
-  const policy::TimePoint Until = now() + Limits.Time;
-  for (std::size_t Total = 0; Total < Limits.Bytes;) {
-    const auto Count = receiveSome(Fd, Buffer);
-    if (Count < 0 || (Count == 0 && !waitReadable(Fd, Until))) {
-      return;
-    }
-    Total += static_cast<std::size_t>(Count);
+policy::LingerLimits closeLimits(const HttpServiceOptions &Options,
+                                 HttpReadStatus Status) {
+  policy::LingerLimits Limits = closeLimits(Options);
+  if (Status == HttpReadStatus::NoMemory) {
+    Limits.DropBytes = Options.Limits.BodyBytes;
+    Limits.Quiet = RejectedBodyTime;
   }
+  return Limits;
 }
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/entry/reject_unread.h
+++ b/packages/daemon/src/daemon/entry/reject_unread.h
@@ -4,32 +4,24 @@
 #include "daemon/entry/fwd.h"
 #include "daemon/http/message.h"
 #include "daemon/http/reader.h"
-#include "policy/core/types.h"
-
-#include <chrono>
-#include <cstddef>
+#include "policy/linger/fwd.h"
 
 namespace magnolia::daemon {
 
-// Limits on reading and discarding the rest of a rejected request. Without
-// this, a connection reset could discard the response before it is read.
-struct DrainLimits {
-  std::size_t Bytes = std::size_t{4} << 20;
-  policy::Duration Time = std::chrono::milliseconds(500);
-};
-
 // Counts a request that was not read whole and does not run, and returns the
 // response to it.
 [[nodiscard]] HttpResponse rejectUnread(HttpServiceState &Service,
                                         HttpReadStatus Status,
                                         const HttpLimits &Limits);
 
-// Returns how much is read after that response.
-[[nodiscard]] DrainLimits drainLimits(HttpReadStatus Status,
-                                      const HttpLimits &Limits);
+// Returns how a connection is closed whose caller was told of it.
+[[nodiscard]] policy::LingerLimits
+closeLimits(const HttpServiceOptions &Options);
 
-// Ends the output and discards input until the limits.
-void drainInput(int Fd, const DrainLimits &Limits);
+// Returns how it is closed after that response: the caller may be in the middle
+// of a body.
+[[nodiscard]] policy::LingerLimits
+closeLimits(const HttpServiceOptions &Options, HttpReadStatus Status);
 
 } // namespace magnolia::daemon
 
--- a/packages/daemon/src/daemon/net/connection_server.cpp
+++ b/packages/daemon/src/daemon/net/connection_server.cpp
@@ -2,12 +2,14 @@
 
 #include "daemon/net/clock.h"
 #include "daemon/net/fiber_pool.h"
+#include "daemon/net/linger.h"
 #include "daemon/net/socket.h"
 
 #include <poll.h>
 #include <sys/eventfd.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <chrono>
@@ -21,6 +23,10 @@
 // Pause after accept has failed, for example for lack of descriptors.
 constexpr auto AcceptPause = std::chrono::milliseconds(10);
 
+// Maximum number of connections that are told at the same time that they exceed
+// the maximum; further ones are closed at once.
+constexpr std::size_t MaximumRefusals = 64;
+
 // Maximum time of one wait for a connection. A stop ends the wait earlier.
 constexpr auto LongestAcceptWait = std::chrono::hours(1);
 
@@ -135,26 +141,42 @@
 
 void ConnectionServer::accepted(UniqueFd Fd) {
   setUpSocket(Fd.fd());
-  std::unique_lock Lock(Mutex);
-  if (Sessions.size() >= Opts.Maximum) {
-    Lock.unlock();
+  const std::lock_guard Lock(Mutex);
+  const bool IsOver =
+      Sessions.size() - Refusals >= Opts.Maximum && !endLingering();
+  if (IsOver) {
     ++Refused;
-    if (Opts.Refuse) {
-      Opts.Refuse(Fd.fd());
+    if (!Opts.Refuse || Refusals >= MaximumRefusals) {
+      return;
     }
-    return;
   }
   const auto It =
       Sessions.emplace(Sessions.begin(), std::move(Fd), StopFd.fd());
+  It->IsRefused = IsOver;
+  Refusals += IsOver ? 1 : 0;
   try {
     startServing(It);
   } catch (const std::system_error &) {
     // No thread could be started, so the connection is closed.
     ++Refused;
+    Refusals -= IsOver ? 1 : 0;
     Sessions.erase(It);
   }
 }
 
+bool ConnectionServer::endLingering() {
+  const auto Oldest =
+      std::find_if(Sessions.rbegin(), Sessions.rend(), [](const Session &Open) {
+        return Open.IsLingering && !Open.IsRefused;
+      });
+  if (Oldest == Sessions.rend()) {
+    return false;
+  }
+  Oldest->IsLingering = false;
+  ::shutdown(Oldest->fd(), SHUT_RD);
+  return true;
+}
+
 void ConnectionServer::startServing(std::list<Session>::iterator It) {
   if (Opts.Fibers) {
     Opts.Fibers->spawn([this, It] { serve(It); });
@@ -163,14 +185,24 @@
   }
 }
 
-void ConnectionServer::serve(std::list<Session>::iterator It) {
+void ConnectionServer::serveOrRefuse(Session &Open) {
   try {
-    Opts.Serve(*It);
+    Open.IsRefused ? Opts.Refuse(Open) : Opts.Serve(Open);
   } catch (const std::exception &) {
     // The connection is closed, for example for lack of memory.
     ++Refused;
   }
+}
+
+void ConnectionServer::serve(std::list<Session>::iterator It) {
+  serveOrRefuse(*It);
+  {
+    const std::lock_guard Lock(Mutex);
+    It->IsLingering = true;
+  }
+  linger(It->fd(), It->Closing, It->LastOutput);
   const std::lock_guard Lock(Mutex);
+  Refusals -= It->IsRefused ? 1 : 0;
   Sessions.erase(It);
   Ended.notify_all();
 }
--- a/packages/daemon/src/daemon/net/connection_server.h
+++ b/packages/daemon/src/daemon/net/connection_server.h
@@ -4,6 +4,7 @@
 #include "daemon/net/unique_fd.h"
 #include "policy/core/error.h"
 #include "policy/core/types.h"
+#include "policy/linger/linger_limits.h"
 
 #include <atomic>
 #include <condition_variable>
@@ -33,14 +34,28 @@
   // interrupt a request that has just arrived.
   [[nodiscard]] bool waitForRequest(policy::TimePoint Deadline) const;
 
+  // Tells how the connection is closed, and when output was sent on it last.
+  void setLinger(const policy::LingerLimits &Limits) { Closing = Limits; }
+  void onOutput(policy::TimePoint Now) { LastOutput = Now; }
+
 private:
+  friend class ConnectionServer;
+
   UniqueFd Socket;
+  policy::LingerLimits Closing;
+  policy::TimePoint LastOutput = policy::TimePoint::min();
+  // True if the connection exceeds the maximum and is only told so.
+  bool IsRefused = false;
+  // True once the connection only waits for its output to arrive. Guarded by
+  // the mutex of the server.
+  bool IsLingering = false;
   // Becomes readable when the server stops.
   int StopFd;
 };
 
 // Accepts connections up to a maximum and serves each on its own fiber or
-// thread.
+// thread. A connection whose service has ended stays open until its output has
+// arrived, so that no response is cut.
 class ConnectionServer {
 public:
   struct Options {
@@ -51,7 +66,7 @@
     std::function<void(Session &)> Serve;
     // Sends the reason to a connection that is closed because the maximum is
     // reached; may be empty.
-    std::function<void(int Fd)> Refuse;
+    std::function<void(Session &)> Refuse;
     // Runs the fibers and must outlive the server. If null, each connection
     // gets a thread, for handlers that block.
     FiberPool *Fibers = nullptr;
@@ -85,7 +100,11 @@
   void awaitConnection();
   void startServing(std::list<Session>::iterator It);
   void accepted(UniqueFd Fd);
+  // Ends the oldest connection that only lingers. Returns false if none does.
+  // The mutex must be held.
+  bool endLingering();
   void serve(std::list<Session>::iterator It);
+  void serveOrRefuse(Session &Open);
 
   const Options Opts;
   UniqueFd Listener;
@@ -100,6 +119,8 @@
   mutable std::mutex Mutex;
   std::condition_variable Ended;
   std::list<Session> Sessions;
+  // Sessions that are refused; they do not count towards the maximum.
+  std::size_t Refusals = 0;
 };
 
 } // namespace magnolia::daemon
--- a/packages/daemon/src/daemon/node/node.cpp
+++ b/packages/daemon/src/daemon/node/node.cpp
@@ -108,7 +108,7 @@
                   .Port = callerEndpoint(Settings).Port,
                   .Maximum = Settings.HeldConnections,
                   .Serve = [this](Session &S) { CallerRequests.serve(S); },
-                  .Refuse = [this](int Fd) { CallerRequests.refuse(Fd); },
+                  .Refuse = [this](Session &S) { CallerRequests.refuse(S); },
                   .Fibers = &Traffic}) {
   State.add("entry", [this] { return dumpEntry(EntryNode); });
   State.add("sidecar", [this] { return dumpSidecar(LocalSidecar, Backend); });
--- a/packages/daemon/test/daemon/support/gated_server.h
+++ b/packages/daemon/test/daemon/support/gated_server.h
@@ -22,22 +22,25 @@
 #include <string>
 #include <string_view>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace magnolia::daemon::test {
 
 // HTTP service on fibers whose requests end when the test releases their path.
-// GET requests may overlap. The response body is the path, "/big", "/busy" and
-// "/large" have larger ones, "/busy" occupies its thread until the test ends
-// it, "/close" closes the connection, "/throw" throws.
+// GET requests may overlap. The response body is the path, "/big", "/busy",
+// "/large" and "/close-large" have larger ones, "/busy" occupies its thread
+// until the test ends it, "/close" closes the connection, "/throw" throws.
 class GatedServer {
 public:
   static constexpr std::chrono::seconds Timeout{10};
   static constexpr std::size_t BigBytes = std::size_t{32} << 20;
   static constexpr std::size_t LargeBytes = 60'000;
+  static constexpr std::size_t MaximumConnections = 8;
 
   explicit GatedServer(const policy::PipelineLimits &Limits,
-                       std::size_t PipelineFibers = 64)
+                       std::size_t PipelineFibers = 64,
+                       policy::Duration Idle = Timeout)
       : Service(
             [this](const HttpRequest &Request, CallerWatch &From) {
               return handle(Request, From);
@@ -45,7 +48,7 @@
             Counts, nativeDialect(),
             {.Limits = {.HeadBytes = 16'384, .BodyBytes = 16'384},
              .Memory = &Bodies,
-             .Idle = Timeout,
+             .Idle = Idle,
              .Read = Timeout,
              .Pipeline = Limits,
              .PipelineFibers = PipelineFibers},
@@ -53,9 +56,9 @@
             [](const HttpRequest &Request) { return Request.Method == "GET"; }),
         Server({.Address = "127.0.0.1",
                 .Port = 0,
-                .Maximum = 8,
+                .Maximum = MaximumConnections,
                 .Serve = [this](Session &S) { Service.serve(S); },
-                .Refuse = {},
+                .Refuse = [this](Session &S) { Service.refuse(S); },
                 .Fibers = &Fibers}) {
     policy::Error LastError;
     EXPECT_TRUE(Server.start(LastError)) << LastError.Detail;
@@ -123,7 +126,9 @@
     if (Path == "/big" || Path == "/busy") {
       return std::string(BigBytes, 'b');
     }
-    return Path.starts_with("/large") ? std::string(LargeBytes, 'l') : Path;
+    const bool IsLarge =
+        Path.starts_with("/large") || Path.starts_with("/close-large");
+    return IsLarge ? std::string(LargeBytes, 'l') : Path;
   }
 
   HttpResponse handle(const HttpRequest &Request, CallerWatch &From) {
@@ -151,7 +156,7 @@
       throw std::runtime_error("thrown by the test");
     }
     HttpResponse Response;
-    Response.KeepAlive = Path != "/close";
+    Response.KeepAlive = !Path.starts_with("/close");
     Response.Body = bodyOf(Path);
     return Response;
   }
@@ -167,11 +172,13 @@
 class GatedCaller {
 public:
   explicit GatedCaller(const GatedServer &Server) : Fd(Server.connect()) {}
+  explicit GatedCaller(UniqueFd Connection) : Fd(std::move(Connection)) {}
 
   void send(std::string_view Bytes) const {
     EXPECT_TRUE(sendAll(Fd.fd(), Bytes, {}, now() + GatedServer::Timeout));
   }
   void close() { Fd.reset(); }
+  [[nodiscard]] int fd() const { return Fd.fd(); }
 
   // Returns the next response, or one with status 0 if the connection ended.
   [[nodiscard]] HttpResponse receive() {
--- a/packages/daemon/test/daemon/support/scripted_backend.h
+++ b/packages/daemon/test/daemon/support/scripted_backend.h
@@ -65,6 +65,8 @@
   static constexpr std::string_view CloseMarker = "[close]";
 
   void serve(Session &Accepted) {
+    // The scripts state how a connection ends, also with a reset.
+    Accepted.setLinger(policy::CloseAtOnce);
     std::string Bytes;
     int Answered = 0;
     for (;;) {
